--- /dev/null
+++ b/build.sh
@@ -0,0 +1,106 @@
+#!/usr/bin/env bash
+# The one entry to building, testing and checking. See BUILDING.md.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+PACKAGES=(g++ cmake ninja-build ccache clang-format clang-tidy
+  libboost-dev libboost-fiber-dev libboost-context-dev
+  libjsonrpccpp-dev libjsoncpp-dev libtomlplusplus-dev libcli11-dev
+  liblog4cplus-dev doctest-dev libssl-dev
+  protobuf-compiler libprotobuf-dev)
+
+usage() {
+  cat <<'TEXT'
+usage: ./build.sh COMMAND
+  packages   install Debian's packages that the build needs (as root)
+  build      build everything into build/
+  test       build, then run every test
+  demo       build, then run the main job: see README.md
+  sanitize   unit tests with address and undefined-behaviour sanitizers
+  threads    concurrency tests with the thread sanitizer
+  format     format every source; with --check only tell
+  lint       run clang-tidy on every source
+  generated  check that generated code matches its schema
+TEXT
+}
+
+sources() {
+  git ls-files -co --exclude-standard '*.cpp' '*.h' | grep -v '/generated/'
+}
+
+configure() { # DIR [OPTIONS...]
+  local dir=$1
+  shift
+  cmake -S . -B "$dir" -G Ninja "$@" >/dev/null
+}
+
+build() {
+  configure build
+  cmake --build build
+}
+
+install_packages() {
+  local missing=()
+  for package in "${PACKAGES[@]}"; do
+    dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
+  done
+  if [ ${#missing[@]} -gt 0 ]; then
+    apt-get update -qq
+    apt-get install -y -qq "${missing[@]}"
+  fi
+}
+
+check_generated() {
+  local fresh
+  fresh=$(mktemp -d)
+  protoc --proto_path=libs/schema/proto --cpp_out="$fresh" libs/schema/proto/*.proto
+  diff -r "$fresh" libs/schema/generated/schema
+  rm -r "$fresh"
+}
+
+# Lists unit test programs: everything that ctest knows but the integration
+# tests, which start other processes.
+run_unit_tests() { # BUILD_DIR
+  ctest --test-dir "$1" --output-on-failure -j "$(nproc)" -LE integration
+}
+
+case "${1:-}" in
+  packages) install_packages ;;
+  build) build ;;
+  test)
+    build
+    ctest --test-dir build --output-on-failure -j 4
+    ;;
+  demo)
+    install_packages
+    build
+    build/bin/waxwingyoke-demo
+    ;;
+  sanitize)
+    configure build-asan -DWAXWINGYOKE_SANITIZE=address -DCMAKE_BUILD_TYPE=Debug -DWAXWINGYOKE_UNIT_ONLY=ON
+    cmake --build build-asan
+    run_unit_tests build-asan
+    ;;
+  threads)
+    configure build-tsan -DWAXWINGYOKE_SANITIZE=thread -DWAXWINGYOKE_UNIT_ONLY=ON
+    cmake --build build-tsan
+    run_unit_tests build-tsan
+    ;;
+  format)
+    if [ "${2:-}" = --check ]; then
+      sources | xargs clang-format --dry-run --Werror
+    else
+      sources | xargs clang-format -i
+    fi
+    ;;
+  lint)
+    configure build
+    sources | grep '\.cpp$' |
+      xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
+    ;;
+  generated) check_generated ;;
+  *)
+    usage
+    exit 2
+    ;;
+esac
--- /dev/null
+++ b/libs/net/include/net/HttpClient.h
@@ -0,0 +1,97 @@
+#ifndef waxwingyoke_net_HttpClient_h
+#define waxwingyoke_net_HttpClient_h
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <net/Endpoint.h>
+#include <net/Http.h>
+#include <utils/Error.h>
+#include <utils/Time.h>
+
+namespace waxwingyoke::net {
+
+/** What a read from an answer's body came to. */
+enum class ReadResult
+{
+  Data,
+  End,
+  Failed
+};
+
+/**
+ * The answer to one request while it arrives. Destroying it before the end
+ * closes the connection, which tells the peer to stop.
+ */
+class ResponseStream
+{
+public:
+  struct Impl;
+  explicit ResponseStream(std::unique_ptr<Impl> aImpl);
+  ~ResponseStream();
+
+  int GetStatus() const;
+  const HttpFields& GetFields() const;
+
+  /**
+   * Replaces aPart by the next bytes. Failed with TimedOut if nothing comes
+   * in aTimeout, ConnectionLost if the body is cut.
+   */
+  ReadResult Read(std::string& aPart,
+                  utils::Millis aTimeout,
+                  utils::Error& aReason);
+
+  /** Makes a Read that another fiber of this thread waits in fail. */
+  void Cancel();
+
+private:
+  std::unique_ptr<Impl> impl_;
+};
+
+/** How long a call waits for what. */
+struct CallTimeouts
+{
+  utils::Millis connect{ 1000 };
+  /** From sending to the answer's head. */
+  utils::Millis head{ 10000 };
+  /** Between two parts of the body, or for the whole body of a Call. */
+  utils::Millis body{ 10000 };
+};
+
+/**
+ * Calls HTTP/1.1 servers over connections kept per thread and endpoint.
+ * Shared by all fibers of a process.
+ *
+ * ConnectFailed means that nothing was sent; ConnectionLost and TimedOut
+ * leave open whether the request ran. A GET that meets a kept connection
+ * which the peer has closed is sent again once on a new one, no other
+ * method is.
+ */
+class HttpClient
+{
+public:
+  HttpClient();
+  ~HttpClient();
+
+  /** The whole answer, whatever its status. */
+  std::optional<HttpResponse> Call(const Endpoint& aPeer,
+                                   const HttpRequest& aRequest,
+                                   const CallTimeouts& aTimeouts,
+                                   utils::Error& aReason);
+
+  /** The answer as it arrives. */
+  std::unique_ptr<ResponseStream> Open(const Endpoint& aPeer,
+                                       const HttpRequest& aRequest,
+                                       const CallTimeouts& aTimeouts,
+                                       utils::Error& aReason);
+
+  struct Impl;
+
+private:
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace waxwingyoke::net
+
+#endif // waxwingyoke_net_HttpClient_h
--- /dev/null
+++ b/libs/net/include/net/HttpServer.h
@@ -0,0 +1,107 @@
+#ifndef waxwingyoke_net_HttpServer_h
+#define waxwingyoke_net_HttpServer_h
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include <net/Endpoint.h>
+#include <net/Http.h>
+#include <net/Runtime.h>
+#include <utils/Error.h>
+#include <utils/Time.h>
+
+namespace waxwingyoke::net {
+
+/**
+ * Takes the answer to one request: either whole by Send, or a head by Start,
+ * any number of parts by Write, and Finish. An answer that was started and
+ * not finished ends with a cut connection, never as if it were whole.
+ */
+class ResponseWriter
+{
+public:
+  virtual ~ResponseWriter() = default;
+
+  /** False if the caller is gone, here and below. */
+  virtual bool Send(const HttpResponse& aResponse) = 0;
+  virtual bool Start(int aStatus, const HttpFields& aFields) = 0;
+  virtual bool Write(std::string_view aPart) = 0;
+  virtual bool Finish() = 0;
+
+  /** Whether the caller has closed its connection. */
+  virtual bool IsPeerGone() = 0;
+
+  /** Whether Send or Start was called. */
+  virtual bool IsStarted() const = 0;
+};
+
+using HttpHandler =
+  std::function<void(const HttpRequest& aRequest, ResponseWriter& aWriter)>;
+
+/**
+ * Serves HTTP/1.1 on one endpoint; a fiber for each connection, the
+ * connections dealt to the runtime's threads in turn.
+ *
+ *     auto server = HttpServer::Builder(runtime)
+ *                     .SetEndpoint(endpoint)
+ *                     .SetHandler(handler)
+ *                     .Build(reason);
+ */
+class HttpServer
+{
+public:
+  struct Options;
+  class Builder;
+
+  ~HttpServer();
+
+  /** Takes no new connections and closes the idle ones. */
+  void Close();
+
+  /** Requests whose handlers run now. */
+  std::size_t GetActiveCount() const;
+
+private:
+  struct Impl;
+  explicit HttpServer(std::shared_ptr<Impl> aImpl);
+  std::shared_ptr<Impl> impl_;
+};
+
+struct HttpServer::Options
+{
+  Endpoint endpoint;
+  HttpHandler handler;
+  std::size_t maxBodyBytes = 8 << 20;
+  std::uint32_t maxHeaderBytes = 16 << 10;
+  std::size_t maxConnections = 20000;
+  /** A connection between two requests, or within one, that stays silent. */
+  utils::Millis idleTimeout{ 60000 };
+  /** A caller that does not read what is written to it. */
+  utils::Millis writeTimeout{ 20000 };
+};
+
+class HttpServer::Builder
+{
+public:
+  explicit Builder(Runtime& aRuntime);
+
+  Builder& SetEndpoint(Endpoint aEndpoint);
+  Builder& SetHandler(HttpHandler aHandler);
+  Builder& SetMaxBodyBytes(std::size_t aBytes);
+  Builder& SetMaxConnections(std::size_t aCount);
+  Builder& SetIdleTimeout(utils::Millis aTime);
+  Builder& SetWriteTimeout(utils::Millis aTime);
+
+  /** Binds and starts; empty with a reason if the port can't be had. */
+  std::unique_ptr<HttpServer> Build(utils::Error& aReason);
+
+private:
+  Runtime& runtime_;
+  Options options_;
+};
+
+} // namespace waxwingyoke::net
+
+#endif // waxwingyoke_net_HttpServer_h
--- /dev/null
+++ b/libs/net/include/net/Runtime.h
@@ -0,0 +1,64 @@
+#ifndef waxwingyoke_net_Runtime_h
+#define waxwingyoke_net_Runtime_h
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include <utils/Time.h>
+
+namespace waxwingyoke::net {
+
+/**
+ * The threads of a process, each with its own loop of sockets and fibers.
+ *
+ * A fiber stays on the thread that it began on; what threads share is
+ * guarded by boost::fibers::mutex or read by copy. The program owns the one
+ * Runtime.
+ *
+ *     Runtime runtime(2);
+ *     return runtime.Run([&] { server.Start(); return 0; });
+ */
+class Runtime
+{
+public:
+  explicit Runtime(std::size_t aThreads);
+  ~Runtime();
+
+  Runtime(const Runtime&) = delete;
+  Runtime& operator=(const Runtime&) = delete;
+
+  /** Runs aMain as the first fiber and returns its result when it ends. */
+  int Run(std::function<int()> aMain);
+
+  /** Starts a fiber on one of the threads, taken in turn. */
+  void Spawn(std::function<void()> aFiber);
+
+  /** Starts a fiber on the calling fiber's thread. */
+  static void SpawnHere(std::function<void()> aFiber);
+
+  /** Waits for SIGTERM or SIGINT; returns its number. */
+  int WaitForSignal();
+
+  std::size_t GetThreadCount() const;
+
+  /** The calling thread's number, from 0; for state kept per thread. */
+  static std::size_t GetThreadIndex();
+
+  /** Suspends the calling fiber. */
+  static void Sleep(utils::Millis aTime);
+
+  struct Impl;
+  Impl& GetImpl() { return *impl_; }
+
+private:
+  std::unique_ptr<Impl> impl_;
+};
+
+/** Ends the process at once, with the logs written; fibers are not awaited. */
+[[noreturn]] void
+ExitProcess(int aCode);
+
+} // namespace waxwingyoke::net
+
+#endif // waxwingyoke_net_Runtime_h
--- /dev/null
+++ b/libs/net/src/Beast.h
@@ -0,0 +1,49 @@
+#ifndef waxwingyoke_net_Beast_h
+#define waxwingyoke_net_Beast_h
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <net/Http.h>
+
+// The only place where Beast and Asio's TCP are included: few sources may
+// see this header, as each costs seconds to compile.
+
+namespace waxwingyoke::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+
+template<typename Message>
+void
+CopyFields(const HttpFields& aFrom, Message& aTo)
+{
+  for (const auto& field : aFrom) {
+    aTo.insert(field.name, field.value);
+  }
+}
+
+template<typename Message>
+HttpFields
+ReadFields(const Message& aMessage)
+{
+  HttpFields fields;
+  for (const auto& field : aMessage) {
+    fields.Add({ field.name_string().data(), field.name_string().size() },
+               { field.value().data(), field.value().size() });
+  }
+  return fields;
+}
+
+/** Whether the peer has closed, seen without waiting or taking bytes. */
+bool
+IsClosedByPeer(Tcp::socket& aSocket);
+
+} // namespace waxwingyoke::net
+
+#endif // waxwingyoke_net_Beast_h
--- /dev/null
+++ b/libs/net/src/Endpoint.cpp
@@ -0,0 +1,31 @@
+#include <net/Endpoint.h>
+
+#include <charconv>
+
+namespace waxwingyoke::net {
+
+std::string
+Endpoint::ToString() const
+{
+  return address + ":" + std::to_string(port);
+}
+
+std::optional<Endpoint>
+Endpoint::Parse(std::string_view aText)
+{
+  auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return std::nullopt;
+  }
+  Endpoint endpoint;
+  endpoint.address = aText.substr(0, colon);
+  auto digits = aText.substr(colon + 1);
+  const char* end = digits.data() + digits.size();
+  auto result = std::from_chars(digits.data(), end, endpoint.port);
+  if (result.ec != std::errc() || result.ptr != end || endpoint.port == 0) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+} // namespace waxwingyoke::net
--- /dev/null
+++ b/libs/net/src/FiberScheduler.h
@@ -0,0 +1,40 @@
+#ifndef waxwingyoke_net_FiberScheduler_h
+#define waxwingyoke_net_FiberScheduler_h
+
+#include <chrono>
+#include <cstddef>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/algo/algorithm.hpp>
+#include <boost/fiber/context.hpp>
+#include <boost/fiber/scheduler.hpp>
+
+namespace waxwingyoke::net {
+
+/**
+ * Runs the fibers of one thread in turn and its sockets in between.
+ *
+ * Socket handlers run in the dispatcher's context only: pick_next is also
+ * called by a fiber that suspends with a wait queue's lock held, and a
+ * handler that wakes a fiber of that queue would wait for itself.
+ */
+class FiberScheduler : public boost::fibers::algo::algorithm
+{
+public:
+  explicit FiberScheduler(boost::asio::io_context& aIo);
+
+  void awakened(boost::fibers::context* aContext) noexcept override;
+  boost::fibers::context* pick_next() noexcept override;
+  bool has_ready_fibers() const noexcept override;
+  void suspend_until(
+    const std::chrono::steady_clock::time_point& aTime) noexcept override;
+  void notify() noexcept override;
+
+private:
+  boost::asio::io_context& io_;
+  boost::fibers::scheduler::ready_queue_type ready_;
+};
+
+} // namespace waxwingyoke::net
+
+#endif // waxwingyoke_net_FiberScheduler_h
--- /dev/null
+++ b/libs/net/src/HttpServer.cpp
@@ -0,0 +1,407 @@
+#include <net/HttpServer.h>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include <telemetry/Metrics.h>
+
+#include "Await.h"
+#include "Beast.h"
+#include "RuntimeImpl.h"
+
+namespace waxwingyoke::net {
+
+namespace {
+
+using Stream = beast::tcp_stream;
+
+class Writer : public ResponseWriter
+{
+public:
+  Writer(Stream& aStream, utils::Millis aTimeout, bool aKeepAlive)
+    : stream_(aStream)
+    , timeout_(aTimeout)
+    , keepAlive_(aKeepAlive)
+  {
+  }
+
+  bool Send(const HttpResponse& aResponse) override;
+  bool Start(int aStatus, const HttpFields& aFields) override;
+  bool Write(std::string_view aPart) override;
+  bool Finish() override;
+  bool IsPeerGone() override
+  {
+    return broken_ || IsClosedByPeer(stream_.socket());
+  }
+  bool IsStarted() const override { return started_; }
+
+  bool IsWhole() const { return finished_ && !broken_; }
+
+private:
+  template<typename Operation>
+  bool Do(Operation aOperation);
+
+  Stream& stream_;
+  utils::Millis timeout_;
+  bool keepAlive_;
+  bool started_ = false;
+  bool finished_ = false;
+  bool broken_ = false;
+};
+
+template<typename Operation>
+bool
+Writer::Do(Operation aOperation)
+{
+  if (broken_) {
+    return false;
+  }
+  stream_.expires_after(timeout_.ToChrono());
+  broken_ = static_cast<bool>(Await(std::move(aOperation)).error);
+  return !broken_;
+}
+
+bool
+Writer::Send(const HttpResponse& aResponse)
+{
+  started_ = true;
+  finished_ = true;
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(aResponse.status));
+  CopyFields(aResponse.fields, message);
+  message.keep_alive(keepAlive_);
+  message.body() = aResponse.body;
+  message.prepare_payload();
+  return Do([&](auto aHandler) {
+    http::async_write(stream_, message, std::move(aHandler));
+  });
+}
+
+bool
+Writer::Start(int aStatus, const HttpFields& aFields)
+{
+  started_ = true;
+  http::response<http::empty_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(aStatus));
+  CopyFields(aFields, message);
+  message.keep_alive(keepAlive_);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  return Do([&](auto aHandler) {
+    http::async_write_header(stream_, serializer, std::move(aHandler));
+  });
+}
+
+bool
+Writer::Write(std::string_view aPart)
+{
+  // An empty chunk would be the end mark.
+  if (aPart.empty()) {
+    return !broken_;
+  }
+  return Do([&](auto aHandler) {
+    asio::async_write(
+      stream_,
+      http::make_chunk(asio::const_buffer(aPart.data(), aPart.size())),
+      std::move(aHandler));
+  });
+}
+
+bool
+Writer::Finish()
+{
+  finished_ = true;
+  return Do([&](auto aHandler) {
+    asio::async_write(stream_, http::make_chunk_last(), std::move(aHandler));
+  });
+}
+
+} // namespace
+
+bool
+IsClosedByPeer(Tcp::socket& aSocket)
+{
+  char byte = 0;
+  auto got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got == 0) {
+    return true;
+  }
+  return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
+{
+  Impl(Runtime& aRuntime, Options aOptions)
+    : runtime(aRuntime)
+    , options(std::move(aOptions))
+  {
+  }
+
+  bool Bind(utils::Error& aReason);
+  void AcceptLoop();
+  void ServeConnection(Stream& aStream);
+  bool ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer);
+  bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
+  void Refuse(Stream& aStream, beast::error_code aError);
+  void Track(Stream& aStream);
+  void Untrack(Stream& aStream);
+
+  Runtime& runtime;
+  Options options;
+  std::unique_ptr<Tcp::acceptor> acceptor;
+  asio::io_context* acceptIo = nullptr;
+  std::atomic<std::size_t> connections{ 0 };
+  std::atomic<std::size_t> active{ 0 };
+  std::atomic<bool> closing{ false };
+  std::mutex mutex;
+  // Streams that wait for a request, to be closed with the server.
+  std::set<Stream*> idle;
+};
+
+bool
+HttpServer::Impl::Bind(utils::Error& aReason)
+{
+  beast::error_code error;
+  auto address = asio::ip::make_address(options.endpoint.address, error);
+  if (!error) {
+    Tcp::endpoint native(address, options.endpoint.port);
+    acceptIo = &runtime.GetImpl().PickLoop().io;
+    acceptor = std::make_unique<Tcp::acceptor>(*acceptIo);
+    acceptor->open(native.protocol(), error);
+    if (!error) {
+      acceptor->set_option(asio::socket_base::reuse_address(true), error);
+      acceptor->bind(native, error);
+    }
+    if (!error) {
+      acceptor->listen(asio::socket_base::max_listen_connections, error);
+    }
+  }
+  if (error) {
+    aReason.Set(utils::ErrorKind::BadSettings,
+                "cannot listen on " + options.endpoint.ToString() + ": " +
+                  error.message());
+    return false;
+  }
+  return true;
+}
+
+void
+HttpServer::Impl::AcceptLoop()
+{
+  // A full table of descriptors passes; the loop must not spin until then.
+  constexpr utils::Millis kPauseAfterError(50);
+  auto self = shared_from_this();
+  while (!closing) {
+    auto& loop = runtime.GetImpl().PickLoop();
+    auto socket = std::make_shared<Tcp::socket>(loop.io);
+    auto result = Await([&](auto aHandler) {
+      acceptor->async_accept(*socket, std::move(aHandler));
+    });
+    if (result.error == asio::error::operation_aborted) {
+      break;
+    }
+    if (result.error || connections >= options.maxConnections) {
+      Runtime::Sleep(kPauseAfterError);
+      continue;
+    }
+    ++connections;
+    SpawnOn(loop.io, [self, socket] {
+      beast::error_code ignored;
+      socket->set_option(Tcp::no_delay(true), ignored);
+      Stream stream(std::move(*socket));
+      self->ServeConnection(stream);
+      --self->connections;
+    });
+  }
+}
+
+void
+HttpServer::Impl::Track(Stream& aStream)
+{
+  std::scoped_lock lock(mutex);
+  idle.insert(&aStream);
+}
+
+void
+HttpServer::Impl::Untrack(Stream& aStream)
+{
+  std::scoped_lock lock(mutex);
+  idle.erase(&aStream);
+}
+
+void
+HttpServer::Impl::ServeConnection(Stream& aStream)
+{
+  beast::flat_buffer buffer;
+  while (!closing && ServeRequest(aStream, buffer)) {
+  }
+  beast::error_code ignored;
+  aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+bool
+HttpServer::Impl::ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer)
+{
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(options.maxBodyBytes);
+  parser.header_limit(options.maxHeaderBytes);
+  aStream.expires_after(options.idleTimeout.ToChrono());
+  Track(aStream);
+  auto result = Await([&](auto aHandler) {
+    http::async_read(aStream, aBuffer, parser, std::move(aHandler));
+  });
+  Untrack(aStream);
+  if (result.error) {
+    Refuse(aStream, result.error);
+    return false;
+  }
+  auto message = parser.release();
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.fields = ReadFields(message);
+  request.body = std::move(message.body());
+  return RunHandler(aStream, request, message.keep_alive());
+}
+
+bool
+HttpServer::Impl::RunHandler(Stream& aStream,
+                             const HttpRequest& aRequest,
+                             bool aKeep)
+{
+  Writer writer(aStream, options.writeTimeout, aKeep && !closing);
+  ++active;
+  options.handler(aRequest, writer);
+  if (!writer.IsStarted()) {
+    utils::Error error;
+    error.Set(utils::ErrorKind::Internal, "no answer was made");
+    writer.Send(MakeErrorResponse(error));
+  }
+  --active;
+  if (!writer.IsWhole()) {
+    aStream.close();
+    return false;
+  }
+  return aKeep;
+}
+
+void
+HttpServer::Impl::Refuse(Stream& aStream, beast::error_code aError)
+{
+  static auto& sBroken =
+    telemetry::Metrics::Get().GetCounter("http_broken_requests_total");
+  utils::Error error;
+  if (aError == http::error::body_limit ||
+      aError == http::error::header_limit) {
+    error.Set(utils::ErrorKind::TooLarge, aError.message());
+  } else if (aError.category() ==
+               http::make_error_code(http::error::bad_method).category() &&
+             aError != http::error::end_of_stream) {
+    error.Set(utils::ErrorKind::BadRequest, aError.message());
+  } else {
+    return;
+  }
+  sBroken.Add();
+  Writer(aStream, options.writeTimeout, false).Send(MakeErrorResponse(error));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
+  : impl_(std::move(aImpl))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  Close();
+}
+
+void
+HttpServer::Close()
+{
+  if (impl_->closing.exchange(true)) {
+    return;
+  }
+  asio::post(*impl_->acceptIo, [impl = impl_] {
+    beast::error_code ignored;
+    impl->acceptor->close(ignored);
+  });
+  std::scoped_lock lock(impl_->mutex);
+  for (auto* stream : impl_->idle) {
+    asio::post(stream->get_executor(), [impl = impl_, stream] {
+      std::scoped_lock inner(impl->mutex);
+      if (impl->idle.contains(stream)) {
+        stream->cancel();
+      }
+    });
+  }
+}
+
+std::size_t
+HttpServer::GetActiveCount() const
+{
+  return impl_->active;
+}
+
+HttpServer::Builder::Builder(Runtime& aRuntime)
+  : runtime_(aRuntime)
+{
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetEndpoint(Endpoint aEndpoint)
+{
+  options_.endpoint = std::move(aEndpoint);
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetHandler(HttpHandler aHandler)
+{
+  options_.handler = std::move(aHandler);
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetMaxBodyBytes(std::size_t aBytes)
+{
+  options_.maxBodyBytes = aBytes;
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetMaxConnections(std::size_t aCount)
+{
+  options_.maxConnections = aCount;
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetIdleTimeout(utils::Millis aTime)
+{
+  options_.idleTimeout = aTime;
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetWriteTimeout(utils::Millis aTime)
+{
+  options_.writeTimeout = aTime;
+  return *this;
+}
+
+std::unique_ptr<HttpServer>
+HttpServer::Builder::Build(utils::Error& aReason)
+{
+  auto impl = std::make_shared<Impl>(runtime_, options_);
+  if (!impl->Bind(aReason)) {
+    return nullptr;
+  }
+  SpawnOn(*impl->acceptIo, [impl] { impl->AcceptLoop(); });
+  return std::unique_ptr<HttpServer>(new HttpServer(impl));
+}
+
+} // namespace waxwingyoke::net
--- /dev/null
+++ b/libs/net/src/Runtime.cpp
@@ -0,0 +1,212 @@
+#include <net/Runtime.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <mutex>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/fixedsize_stack.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <telemetry/Logger.h>
+
+#include "Await.h"
+#include "FiberScheduler.h"
+#include "RuntimeImpl.h"
+
+namespace waxwingyoke::net {
+
+namespace {
+
+// Room for a parser of nested JSON on top of the socket layers.
+constexpr std::size_t kStackBytes = 256 * 1024;
+
+thread_local std::size_t tThreadIndex = 0;
+thread_local boost::asio::io_context* tIo = nullptr;
+
+} // namespace
+
+FiberScheduler::FiberScheduler(boost::asio::io_context& aIo)
+  : io_(aIo)
+{
+}
+
+void
+FiberScheduler::awakened(boost::fibers::context* aContext) noexcept
+{
+  aContext->ready_link(ready_);
+}
+
+boost::fibers::context*
+FiberScheduler::pick_next() noexcept
+{
+  auto* active = boost::fibers::context::active();
+  if (active->is_context(boost::fibers::type::dispatcher_context)) {
+    io_.poll();
+  }
+  if (ready_.empty()) {
+    return nullptr;
+  }
+  auto* next = &ready_.front();
+  ready_.pop_front();
+  return next;
+}
+
+bool
+FiberScheduler::has_ready_fibers() const noexcept
+{
+  return !ready_.empty();
+}
+
+void
+FiberScheduler::suspend_until(
+  const std::chrono::steady_clock::time_point& aTime) noexcept
+{
+  if (aTime == std::chrono::steady_clock::time_point::max()) {
+    io_.run_one();
+  } else {
+    io_.run_one_until(aTime);
+  }
+}
+
+void
+FiberScheduler::notify() noexcept
+{
+  boost::asio::post(io_, [] {});
+}
+
+boost::asio::io_context&
+GetThreadIo()
+{
+  return *tIo;
+}
+
+void
+SpawnOn(boost::asio::io_context& aIo, std::function<void()> aFiber)
+{
+  boost::asio::post(aIo, [fiber = std::move(aFiber)]() mutable {
+    Runtime::SpawnHere(std::move(fiber));
+  });
+}
+
+void
+Runtime::Impl::EnterLoop(std::size_t aIndex)
+{
+  tThreadIndex = aIndex;
+  tIo = &loops[aIndex]->io;
+  boost::fibers::use_scheduling_algorithm<FiberScheduler>(*tIo);
+}
+
+void
+Runtime::Impl::WaitForStop()
+{
+  std::unique_lock lock(mutex);
+  stopped.wait(lock, [this] { return stop; });
+}
+
+Loop&
+Runtime::Impl::PickLoop()
+{
+  return *loops[next.fetch_add(1, std::memory_order_relaxed) % loops.size()];
+}
+
+Runtime::Runtime(std::size_t aThreads)
+  : impl_(std::make_unique<Impl>())
+{
+  // A peer that closes early is an error code of the write, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  impl_->loops.resize(std::max<std::size_t>(aThreads, 1));
+  std::ranges::generate(impl_->loops, [] { return std::make_unique<Loop>(); });
+}
+
+Runtime::~Runtime()
+{
+  std::ranges::for_each(impl_->threads,
+                        [](std::thread& aThread) { aThread.join(); });
+}
+
+int
+Runtime::Run(std::function<int()> aMain)
+{
+  for (std::size_t i = 1; i < impl_->loops.size(); ++i) {
+    impl_->threads.emplace_back([this, i] {
+      impl_->EnterLoop(i);
+      impl_->WaitForStop();
+    });
+  }
+  int result = 0;
+  // The first loop gets a thread of its own as well: a thread's scheduler
+  // can be set only once, and a test program makes several runtimes.
+  impl_->threads.emplace_back([this, &result, &aMain] {
+    impl_->EnterLoop(0);
+    result = aMain();
+    std::scoped_lock lock(impl_->mutex);
+    impl_->stop = true;
+    impl_->stopped.notify_all();
+  });
+  std::ranges::for_each(impl_->threads,
+                        [](std::thread& aThread) { aThread.join(); });
+  impl_->threads.clear();
+  return result;
+}
+
+void
+Runtime::Spawn(std::function<void()> aFiber)
+{
+  SpawnOn(impl_->PickLoop().io, std::move(aFiber));
+}
+
+void
+Runtime::SpawnHere(std::function<void()> aFiber)
+{
+  boost::fibers::fiber(boost::fibers::launch::post,
+                       std::allocator_arg,
+                       boost::fibers::fixedsize_stack(kStackBytes),
+                       std::move(aFiber))
+    .detach();
+}
+
+int
+Runtime::WaitForSignal()
+{
+  boost::asio::signal_set signals(GetThreadIo(), SIGTERM, SIGINT);
+  int number = 0;
+  Await([&](auto aHandler) {
+    signals.async_wait([&number, aHandler](auto aError, int aNumber) mutable {
+      number = aNumber;
+      aHandler(aError);
+    });
+  });
+  return number;
+}
+
+std::size_t
+Runtime::GetThreadCount() const
+{
+  return impl_->loops.size();
+}
+
+std::size_t
+Runtime::GetThreadIndex()
+{
+  return tThreadIndex;
+}
+
+void
+Runtime::Sleep(utils::Millis aTime)
+{
+  boost::this_fiber::sleep_for(aTime.ToChrono());
+}
+
+void
+ExitProcess(int aCode)
+{
+  telemetry::StopLogging();
+  std::_Exit(aCode);
+}
+
+} // namespace waxwingyoke::net
--- /dev/null
+++ b/libs/net/tests/HttpTest.cpp
@@ -0,0 +1,159 @@
+#include <doctest/doctest.h>
+
+#include <functional>
+
+#include <unistd.h>
+
+#include <net/HttpClient.h>
+#include <net/HttpServer.h>
+#include <net/Router.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::net;
+
+namespace {
+
+// An address of this process's own in the loopback range, so that tests
+// that run side by side never meet; the port is below the ephemeral ones.
+Endpoint
+MakeEndpoint()
+{
+  auto pid = static_cast<unsigned>(getpid());
+  return { "127.77." + std::to_string(pid / 250 % 250) + "." +
+             std::to_string(pid % 250 + 1),
+           7301 };
+}
+
+void
+WithServer(const HttpHandler& aHandler,
+           const std::function<void(HttpClient&, const Endpoint&)>& aTest)
+{
+  Runtime runtime(2);
+  runtime.Run([&] {
+    utils::Error reason;
+    auto endpoint = MakeEndpoint();
+    auto server = HttpServer::Builder(runtime)
+                    .SetEndpoint(endpoint)
+                    .SetHandler(aHandler)
+                    .SetMaxBodyBytes(1000)
+                    .Build(reason);
+    REQUIRE_MESSAGE(server, reason.detail);
+    HttpClient client;
+    aTest(client, endpoint);
+    server->Close();
+    return 0;
+  });
+}
+
+void
+Echo(const HttpRequest& aRequest, ResponseWriter& aWriter)
+{
+  aWriter.Send(MakeJsonResponse(200, aRequest.body));
+}
+
+HttpRequest
+MakePost(std::string aBody)
+{
+  HttpRequest request;
+  request.method = "POST";
+  request.body = std::move(aBody);
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("a whole answer arrives over a kept connection")
+{
+  WithServer(&Echo, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    for (int i = 0; i < 20; ++i) {
+      auto body = std::to_string(i);
+      auto answer = aClient.Call(aPeer, MakePost(body), {}, reason);
+      REQUIRE_MESSAGE(answer, reason.detail);
+      CHECK(answer->body == body);
+    }
+  });
+}
+
+TEST_CASE("parts arrive while the answer goes on")
+{
+  auto handler = [](const HttpRequest&, ResponseWriter& aWriter) {
+    aWriter.Start(200, {});
+    aWriter.Write("one");
+    aWriter.Write("two");
+    aWriter.Finish();
+  };
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    auto answer = aClient.Call(aPeer, {}, {}, reason);
+    REQUIRE(answer);
+    CHECK(answer->body == "onetwo");
+  });
+}
+
+TEST_CASE("an answer that is not finished is never taken for whole")
+{
+  auto handler = [](const HttpRequest&, ResponseWriter& aWriter) {
+    aWriter.Start(200, {});
+    aWriter.Write("half");
+  };
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    CHECK_FALSE(aClient.Call(aPeer, {}, {}, reason));
+    CHECK(reason.kind == utils::ErrorKind::ConnectionLost);
+  });
+}
+
+TEST_CASE("a silent server is a timeout, a closed port a failed connect")
+{
+  auto handler = [](const HttpRequest&, ResponseWriter& aWriter) {
+    Runtime::Sleep(utils::Millis(300));
+    aWriter.Send({});
+  };
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    CallTimeouts timeouts;
+    timeouts.head = utils::Millis(30);
+    CHECK_FALSE(aClient.Call(aPeer, {}, timeouts, reason));
+    CHECK(reason.kind == utils::ErrorKind::TimedOut);
+    CHECK_FALSE(aClient.Call({ aPeer.address, 7302 }, {}, {}, reason));
+    CHECK(reason.kind == utils::ErrorKind::ConnectFailed);
+  });
+}
+
+TEST_CASE("a body over the limit is refused as too large")
+{
+  WithServer(&Echo, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    auto answer =
+      aClient.Call(aPeer, MakePost(std::string(2000, 'x')), {}, reason);
+    REQUIRE(answer);
+    CHECK(answer->status == 413);
+  });
+}
+
+TEST_CASE("the router picks by method and path, behind the secret")
+{
+  Router router;
+  router.Add("POST", "/a/*", &Echo);
+  auto handler = RequireSecret(
+    "s3", [&router](const HttpRequest& aRequest, ResponseWriter& aWriter) {
+      router.Handle(aRequest, aWriter);
+    });
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    auto request = MakePost("x");
+    auto status = [&] {
+      auto answer = aClient.Call(aPeer, request, {}, reason);
+      return answer ? answer->status : 0;
+    };
+    CHECK(status() == 401);
+    auto secret = MakeSecretField("s3");
+    request.fields.Set(secret.name, secret.value);
+    CHECK(status() == 404);
+    request.target = "/a/b";
+    CHECK(status() == 200);
+    request.method = "GET";
+    CHECK(status() == 405);
+  });
+}
--- /dev/null
+++ b/libs/rpc/src/RpcServer.cpp
@@ -0,0 +1,58 @@
+#include <rpc/RpcServer.h>
+
+#include <utility>
+
+#include <google/protobuf/message.h>
+#include <schema/Json.h>
+
+#include "JsonRpcBridge.h"
+
+namespace waxwingyoke::rpc {
+
+struct RpcServer::Impl
+{
+  ServerBridge bridge;
+};
+
+RpcServer::RpcServer()
+  : impl_(std::make_unique<Impl>())
+{
+}
+
+RpcServer::~RpcServer() = default;
+
+void
+RpcServer::AddUntyped(const std::string& aName,
+                      Maker aMakeRequest,
+                      Maker aMakeReply,
+                      Method aMethod)
+{
+  auto method = [makeRequest = std::move(aMakeRequest),
+                 makeReply = std::move(aMakeReply),
+                 call = std::move(aMethod)](const std::string& aParams) {
+    auto request = makeRequest();
+    auto reply = makeReply();
+    utils::Error error;
+    BridgeResult result;
+    if (!schema::FromJson(aParams, *request, error) ||
+        !call(*request, *reply, error)) {
+      result.code = utils::GetErrorTraits(error.kind).rpcCode;
+      result.text = error.detail;
+      return result;
+    }
+    result.text = schema::ToJson(*reply);
+    return result;
+  };
+  impl_->bridge.Add(aName, method);
+}
+
+void
+RpcServer::Handle(const net::HttpRequest& aRequest,
+                  net::ResponseWriter& aWriter)
+{
+  constexpr int kOk = 200;
+  aWriter.Send(
+    net::MakeJsonResponse(kOk, impl_->bridge.Process(aRequest.body)));
+}
+
+} // namespace waxwingyoke::rpc
--- /dev/null
+++ b/libs/schema/src/Json.cpp
@@ -0,0 +1,65 @@
+#include <schema/Json.h>
+
+#include <google/protobuf/message.h>
+#include <google/protobuf/util/json_util.h>
+
+namespace waxwingyoke::schema {
+
+namespace {
+
+using google::protobuf::util::JsonParseOptions;
+using google::protobuf::util::JsonPrintOptions;
+using google::protobuf::util::JsonStringToMessage;
+using google::protobuf::util::MessageToJsonString;
+
+std::string
+Print(const google::protobuf::Message& aMessage,
+      const JsonPrintOptions& aOptions)
+{
+  std::string json;
+  // Fails only on text that is not UTF-8, which proto3 strings cannot hold
+  // once parsed; an empty object then stands for the broken message.
+  if (!MessageToJsonString(aMessage, &json, aOptions).ok()) {
+    return "{}";
+  }
+  return json;
+}
+
+} // namespace
+
+std::string
+ToJson(const google::protobuf::Message& aMessage)
+{
+  JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  return Print(aMessage, options);
+}
+
+std::string
+ToPrettyJson(const google::protobuf::Message& aMessage)
+{
+  JsonPrintOptions options;
+  options.preserve_proto_field_names = true;
+  options.always_print_primitive_fields = true;
+  options.add_whitespace = true;
+  return Print(aMessage, options);
+}
+
+bool
+FromJson(std::string_view aJson,
+         google::protobuf::Message& aMessage,
+         utils::Error& aReason)
+{
+  JsonParseOptions options;
+  auto status = JsonStringToMessage(
+    google::protobuf::StringPiece(aJson.data(), aJson.size()),
+    &aMessage,
+    options);
+  if (!status.ok()) {
+    aReason.Set(utils::ErrorKind::BadRequest, status.ToString());
+    return false;
+  }
+  return true;
+}
+
+} // namespace waxwingyoke::schema
--- /dev/null
+++ b/libs/schema/src/SettingsReader.cpp
@@ -0,0 +1,260 @@
+#include <schema/SettingsReader.h>
+
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/message.h>
+#include <schema/options.pb.h>
+#include <toml++/toml.h>
+
+namespace waxwingyoke::schema {
+
+namespace {
+
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+using utils::ErrorKind;
+
+bool
+HasRequiredKey(const google::protobuf::Descriptor& aDescriptor)
+{
+  for (int i = 0; i < aDescriptor.field_count(); ++i) {
+    if (aDescriptor.field(i)->options().GetExtension(required)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// One walk over a parsed file; stops at the first fault.
+class Walk
+{
+public:
+  Walk(const std::string& aFile, utils::Error& aReason)
+    : file_(aFile)
+    , reason_(aReason)
+  {
+  }
+
+  bool FillMessage(const toml::table& aTable, Message& aMessage);
+
+private:
+  bool CheckKeys(const toml::table& aTable, const Message& aMessage);
+  bool FillField(const toml::table& aTable,
+                 Message& aMessage,
+                 const FieldDescriptor& aField);
+  bool FillAbsentTable(const toml::table& aParent,
+                       Message& aMessage,
+                       const FieldDescriptor& aField);
+  bool FillPreset(const toml::table& aTable,
+                  Message& aMessage,
+                  const FieldDescriptor& aField);
+  bool FillValue(const toml::node& aNode,
+                 Message& aMessage,
+                 const FieldDescriptor& aField);
+  bool FillInteger(const toml::node& aNode,
+                   Message& aMessage,
+                   const FieldDescriptor& aField);
+  bool Fail(const toml::node& aNode, const std::string& aWhat);
+
+  const std::string& file_;
+  utils::Error& reason_;
+};
+
+bool
+Walk::Fail(const toml::node& aNode, const std::string& aWhat)
+{
+  std::ostringstream text;
+  text << file_ << ":" << aNode.source().begin.line << ": " << aWhat;
+  reason_.Set(ErrorKind::BadSettings, text.str());
+  return false;
+}
+
+bool
+Walk::CheckKeys(const toml::table& aTable, const Message& aMessage)
+{
+  for (const auto& [key, node] : aTable) {
+    std::string name(key.str());
+    if (aMessage.GetDescriptor()->FindFieldByName(name) == nullptr) {
+      return Fail(node,
+                  "unknown key '" + name + "' in " +
+                    aMessage.GetDescriptor()->name());
+    }
+  }
+  return true;
+}
+
+bool
+Walk::FillMessage(const toml::table& aTable, Message& aMessage)
+{
+  if (!CheckKeys(aTable, aMessage)) {
+    return false;
+  }
+  const auto& descriptor = *aMessage.GetDescriptor();
+  for (int i = 0; i < descriptor.field_count(); ++i) {
+    if (!FillField(aTable, aMessage, *descriptor.field(i))) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+Walk::FillField(const toml::table& aTable,
+                Message& aMessage,
+                const FieldDescriptor& aField)
+{
+  const auto* node = aTable.get(aField.name());
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+    if (node == nullptr) {
+      return FillAbsentTable(aTable, aMessage, aField);
+    }
+    const auto* table = node->as_table();
+    if (table == nullptr) {
+      return Fail(*node, "'" + aField.name() + "' must be a table");
+    }
+    auto* inner = aMessage.GetReflection()->MutableMessage(&aMessage, &aField);
+    return FillMessage(*table, *inner);
+  }
+  if (node == nullptr) {
+    return FillPreset(aTable, aMessage, aField);
+  }
+  return FillValue(*node, aMessage, aField);
+}
+
+// A table with required keys may be left out whole, unless it is itself
+// required; any other gets its presets.
+bool
+Walk::FillAbsentTable(const toml::table& aParent,
+                      Message& aMessage,
+                      const FieldDescriptor& aField)
+{
+  if (aField.options().GetExtension(required)) {
+    return Fail(aParent, "missing table '" + aField.name() + "'");
+  }
+  if (HasRequiredKey(*aField.message_type())) {
+    return true;
+  }
+  auto* inner = aMessage.GetReflection()->MutableMessage(&aMessage, &aField);
+  return FillMessage(toml::table{}, *inner);
+}
+
+bool
+Walk::FillPreset(const toml::table& aTable,
+                 Message& aMessage,
+                 const FieldDescriptor& aField)
+{
+  const auto& options = aField.options();
+  if (options.GetExtension(required)) {
+    return Fail(aTable, "missing key '" + aField.name() + "'");
+  }
+  const auto& presetText = options.GetExtension(preset);
+  const auto* reflection = aMessage.GetReflection();
+  switch (aField.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_STRING:
+      reflection->SetString(&aMessage, &aField, presetText);
+      return true;
+    case FieldDescriptor::CPPTYPE_BOOL:
+      reflection->SetBool(&aMessage, &aField, presetText == "true");
+      return true;
+    case FieldDescriptor::CPPTYPE_UINT32:
+      reflection->SetUInt32(
+        &aMessage, &aField, static_cast<std::uint32_t>(std::stoul(presetText)));
+      return true;
+    default:
+      reflection->SetUInt64(&aMessage, &aField, std::stoull(presetText));
+      return true;
+  }
+}
+
+bool
+Walk::FillValue(const toml::node& aNode,
+                Message& aMessage,
+                const FieldDescriptor& aField)
+{
+  const auto* reflection = aMessage.GetReflection();
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_STRING) {
+    auto text = aNode.value_exact<std::string>();
+    if (!text) {
+      return Fail(aNode, "'" + aField.name() + "' must be a string");
+    }
+    reflection->SetString(&aMessage, &aField, *text);
+    return true;
+  }
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_BOOL) {
+    auto flag = aNode.value_exact<bool>();
+    if (!flag) {
+      return Fail(aNode, "'" + aField.name() + "' must be true or false");
+    }
+    reflection->SetBool(&aMessage, &aField, *flag);
+    return true;
+  }
+  return FillInteger(aNode, aMessage, aField);
+}
+
+bool
+Walk::FillInteger(const toml::node& aNode,
+                  Message& aMessage,
+                  const FieldDescriptor& aField)
+{
+  auto number = aNode.value_exact<std::int64_t>();
+  if (!number) {
+    return Fail(aNode, "'" + aField.name() + "' must be a whole number");
+  }
+  auto low = aField.options().GetExtension(min);
+  auto high = aField.options().GetExtension(max);
+  if (*number < low || *number > high) {
+    return Fail(aNode,
+                "'" + aField.name() + "' is " + std::to_string(*number) +
+                  ", expected " + std::to_string(low) + " to " +
+                  std::to_string(high));
+  }
+  const auto* reflection = aMessage.GetReflection();
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_UINT32) {
+    reflection->SetUInt32(
+      &aMessage, &aField, static_cast<std::uint32_t>(*number));
+  } else {
+    reflection->SetUInt64(
+      &aMessage, &aField, static_cast<std::uint64_t>(*number));
+  }
+  return true;
+}
+
+} // namespace
+
+bool
+ReadSettings(std::string_view aText,
+             const std::string& aFile,
+             Message& aSettings,
+             utils::Error& aReason)
+{
+  try {
+    auto table = toml::parse(aText, aFile);
+    return Walk(aFile, aReason).FillMessage(table, aSettings);
+  } catch (const toml::parse_error& error) {
+    std::ostringstream text;
+    text << aFile << ":" << error.source().begin.line << ": "
+         << error.description();
+    aReason.Set(ErrorKind::BadSettings, text.str());
+    return false;
+  }
+}
+
+bool
+ReadSettingsFile(const std::string& aFile,
+                 Message& aSettings,
+                 utils::Error& aReason)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  if (!stream) {
+    aReason.Set(ErrorKind::BadSettings, aFile + ": cannot be opened");
+    return false;
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return ReadSettings(text.str(), aFile, aSettings, aReason);
+}
+
+} // namespace waxwingyoke::schema
--- /dev/null
+++ b/libs/schema/tests/JsonTest.cpp
@@ -0,0 +1,25 @@
+#include <doctest/doctest.h>
+
+#include <schema/Json.h>
+#include <schema/log.pb.h>
+
+using namespace waxwingyoke;
+
+TEST_CASE("a message survives JSON")
+{
+  schema::Profile profile;
+  profile.set_name("hydrant-summaries");
+  profile.mutable_vms()->set_group("llm-pool");
+  schema::Profile copy;
+  utils::Error reason;
+  REQUIRE(schema::FromJson(schema::ToJson(profile), copy, reason));
+  CHECK(copy.vms().group() == "llm-pool");
+}
+
+TEST_CASE("an unknown field is refused")
+{
+  schema::Profile profile;
+  utils::Error reason;
+  CHECK_FALSE(schema::FromJson(R"({"nmae": "x"})", profile, reason));
+  CHECK(reason.kind == utils::ErrorKind::BadRequest);
+}
--- /dev/null
+++ b/libs/telemetry/src/Logger.cpp
@@ -0,0 +1,170 @@
+#include <telemetry/Logger.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <utility>
+
+#include <utils/Time.h>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+namespace waxwingyoke::telemetry {
+
+namespace {
+
+struct LevelName
+{
+  utils::LogLevel level;
+  std::string_view name;
+  log4cplus::LogLevel native;
+};
+
+constexpr std::array<LevelName, 4> kLevels{ {
+  { utils::LogLevel::Debug, "debug", log4cplus::DEBUG_LOG_LEVEL },
+  { utils::LogLevel::Info, "info", log4cplus::INFO_LOG_LEVEL },
+  { utils::LogLevel::Warn, "warn", log4cplus::WARN_LOG_LEVEL },
+  { utils::LogLevel::Error, "error", log4cplus::ERROR_LOG_LEVEL },
+} };
+
+const LevelName&
+GetLevel(utils::LogLevel aLevel)
+{
+  return *std::ranges::find(kLevels, aLevel, &LevelName::level);
+}
+
+// The process's one logging set-up.
+std::string&
+GetVm()
+{
+  static std::string sVm;
+  return sVm;
+}
+
+log4cplus::Initializer&
+GetInitializer()
+{
+  static log4cplus::Initializer sInitializer;
+  return sInitializer;
+}
+
+log4cplus::SharedAppenderPtr
+MakeAppender(const LogOptions& aOptions)
+{
+  if (aOptions.file.empty()) {
+    return log4cplus::SharedAppenderPtr(
+      new log4cplus::ConsoleAppender(true, true));
+  }
+  return log4cplus::SharedAppenderPtr(
+    new log4cplus::FileAppender(aOptions.file, std::ios_base::app, true));
+}
+
+} // namespace
+
+void
+StartLogging(const LogOptions& aOptions)
+{
+  GetInitializer();
+  GetVm() = aOptions.vm;
+  auto root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  auto appender = MakeAppender(aOptions);
+  appender->setLayout(
+    std::unique_ptr<log4cplus::Layout>(new log4cplus::PatternLayout("%m%n")));
+  root.addAppender(appender);
+  root.setLogLevel(GetLevel(aOptions.level).native);
+}
+
+void
+StopLogging()
+{
+  log4cplus::Logger::shutdown();
+}
+
+utils::LogLevel
+ParseLogLevel(std::string_view aName)
+{
+  auto row = std::ranges::find(kLevels, aName, &LevelName::name);
+  return row == kLevels.end() ? utils::LogLevel::Info : row->level;
+}
+
+Logger::Logger(std::string_view aPart)
+  : part_(aPart)
+{
+  GetInitializer();
+}
+
+void
+Logger::Debug(std::string_view aText, const std::vector<Field>& aFields) const
+{
+  Write(utils::LogLevel::Debug, aText, aFields);
+}
+
+void
+Logger::Info(std::string_view aText, const std::vector<Field>& aFields) const
+{
+  Write(utils::LogLevel::Info, aText, aFields);
+}
+
+void
+Logger::Warn(std::string_view aText, const std::vector<Field>& aFields) const
+{
+  Write(utils::LogLevel::Warn, aText, aFields);
+}
+
+void
+Logger::Report(const utils::Error& aError, std::vector<Field> aFields) const
+{
+  aFields.push_back({ "error", std::string(GetName(aError.kind)) });
+  Write(GetErrorTraits(aError.kind).level, aError.detail, aFields);
+}
+
+void
+Logger::Write(utils::LogLevel aLevel,
+              std::string_view aText,
+              const std::vector<Field>& aFields) const
+{
+  auto native = log4cplus::Logger::getRoot();
+  const auto& level = GetLevel(aLevel);
+  if (!native.isEnabledFor(level.native)) {
+    return;
+  }
+  std::string line =
+    "{\"time_ms\":" + std::to_string(utils::GetWallTime().value);
+  auto add = [&line](std::string_view aName, std::string_view aValue) {
+    line += "," + QuoteJson(aName) + ":" + QuoteJson(aValue);
+  };
+  add("level", level.name);
+  add("vm", GetVm());
+  add("part", part_);
+  add("text", aText);
+  std::ranges::for_each(
+    aFields, [&add](const Field& aField) { add(aField.name, aField.value); });
+  line += "}";
+  native.log(level.native, line);
+}
+
+std::string
+QuoteJson(std::string_view aText)
+{
+  std::string quoted = "\"";
+  std::ranges::for_each(aText, [&quoted](char aChar) {
+    if (aChar == '"' || aChar == '\\') {
+      quoted += '\\';
+      quoted += aChar;
+    } else if (static_cast<unsigned char>(aChar) < 0x20) {
+      std::array<char, 8> escape{};
+      std::snprintf(escape.data(), escape.size(), "\\u%04x", aChar);
+      quoted += escape.data();
+    } else {
+      quoted += aChar;
+    }
+  });
+  return quoted + "\"";
+}
+
+} // namespace waxwingyoke::telemetry
--- /dev/null
+++ b/libs/utils/include/utils/Digest.h
@@ -0,0 +1,56 @@
+#ifndef waxwingyoke_utils_Digest_h
+#define waxwingyoke_utils_Digest_h
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace waxwingyoke::utils {
+
+/** A SHA-256 digest: 32 bytes, written as 64 lower-case hex digits. */
+class Digest
+{
+public:
+  static constexpr std::size_t kBytes = 32;
+
+  /** All zero: the digest of nothing that we name. */
+  Digest() = default;
+
+  /** The digest of aBytes. */
+  static Digest Of(std::string_view aBytes);
+
+  /** Reads 64 hex digits; empty for anything else. */
+  static std::optional<Digest> Parse(std::string_view aHex);
+
+  std::string ToHex() const;
+
+  /** The first eight bytes as a number, for tables and ranks. */
+  std::uint64_t GetPrefix() const;
+
+  auto operator<=>(const Digest&) const = default;
+
+private:
+  std::array<std::uint8_t, kBytes> bytes_{};
+};
+
+/** Compares two secrets in a time that depends on their lengths only. */
+bool
+EqualConstantTime(std::string_view aLeft, std::string_view aRight);
+
+} // namespace waxwingyoke::utils
+
+template<>
+struct std::hash<waxwingyoke::utils::Digest>
+{
+  std::size_t operator()(const waxwingyoke::utils::Digest& aDigest) const
+  {
+    return aDigest.GetPrefix();
+  }
+};
+
+#endif // waxwingyoke_utils_Digest_h
--- /dev/null
+++ b/tests/DoctestMain.cpp
@@ -0,0 +1,3 @@
+// The one main function of every unit test program.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
