--- /dev/null
+++ b/libs/utils/tests/RcuCellTest.cpp
@@ -0,0 +1,46 @@
+#include <doctest/doctest.h>
+
+#include <thread>
+#include <vector>
+
+#include <utils/RcuCell.h>
+
+using namespace waxwingyoke::utils;
+
+namespace {
+
+struct Pair
+{
+  int left = 0;
+  int right = 0;
+};
+
+} // namespace
+
+TEST_CASE("readers see whole values that never go back")
+{
+  constexpr int kWrites = 5000;
+  RcuCell<Pair> cell;
+  std::vector<std::thread> readers;
+  std::atomic<bool> broken{ false };
+  readers.reserve(3);
+  for (int i = 0; i < 3; ++i) {
+    readers.emplace_back([&] {
+      int last = 0;
+      while (last < kWrites) {
+        auto pair = cell.Get();
+        if (pair->left != pair->right || pair->left < last) {
+          broken = true;
+        }
+        last = pair->left;
+      }
+    });
+  }
+  for (int i = 1; i <= kWrites; ++i) {
+    cell.Set(std::make_shared<const Pair>(Pair{ i, i }));
+  }
+  for (auto& reader : readers) {
+    reader.join();
+  }
+  CHECK_FALSE(broken);
+}
