--- /dev/null
+++ b/libs/membership/src/LogReader.cpp
@@ -0,0 +1,57 @@
+#include <mutex>
+
+#include "NodeImpl.h"
+
+namespace waxwingyoke::membership {
+
+namespace {
+
+using utils::Millis;
+
+constexpr std::uint32_t kPageRecords = 500;
+constexpr Millis kLogWait(3000);
+constexpr Millis kPauseAfterError(600);
+constexpr Millis kPauseOfOthers(500);
+
+} // namespace
+
+bool
+Node::Impl::ReadLog(Millis aWait)
+{
+  std::uint64_t from = 0;
+  {
+    Lock lock(mutex);
+    from = store.GetReadOffset();
+  }
+  utils::Error reason;
+  auto page =
+    log.ReadKept(platform::kConfigStream, from, kPageRecords, aWait, reason);
+  if (!page) {
+    logger.Report(reason);
+    return false;
+  }
+  {
+    Lock lock(mutex);
+    auto before = store.GetNextOffset();
+    store.TakePage(*page, clock.Now());
+    isDirty = isDirty || store.GetNextOffset() != before;
+  }
+  changed.notify_all();
+  return true;
+}
+
+void
+Node::Impl::RunLogReader()
+{
+  for (;;) {
+    if (!GetPlace().relay) {
+      net::Runtime::Sleep(kPauseOfOthers);
+      continue;
+    }
+    bool done = ReadLog(kLogWait);
+    net::Runtime::Sleep(done ? Millis(settings.control().log_interval_ms())
+                             : Jitter(kPauseAfterError));
+  }
+}
+
+} // namespace waxwingyoke::membership
--- /dev/null
+++ b/libs/membership/src/Rescue.cpp
@@ -0,0 +1,84 @@
+#include <algorithm>
+#include <mutex>
+#include <ranges>
+
+#include "NodeImpl.h"
+
+namespace waxwingyoke::membership {
+
+namespace {
+
+using utils::Millis;
+
+constexpr Millis kRescuePause(3000);
+// Above what a parent that is well lies behind: its own wait and its
+// parents' waits end within this.
+constexpr Millis kStaleAge(8000);
+// One try in this many goes to the log itself.
+constexpr std::uint64_t kLogShare = 4;
+
+} // namespace
+
+void
+Node::Impl::RunRescue()
+{
+  for (;;) {
+    net::Runtime::Sleep(Jitter(kRescuePause));
+    bool isStale = false;
+    {
+      Lock lock(mutex);
+      auto age = store.GetAge(clock.Now());
+      isStale = !age || *age > kStaleAge;
+    }
+    if (isStale) {
+      TryRescue();
+    }
+  }
+}
+
+// A node that its parents leave behind asks any other: whoever is cut off
+// from the log has neighbours that are not, or the reverse.
+void
+Node::Impl::TryRescue()
+{
+  bool toLog = false;
+  {
+    Lock lock(mutex);
+    toLog = random() % kLogShare == 0;
+  }
+  auto other = PickOther();
+  if (toLog || other.empty()) {
+    ReadLog(Millis(0));
+  } else {
+    PullFrom(other);
+  }
+}
+
+std::string
+Node::Impl::PickOther()
+{
+  auto current = view.Get();
+  auto now = clock.Now();
+  std::vector<std::string> others;
+  Lock lock(mutex);
+  std::ranges::copy_if(current->members | std::views::keys,
+                       std::back_inserter(others),
+                       [&](const std::string& aVm) {
+                         return aVm != self && !IsSuspect(aVm, now);
+                       });
+  return others.empty() ? std::string() : others[random() % others.size()];
+}
+
+void
+Node::Impl::PullFrom(const std::string& aVm)
+{
+  if (pulling.exchange(true)) {
+    return;
+  }
+  if (!Sync(aVm, Millis(0), true)) {
+    Suspect(aVm);
+  }
+  pulling = false;
+}
+
+} // namespace waxwingyoke::membership
--- /dev/null
+++ b/libs/membership/src/SyncMethods.cpp
@@ -0,0 +1,126 @@
+#include <algorithm>
+#include <mutex>
+
+#include "NodeImpl.h"
+
+namespace waxwingyoke::membership {
+
+namespace {
+
+using utils::Millis;
+
+constexpr Millis kLongestWait(20000);
+constexpr std::size_t kMaxReplyRows = 200;
+
+} // namespace
+
+void
+Node::Impl::AddMethods(rpc::RpcServer& aServer)
+{
+  using utils::Error;
+  aServer.Add<schema::SyncRequest, schema::SyncReply>(
+    "control.sync", [this](const auto& aRequest, auto& aReply, Error&) {
+      AnswerSync(aRequest, aReply);
+      return true;
+    });
+  aServer.Add<schema::PushRequest, schema::PushReply>(
+    "control.push", [this](const auto& aRequest, auto& aReply, Error&) {
+      AnswerPush(aRequest, aReply);
+      return true;
+    });
+  aServer.Add<schema::StatusRequest, schema::StatusReply>(
+    "status.get", [this](const auto&, auto& aReply, Error&) {
+      AnswerStatus(aReply);
+      return true;
+    });
+}
+
+void
+Node::Impl::AnswerSync(const schema::SyncRequest& aRequest,
+                       schema::SyncReply& aReply)
+{
+  bool isBehind = false;
+  {
+    Lock lock(mutex);
+    isBehind = store.GetNextOffset() < aRequest.config_offset();
+    WaitForNews(aRequest, lock);
+    aReply.Clear();
+    FillSync(aRequest, aReply);
+  }
+  // The one who asks us knows more: its words heal us.
+  if (isBehind) {
+    auto vm = aRequest.vm();
+    net::Runtime::SpawnHere([this, vm] { PullFrom(vm); });
+  }
+}
+
+void
+Node::Impl::WaitForNews(const schema::SyncRequest& aRequest, Lock& aLock)
+{
+  auto wait = std::min(Millis(aRequest.wait_ms()), kLongestWait);
+  auto deadline = clock.Now() + wait;
+  for (;;) {
+    schema::SyncReply probe;
+    auto left = deadline - clock.Now();
+    if (left <= Millis(0) || FillSync(aRequest, probe)) {
+      return;
+    }
+    WaitForChange(aLock, left);
+  }
+}
+
+bool
+Node::Impl::FillSync(const schema::SyncRequest& aRequest,
+                     schema::SyncReply& aReply)
+{
+  store.FillReply(aRequest.config_offset(), clock.Now(), aReply);
+  bool isNews = aReply.records_size() > 0 || aReply.has_snapshot();
+  if (aRequest.records_only()) {
+    return isNews;
+  }
+  bool isOurs = aRequest.directory_id() == incarnation;
+  auto since = isOurs ? aRequest.directory_version() : 0;
+  auto delta = directory.CollectDown(since, aRequest.vm(), kMaxReplyRows);
+  aReply.set_directory_id(incarnation);
+  aReply.set_directory_version(delta.version);
+  std::ranges::for_each(
+    delta.rows, [&aReply](const auto& aRow) { *aReply.add_rows() = aRow; });
+  return isNews || !isOurs || !delta.rows.empty();
+}
+
+void
+Node::Impl::AnswerPush(const schema::PushRequest& aRequest,
+                       schema::PushReply& aReply)
+{
+  {
+    Lock lock(mutex);
+    std::ranges::for_each(aRequest.rows(), [&](const auto& aRow) {
+      bool isNews = directory.Merge(aRow, aRequest.vm(), RowSource::Below);
+      isDirty = isDirty || isNews;
+    });
+    aReply.set_directory_id(incarnation);
+  }
+  changed.notify_all();
+}
+
+void
+Node::Impl::AnswerStatus(schema::StatusReply& aReply)
+{
+  auto place = GetPlace();
+  auto current = view.Get();
+  Lock lock(mutex);
+  auto age = store.GetAge(clock.Now());
+  *aReply.mutable_status() = status;
+  aReply.set_data_centre(settings.node().data_centre());
+  aReply.set_region(settings.node().region());
+  aReply.set_config_offset(current->config->nextOffset);
+  aReply.set_age_ms(age ? age->value : -1);
+  aReply.set_relay(place.relay);
+  aReply.set_parent(place.parent);
+  aReply.set_snapshot_offset(store.GetReplay().GetSnapshotOffset());
+  aReply.set_snapshot_mismatches(store.GetReplay().GetMismatches());
+  aReply.set_skipped_records(store.GetSkippedRecords());
+  aReply.set_members(current->members.size());
+}
+
+} // namespace waxwingyoke::membership
--- a/libs/platform/include/platform/LogClient.h
+++ b/libs/platform/include/platform/LogClient.h
@@ -42,7 +42,23 @@
                                       utils::Millis aWait,
                                       utils::Error& aReason);
 
+  /**
+   * The same, but where aFrom is no longer kept the page begins at the
+   * first offset that is.
+   */
+  std::optional<schema::LogPage> ReadKept(const std::string& aStream,
+                                          std::uint64_t aFrom,
+                                          std::uint32_t aMax,
+                                          utils::Millis aWait,
+                                          utils::Error& aReason);
+
 private:
+  std::optional<schema::LogPage> ReadPage(const std::string& aStream,
+                                          std::uint64_t aFrom,
+                                          std::uint32_t aMax,
+                                          utils::Millis aWait,
+                                          utils::Error& aReason);
+
   net::HttpClient& client_;
   net::Endpoint service_;
 };
--- a/libs/platform/src/LogClient.cpp
+++ b/libs/platform/src/LogClient.cpp
@@ -61,11 +61,11 @@
 }
 
 std::optional<schema::LogPage>
-LogClient::Read(const std::string& aStream,
-                std::uint64_t aFrom,
-                std::uint32_t aMax,
-                Millis aWait,
-                utils::Error& aReason)
+LogClient::ReadPage(const std::string& aStream,
+                    std::uint64_t aFrom,
+                    std::uint32_t aMax,
+                    Millis aWait,
+                    utils::Error& aReason)
 {
   net::HttpRequest request;
   request.target = MakePath(aStream) + "?from=" + std::to_string(aFrom) +
@@ -86,12 +86,37 @@
                 "the log answered " + std::to_string(response->status));
     return std::nullopt;
   }
-  if (page.first_offset() > aFrom) {
+  return page;
+}
+
+std::optional<schema::LogPage>
+LogClient::Read(const std::string& aStream,
+                std::uint64_t aFrom,
+                std::uint32_t aMax,
+                Millis aWait,
+                utils::Error& aReason)
+{
+  auto page = ReadPage(aStream, aFrom, aMax, aWait, aReason);
+  if (page && page->first_offset() > aFrom) {
     aReason.Set(ErrorKind::LogTrimmed,
-                "the log begins at " + std::to_string(page.first_offset()));
+                "the log begins at " + std::to_string(page->first_offset()));
     return std::nullopt;
   }
   return page;
 }
 
+std::optional<schema::LogPage>
+LogClient::ReadKept(const std::string& aStream,
+                    std::uint64_t aFrom,
+                    std::uint32_t aMax,
+                    Millis aWait,
+                    utils::Error& aReason)
+{
+  auto page = ReadPage(aStream, aFrom, aMax, aWait, aReason);
+  if (!page || page->first_offset() <= aFrom) {
+    return page;
+  }
+  return ReadPage(aStream, page->first_offset(), aMax, aWait, aReason);
+}
+
 } // namespace waxwingyoke::platform
