Add the request path: attempts at the side, retries at the entry

An attempt has an id, one side and its incarnation; the side alone says whether it began and bars an id that it is asked about before. Its answer is kept by the side, so an entry whose connection went silent comes back from the byte that it has.

--- /dev/null
+++ b/libs/requests/src/Deaths.cpp
@@ -0,0 +1,34 @@
+#include "Deaths.h"
+
+namespace waxwingyoke::requests {
+
+void
+Deaths::EnterSuspect()
+{
+  std::scoped_lock lock(mutex_);
+  ++suspects_;
+}
+
+void
+Deaths::LeaveSuspect(bool aDied, utils::Millis aNow)
+{
+  std::scoped_lock lock(mutex_);
+  --suspects_;
+  if (aDied) {
+    convictedAt_ = aNow;
+  }
+}
+
+schema::Strike
+Deaths::Judge(bool aSuspect, utils::Millis aNow)
+{
+  std::scoped_lock lock(mutex_);
+  if (aSuspect) {
+    return schema::CONVICTED;
+  }
+  bool isCleared =
+    suspects_ > 0 || (convictedAt_ && aNow - *convictedAt_ < kSameDeath);
+  return isCleared ? schema::NO_STRIKE : schema::STRUCK;
+}
+
+} // namespace waxwingyoke::requests
--- /dev/null
+++ b/libs/requests/src/Entry.cpp
@@ -0,0 +1,96 @@
+#include <requests/Entry.h>
+
+#include <array>
+
+#include "EntryImpl.h"
+
+namespace waxwingyoke::requests {
+
+namespace {
+
+constexpr utils::Millis kDrainPoll(20);
+constexpr std::array<const char*, 5> kServiceMethods{ "GET",
+                                                      "POST",
+                                                      "PUT",
+                                                      "PATCH",
+                                                      "DELETE" };
+
+} // namespace
+
+Entry::Entry(net::Runtime&,
+             const schema::DaemonSettings& aSettings,
+             membership::Node& aNode,
+             net::HttpClient& aClient,
+             rpc::RpcClient& aRpc,
+             platform::LogClient& aLog)
+  : impl_(std::make_shared<Impl>(aSettings, aNode, aClient, aRpc, aLog))
+{
+  aNode.OnView(
+    [impl = impl_](const auto& aView) { impl->RebuildRoutes(*aView); });
+}
+
+Entry::~Entry() = default;
+
+void
+Entry::AddRoutes(net::Router& aRouter)
+{
+  using net::HttpRequest;
+  using net::ResponseWriter;
+  aRouter.Add(
+    "POST",
+    "/v1/chat/completions",
+    [impl = impl_](const HttpRequest& aRequest, ResponseWriter& aOut) {
+      impl->HandleChat(aRequest, aOut);
+    });
+  aRouter.Add("GET",
+              "/v1/models",
+              [impl = impl_](const HttpRequest&, ResponseWriter& aOut) {
+                impl->HandleModels(aOut);
+              });
+  for (const char* method : kServiceMethods) {
+    aRouter.Add(
+      method,
+      "/services/*",
+      [impl = impl_](const HttpRequest& aRequest, ResponseWriter& aOut) {
+        impl->HandleService(aRequest, aOut);
+      });
+  }
+}
+
+void
+Entry::AddMethods(rpc::RpcServer& aServer)
+{
+  using schema::Acknowledgement;
+  using schema::StrikeNotice;
+  aServer.Add<StrikeNotice, Acknowledgement>(
+    "entry.strike",
+    [impl =
+       impl_](const StrikeNotice& aNotice, Acknowledgement&, utils::Error&) {
+      impl->strikes.Take(aNotice);
+      return true;
+    });
+}
+
+void
+Entry::Start()
+{
+}
+
+bool
+Entry::IsReady() const
+{
+  return !impl_->draining;
+}
+
+void
+Entry::Drain()
+{
+  impl_->draining = true;
+  net::Runtime::Sleep(impl_->drainNotice);
+  impl_->closed = true;
+  while (impl_->active > 0) {
+    net::Runtime::Sleep(kDrainPoll);
+  }
+}
+
+} // namespace waxwingyoke::requests
--- /dev/null
+++ b/libs/requests/src/EntryImpl.h
@@ -0,0 +1,62 @@
+#ifndef waxwingyoke_requests_EntryImpl_h
+#define waxwingyoke_requests_EntryImpl_h
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <requests/Entry.h>
+#include <routing/Candidate.h>
+#include <routing/Chooser.h>
+#include <schema/requests.pb.h>
+#include <utils/RcuCell.h>
+
+#include "AttemptCall.h"
+#include "CallerRequest.h"
+#include "CallerSink.h"
+#include "RetryBudget.h"
+#include "StrikeDesk.h"
+
+namespace waxwingyoke::requests {
+
+struct Entry::Impl : std::enable_shared_from_this<Entry::Impl>
+{
+  Impl(const schema::DaemonSettings& aSettings,
+       membership::Node& aNode,
+       net::HttpClient& aClient,
+       rpc::RpcClient& aRpc,
+       platform::LogClient& aLog);
+
+  void HandleChat(const net::HttpRequest& aRequest,
+                  net::ResponseWriter& aWriter);
+  void HandleService(const net::HttpRequest& aRequest,
+                     net::ResponseWriter& aWriter);
+  void HandleModels(net::ResponseWriter& aWriter);
+  void Serve(const CallerRequest& aRequest, net::ResponseWriter& aWriter);
+  bool Check(const CallerRequest& aRequest,
+             schema::Profile& aProfile,
+             utils::Error& aReason);
+  void RebuildRoutes(const membership::View& aView);
+
+  membership::Node& node;
+  net::HttpClient& client;
+  rpc::RpcClient& rpc;
+  platform::LogClient& log;
+  utils::Millis defaultTimeout;
+  utils::Millis drainNotice;
+  RetryBudget budget;
+  AttemptCall call;
+  StrikeDesk strikes;
+  utils::RcuCell<routing::RouteTable> routes;
+  std::mutex routesMutex;
+  routing::RouteTableBuilder routesBuilder;
+  std::atomic<bool> draining{ false };
+  std::atomic<bool> closed{ false };
+  std::atomic<int> active{ 0 };
+};
+
+} // namespace waxwingyoke::requests
+
+#endif // waxwingyoke_requests_EntryImpl_h
--- /dev/null
+++ b/libs/routing/src/Candidate.cpp
@@ -0,0 +1,65 @@
+#include <routing/Candidate.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <utils/Hash.h>
+
+namespace waxwingyoke::routing {
+
+namespace {
+
+bool
+IsServing(const membership::Member& aMember)
+{
+  return aMember.vm.role() == "side" && aMember.status &&
+         !aMember.status->ready_profile().empty() && !aMember.IsLeaving();
+}
+
+Candidate
+MakeCandidate(const membership::Member& aMember)
+{
+  Candidate candidate;
+  candidate.vm = aMember.vm.id();
+  candidate.endpoint = aMember.GetControlEndpoint();
+  candidate.incarnation = aMember.status->incarnation();
+  candidate.dataCentre = aMember.vm.data_centre();
+  candidate.region = aMember.vm.region();
+  candidate.version = aMember.status->ready_version();
+  candidate.slots = std::max(aMember.status->slots(), 1U);
+  candidate.hash = utils::StableHash(candidate.vm);
+  return candidate;
+}
+
+} // namespace
+
+const Candidates&
+RouteTable::Find(const std::string& aProfile) const
+{
+  static const Candidates kNone;
+  auto place = byProfile.find(aProfile);
+  return place == byProfile.end() ? kNone : place->second;
+}
+
+std::shared_ptr<const RouteTable>
+RouteTableBuilder::Build(const membership::View& aView)
+{
+  auto table = std::make_shared<RouteTable>();
+  std::map<std::string, std::shared_ptr<SideState>> kept;
+  for (const auto& [vm, member] : aView.members) {
+    if (!IsServing(member)) {
+      continue;
+    }
+    auto candidate = MakeCandidate(member);
+    auto& state = kept[candidate.incarnation];
+    auto old = states_.find(candidate.incarnation);
+    state = old == states_.end() ? std::make_shared<SideState>() : old->second;
+    candidate.state = state;
+    table->byProfile[member.status->ready_profile()].push_back(
+      std::move(candidate));
+  }
+  states_ = std::move(kept);
+  return table;
+}
+
+} // namespace waxwingyoke::routing
--- /dev/null
+++ b/libs/routing/src/Chooser.cpp
@@ -0,0 +1,150 @@
+#include <routing/Chooser.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace waxwingyoke::routing {
+
+namespace {
+
+using Pool = std::vector<const Candidate*>;
+
+// The finaliser of SplitMix64: spreads two hashes that differ in any bit.
+std::uint64_t
+Mix(std::uint64_t aValue)
+{
+  aValue ^= aValue >> 30;
+  aValue *= 0xbf58476d1ce4e5b9ULL;
+  aValue ^= aValue >> 27;
+  aValue *= 0x94d049bb133111ebULL;
+  return aValue ^ aValue >> 31;
+}
+
+std::int64_t
+GetLoad(const Candidate* aCandidate)
+{
+  return aCandidate->state->GetLoad();
+}
+
+bool
+IsAllowed(const Candidate& aCandidate, const ChoiceQuery& aQuery)
+{
+  bool isTried = std::ranges::find(aQuery.excluded, aCandidate.incarnation) !=
+                 aQuery.excluded.end();
+  return !isTried &&
+         (aQuery.version.empty() || aQuery.version == aCandidate.version);
+}
+
+int
+GetDistance(const Candidate& aCandidate, const ChoiceQuery& aQuery)
+{
+  if (aCandidate.dataCentre == aQuery.dataCentre) {
+    return 0;
+  }
+  return aCandidate.region == aQuery.region ? 1 : 2;
+}
+
+// Whether it takes part now: never while ejected, and with a growing share
+// afterwards. The draw differs from side to side and request to request.
+bool
+TakesPart(const Candidate& aCandidate, const ChoiceQuery& aQuery)
+{
+  if (aCandidate.state->IsEjected(aQuery.now)) {
+    return false;
+  }
+  constexpr double kDraws = 1024;
+  auto draw = Mix(aQuery.random ^ aCandidate.hash) % 1024;
+  return static_cast<double>(draw) <
+         kDraws * aCandidate.state->GetShare(aQuery.now);
+}
+
+const Candidate*
+ChooseLeastLoaded(const Pool& aPool, const ChoiceQuery& aQuery)
+{
+  // Ties go by a draw, or all entries would pick the same one.
+  auto rank = [&aQuery](const Candidate* aCandidate) {
+    auto relative = static_cast<double>(GetLoad(aCandidate)) /
+                    static_cast<double>(aCandidate->slots);
+    return std::pair(relative, Mix(aQuery.random ^ aCandidate->hash));
+  };
+  return *std::ranges::min_element(aPool, {}, rank);
+}
+
+const Candidate*
+ChooseOfTwo(const Pool& aPool, const ChoiceQuery& aQuery)
+{
+  const auto* first = aPool[Mix(aQuery.random) % aPool.size()];
+  const auto* second = aPool[Mix(aQuery.random + 1) % aPool.size()];
+  return GetLoad(second) < GetLoad(first) ? second : first;
+}
+
+const Candidate*
+ChooseByHash(const Pool& aPool, const ChoiceQuery& aQuery)
+{
+  auto total = std::transform_reduce(
+    aPool.begin(), aPool.end(), std::int64_t{ 0 }, std::plus<>(), GetLoad);
+  auto mean =
+    static_cast<double>(total + 1) / static_cast<double>(aPool.size());
+  auto bound = static_cast<std::int64_t>(std::ceil(kLoadBound * mean));
+  auto rank = [&aQuery, bound](const Candidate* aCandidate) {
+    return std::pair(GetLoad(aCandidate) < bound,
+                     Mix(aQuery.affinity ^ aCandidate->hash));
+  };
+  return *std::ranges::max_element(aPool, {}, rank);
+}
+
+const Candidate*
+ChooseByPolicy(const Pool& aPool, const ChoiceQuery& aQuery)
+{
+  if (aQuery.policy == Policy::LeastLoaded) {
+    return ChooseLeastLoaded(aPool, aQuery);
+  }
+  if (aQuery.policy == Policy::TwoChoices || aQuery.affinity == 0) {
+    return ChooseOfTwo(aPool, aQuery);
+  }
+  return ChooseByHash(aPool, aQuery);
+}
+
+bool
+HasFreeSlot(const Candidate* aCandidate)
+{
+  return GetLoad(aCandidate) < aCandidate->slots;
+}
+
+} // namespace
+
+const Candidate*
+Choose(const Candidates& aCandidates, const ChoiceQuery& aQuery)
+{
+  Pool allowed;
+  Pool pool;
+  for (const auto& candidate : aCandidates) {
+    if (!IsAllowed(candidate, aQuery)) {
+      continue;
+    }
+    allowed.push_back(&candidate);
+    if (TakesPart(candidate, aQuery)) {
+      pool.push_back(&candidate);
+    }
+  }
+  if (allowed.empty()) {
+    return nullptr;
+  }
+  if (pool.empty()) {
+    return ChooseLeastLoaded(allowed, aQuery);
+  }
+  for (int distance = 0; distance <= 2; ++distance) {
+    Pool near;
+    std::ranges::copy_if(
+      pool, std::back_inserter(near), [&](const Candidate* aCandidate) {
+        return GetDistance(*aCandidate, aQuery) <= distance;
+      });
+    if (std::ranges::any_of(near, HasFreeSlot)) {
+      return ChooseByPolicy(near, aQuery);
+    }
+  }
+  return ChooseLeastLoaded(pool, aQuery);
+}
+
+} // namespace waxwingyoke::routing
--- a/libs/utils/include/utils/Digest.h
+++ b/libs/utils/include/utils/Digest.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,9 +36,30 @@
   auto operator<=>(const Digest&) const = default;
 
 private:
+  friend class DigestBuilder;
+
   std::array<std::uint8_t, kBytes> bytes_{};
 };
 
+/** Makes the digest of bytes that come in parts. */
+class DigestBuilder
+{
+public:
+  DigestBuilder();
+  ~DigestBuilder();
+  DigestBuilder(DigestBuilder&&) noexcept;
+  DigestBuilder& operator=(DigestBuilder&&) noexcept;
+
+  void Add(std::string_view aPart);
+
+  /** The digest of all parts; to be called once. */
+  Digest Finish();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
 /** Compares two secrets in a time that depends on their lengths only. */
 bool
 EqualConstantTime(std::string_view aLeft, std::string_view aRight);
--- a/libs/utils/src/Digest.cpp
+++ b/libs/utils/src/Digest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <openssl/crypto.h>
+#include <openssl/evp.h>
 #include <openssl/sha.h>
 
 namespace waxwingyoke::utils {
@@ -73,6 +74,44 @@
   return prefix;
 }
 
+struct DigestBuilder::Impl
+{
+  Impl()
+    : context(EVP_MD_CTX_new())
+  {
+    EVP_DigestInit_ex(context, EVP_sha256(), nullptr);
+  }
+  ~Impl() { EVP_MD_CTX_free(context); }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  EVP_MD_CTX* context;
+};
+
+DigestBuilder::DigestBuilder()
+  : impl_(std::make_unique<Impl>())
+{
+}
+
+DigestBuilder::~DigestBuilder() = default;
+DigestBuilder::DigestBuilder(DigestBuilder&&) noexcept = default;
+DigestBuilder&
+DigestBuilder::operator=(DigestBuilder&&) noexcept = default;
+
+void
+DigestBuilder::Add(std::string_view aPart)
+{
+  EVP_DigestUpdate(impl_->context, aPart.data(), aPart.size());
+}
+
+Digest
+DigestBuilder::Finish()
+{
+  Digest digest;
+  EVP_DigestFinal_ex(impl_->context, digest.bytes_.data(), nullptr);
+  return digest;
+}
+
 bool
 EqualConstantTime(std::string_view aLeft, std::string_view aRight)
 {
--- a/libs/utils/tests/DigestTest.cpp
+++ b/libs/utils/tests/DigestTest.cpp
@@ -24,3 +24,12 @@
   CHECK_FALSE(EqualConstantTime("secret", "secreT"));
   CHECK_FALSE(EqualConstantTime("secret", "secrets"));
 }
+
+TEST_CASE("a digest of parts is that of the whole")
+{
+  DigestBuilder builder;
+  builder.Add("ab");
+  builder.Add("");
+  builder.Add("c");
+  CHECK(builder.Finish() == Digest::Of("abc"));
+}
