--- a/libs/membership/src/Rescue.cpp
+++ b/libs/membership/src/Rescue.cpp
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <mutex>
-#include <ranges>
 
 #include "NodeImpl.h"
 
@@ -61,11 +60,11 @@
   auto now = clock.Now();
   std::vector<std::string> others;
   Lock lock(mutex);
-  std::ranges::copy_if(current->members | std::views::keys,
-                       std::back_inserter(others),
-                       [&](const std::string& aVm) {
-                         return aVm != self && !IsSuspect(aVm, now);
-                       });
+  std::ranges::for_each(current->members, [&](const auto& aEntry) {
+    if (aEntry.first != self && !IsSuspect(aEntry.first, now)) {
+      others.push_back(aEntry.first);
+    }
+  });
   return others.empty() ? std::string() : others[random() % others.size()];
 }
 
--- a/libs/membership/src/SyncMethods.cpp
+++ b/libs/membership/src/SyncMethods.cpp
@@ -49,8 +49,7 @@
   }
   // The one who asks us knows more: its words heal us.
   if (isBehind) {
-    auto vm = aRequest.vm();
-    net::Runtime::SpawnHere([this, vm] { PullFrom(vm); });
+    net::Runtime::SpawnHere([this, vm = aRequest.vm()] { PullFrom(vm); });
   }
 }
 
--- a/libs/profiles/src/Fold.cpp
+++ b/libs/profiles/src/Fold.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
@@ -243,8 +242,10 @@
       return aEntry.offset();
     });
   }
-  auto digests = quarantine_ | std::views::keys;
-  config_.quarantine = { digests.begin(), digests.end() };
+  config_.quarantine.clear();
+  std::ranges::for_each(quarantine_, [this](const auto& aEntry) {
+    config_.quarantine.insert(aEntry.first);
+  });
 }
 
 void
