weights: spread a version inside a region and order the engine to load it

A side fetches the version that its profile names chunk by chunk: rarest first from the sides of its region, and what none of them holds from the store, the origin or another region, ranked by a hash so that one side a region brings in each extent. Chunks are passed on once their digest holds; the engine is ordered to load only what is whole, and what it serves is what it reports.

--- /dev/null
+++ b/libs/weights/src/Depot.cpp
@@ -0,0 +1,256 @@
+#include <weights/Depot.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <profiles/Config.h>
+#include <schema/weights.pb.h>
+#include <telemetry/Logger.h>
+
+#include "ChunkRoutes.h"
+#include "Holdings.h"
+#include "Offers.h"
+#include "SwitchOver.h"
+#include "Transfer.h"
+
+namespace waxwingyoke::weights {
+
+using utils::ErrorKind;
+
+namespace {
+
+constexpr utils::Millis kStepPause(100);
+// The engine is asked this seldom while nothing changes.
+constexpr utils::Millis kEnginePause(500);
+
+std::optional<schema::Profile>
+FindDesired(const Services& aServices)
+{
+  auto view = aServices.node.GetView();
+  const auto* member = view->FindMember(aServices.settings.node().vm());
+  const auto* profile =
+    member ? view->config->FindProfileOf(member->vm) : nullptr;
+  return profile ? std::optional(*profile) : std::nullopt;
+}
+
+} // namespace
+
+struct Depot::Impl : std::enable_shared_from_this<Depot::Impl>
+{
+  Impl(const schema::DaemonSettings& aSettings,
+       membership::Node& aNode,
+       net::HttpClient& aHttp,
+       rpc::RpcClient& aRpc,
+       Hooks aHooks);
+
+  void Run();
+  void Step();
+  void StepModel(const schema::Profile& aProfile);
+  void StepService(const schema::Profile& aProfile);
+  void Want(const utils::Digest& aVersion, std::uint64_t aRevision);
+  void StepEngine(const schema::Profile& aProfile, bool aWhole);
+  void Report();
+
+  const schema::DaemonSettings settings;
+  Holdings holdings;
+  Pacer link;
+  Pacer regionLink;
+  ChunkRoutes routes;
+  Offers offers;
+  Services services;
+  SwitchOver switchOver;
+  std::shared_ptr<Transfer> transfer;
+  utils::RcuCell<ServingState> plain;
+  utils::Error error;
+  utils::Clock clock;
+  utils::Millis nextEngineLook;
+  bool wasWhole = false;
+  std::string reported;
+};
+
+Depot::Impl::Impl(const schema::DaemonSettings& aSettings,
+                  membership::Node& aNode,
+                  net::HttpClient& aHttp,
+                  rpc::RpcClient& aRpc,
+                  Hooks aHooks)
+  : settings(aSettings)
+  , holdings(aSettings.weights().memory_bytes())
+  , link(aSettings.weights().link_bytes_per_s())
+  , regionLink(aSettings.weights().region_bytes_per_s())
+  , routes(holdings, link)
+  , offers(aSettings.node().vm(), aNode.GetIncarnation(), holdings, routes)
+  , services{ settings, aNode, aHttp, aRpc, holdings, offers, link, regionLink }
+  , switchOver(services, std::move(aHooks))
+{
+}
+
+void
+Depot::Impl::Run()
+{
+  while (true) {
+    Step();
+    Report();
+    net::Runtime::Sleep(kStepPause);
+  }
+}
+
+void
+Depot::Impl::Step()
+{
+  auto profile = FindDesired(services);
+  if (!profile) {
+    if (transfer) {
+      transfer->Cancel();
+      transfer = nullptr;
+    }
+    switchOver.Forget();
+    plain.Set(std::make_shared<const ServingState>());
+  } else if (profile->kind() == schema::SERVICE) {
+    StepService(*profile);
+  } else {
+    StepModel(*profile);
+  }
+}
+
+void
+Depot::Impl::StepService(const schema::Profile& aProfile)
+{
+  auto now = plain.Get();
+  if (now->profile == aProfile.name() && now->revision == aProfile.revision()) {
+    return;
+  }
+  plain.Set(std::make_shared<const ServingState>(
+    ServingState{ aProfile.name(), aProfile.revision(), "" }));
+  services.node.UpdateStatus([&](schema::NodeStatus& aStatus) {
+    aStatus.set_ready_profile(aProfile.name());
+    aStatus.set_ready_revision(aProfile.revision());
+    aStatus.clear_ready_version();
+  });
+}
+
+void
+Depot::Impl::StepModel(const schema::Profile& aProfile)
+{
+  auto version = utils::Digest::Parse(aProfile.version());
+  if (!version) {
+    error.Set(ErrorKind::BadRequest, "the profile's version is no digest");
+    return;
+  }
+  error = {};
+  Want(*version, aProfile.revision());
+  StepEngine(aProfile, holdings.IsWhole(*version));
+}
+
+void
+Depot::Impl::Want(const utils::Digest& aVersion, std::uint64_t aRevision)
+{
+  if (transfer && transfer->GetVersion() == aVersion) {
+    return;
+  }
+  std::set<utils::Digest> kept{ aVersion };
+  if (transfer) {
+    transfer->Cancel();
+    // What the engine serves is still worth giving to others.
+    auto serving = utils::Digest::Parse(switchOver.GetServing().version);
+    if (serving) {
+      kept.insert(*serving);
+    }
+  }
+  holdings.KeepOnly(kept);
+  transfer = std::make_shared<Transfer>(services, aVersion, aRevision);
+  transfer->Start();
+  wasWhole = false;
+}
+
+void
+Depot::Impl::StepEngine(const schema::Profile& aProfile, bool aWhole)
+{
+  auto serving = switchOver.GetServing();
+  bool changed = aWhole != std::exchange(wasWhole, aWhole) ||
+                 serving.revision != aProfile.revision();
+  if (!changed && clock.Now() < nextEngineLook) {
+    return;
+  }
+  nextEngineLook = clock.Now() + kEnginePause;
+  switchOver.Step(aProfile, aWhole);
+}
+
+void
+Depot::Impl::Report()
+{
+  schema::TransferProgress progress;
+  utils::Error reason = error.IsSet() ? error : switchOver.GetLastError();
+  if (transfer) {
+    progress = transfer->GetProgress();
+    reason = reason.IsSet() ? reason : transfer->GetLastError();
+  }
+  std::string failure;
+  if (reason.IsSet()) {
+    failure = std::string(utils::GetName(reason.kind)) + ": " + reason.detail;
+  }
+  auto text = progress.SerializeAsString() + failure;
+  if (text == reported) {
+    return;
+  }
+  reported = text;
+  services.node.UpdateStatus([&](schema::NodeStatus& aStatus) {
+    *aStatus.mutable_transfer() = progress;
+    aStatus.set_failure(failure);
+  });
+}
+
+Depot::Depot(net::Runtime& aRuntime,
+             const schema::DaemonSettings& aSettings,
+             membership::Node& aNode,
+             platform::LogClient& aLog,
+             net::HttpClient& aHttp,
+             rpc::RpcClient& aRpc,
+             Hooks aHooks)
+  : runtime_(aRuntime)
+  , impl_(
+      std::make_shared<Impl>(aSettings, aNode, aHttp, aRpc, std::move(aHooks)))
+{
+  (void)aLog;
+}
+
+Depot::~Depot() = default;
+
+void
+Depot::AddRoutes(net::Router& aRouter)
+{
+  impl_->routes.AddPeerRoutes(aRouter, impl_->settings.node().secret());
+}
+
+void
+Depot::AddEngineRoutes(net::Router& aRouter)
+{
+  impl_->routes.AddEngineRoutes(aRouter);
+}
+
+void
+Depot::AddMethods(rpc::RpcServer& aServer)
+{
+  impl_->offers.AddMethods(aServer);
+}
+
+void
+Depot::Start()
+{
+  runtime_.Spawn([impl = impl_] { impl->Run(); });
+}
+
+ServingState
+Depot::GetServing() const
+{
+  auto plain = impl_->plain.Get();
+  return plain->profile.empty() ? impl_->switchOver.GetServing() : *plain;
+}
+
+void
+Depot::ChargeLive(std::size_t aBytes)
+{
+  impl_->link.Charge(aBytes);
+}
+
+} // namespace waxwingyoke::weights
--- /dev/null
+++ b/libs/weights/src/Holdings.cpp
@@ -0,0 +1,123 @@
+#include "Holdings.h"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace waxwingyoke::weights {
+
+using utils::ErrorKind;
+
+Holdings::Holdings(std::uint64_t aMaxBytes)
+  : maxBytes_(aMaxBytes)
+{
+}
+
+void
+Holdings::AddContent(const std::shared_ptr<const Content>& aContent)
+{
+  std::scoped_lock lock(mutex_);
+  Kept kept{ aContent, ChunkSet(aContent->chunks.size()) };
+  for (const auto& [digest, index] : aContent->indexes) {
+    if (chunks_.contains(digest)) {
+      kept.held.Add(index);
+    }
+  }
+  versions_.try_emplace(aContent->version, std::move(kept));
+}
+
+void
+Holdings::KeepOnly(const std::set<utils::Digest>& aVersions)
+{
+  std::scoped_lock lock(mutex_);
+  std::erase_if(versions_, [&](const auto& aEntry) {
+    return !aVersions.contains(aEntry.first);
+  });
+  std::erase_if(chunks_, [&](const auto& aChunk) {
+    bool wanted = std::ranges::any_of(versions_, [&](const auto& aEntry) {
+      return aEntry.second.content->indexes.contains(aChunk.first);
+    });
+    bytes_ -= wanted ? 0 : aChunk.second->size();
+    return !wanted;
+  });
+}
+
+bool
+Holdings::AddChunk(const utils::Digest& aChunk,
+                   std::string aBytes,
+                   utils::Error& aReason)
+{
+  if (utils::Digest::Of(aBytes) != aChunk) {
+    aReason.Set(ErrorKind::DigestMismatch, "chunk " + aChunk.ToHex());
+    return false;
+  }
+  std::scoped_lock lock(mutex_);
+  if (chunks_.contains(aChunk)) {
+    return true;
+  }
+  if (bytes_ + aBytes.size() > maxBytes_) {
+    aReason.Set(ErrorKind::TooLarge, "weights.memory_bytes is reached");
+    return false;
+  }
+  bytes_ += aBytes.size();
+  chunks_[aChunk] = std::make_shared<const std::string>(std::move(aBytes));
+  for (auto& [version, kept] : versions_) {
+    if (auto index = kept.content->FindIndex(aChunk)) {
+      kept.held.Add(*index);
+    }
+  }
+  return true;
+}
+
+Holdings::Bytes
+Holdings::FindChunk(const utils::Digest& aChunk) const
+{
+  std::scoped_lock lock(mutex_);
+  auto found = chunks_.find(aChunk);
+  return found == chunks_.end() ? nullptr : found->second;
+}
+
+Holdings::Bytes
+Holdings::FindWholeChunk(const utils::Digest& aChunk) const
+{
+  std::scoped_lock lock(mutex_);
+  bool whole = std::ranges::any_of(versions_, [&](const auto& aEntry) {
+    const auto& kept = aEntry.second;
+    return kept.held.IsFull() && kept.content->indexes.contains(aChunk);
+  });
+  auto found = chunks_.find(aChunk);
+  return whole && found != chunks_.end() ? found->second : nullptr;
+}
+
+std::shared_ptr<const Content>
+Holdings::FindContent(const utils::Digest& aVersion) const
+{
+  std::scoped_lock lock(mutex_);
+  auto found = versions_.find(aVersion);
+  return found == versions_.end() ? nullptr : found->second.content;
+}
+
+std::optional<ChunkSet>
+Holdings::FindHeld(const utils::Digest& aVersion) const
+{
+  std::scoped_lock lock(mutex_);
+  auto found = versions_.find(aVersion);
+  return found == versions_.end() ? std::nullopt
+                                  : std::optional(found->second.held);
+}
+
+bool
+Holdings::IsWhole(const utils::Digest& aVersion) const
+{
+  auto held = FindHeld(aVersion);
+  return held && held->IsFull();
+}
+
+std::uint64_t
+Holdings::GetBytes() const
+{
+  std::scoped_lock lock(mutex_);
+  return bytes_;
+}
+
+} // namespace waxwingyoke::weights
--- /dev/null
+++ b/libs/weights/src/Outside.h
@@ -0,0 +1,76 @@
+#ifndef waxwingyoke_weights_Outside_h
+#define waxwingyoke_weights_Outside_h
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "StepIn.h"
+#include "Swarm.h"
+
+namespace waxwingyoke::weights {
+
+/** Where a chunk may come from that no side of the region holds. */
+enum class SourceKind
+{
+  Store,
+  Origin,
+  RemotePeer
+};
+
+/** One chunk to fetch from outside the region. */
+struct OutsidePick
+{
+  std::size_t chunk = 0;
+  SourceKind kind = SourceKind::Origin;
+  net::Endpoint endpoint;
+  /** Of a remote peer. */
+  std::string vm;
+};
+
+/**
+ * Decides which chunks this side brings into its region, and from where: the
+ * store, else the origin, else a side of another region.
+ */
+class Outside
+{
+public:
+  Outside(Services aServices, std::shared_ptr<Swarm> aSwarm);
+
+  /** The next chunk that is this side's turn; empty where there is none. */
+  std::optional<OutsidePick> Next();
+
+  void Begin() { ++running_; }
+  void End(const OutsidePick& aPick, const utils::Error& aError);
+
+  /** The store and the origin, as far as there are any and they work. */
+  std::vector<OutsidePick> ListServices() const;
+
+private:
+  struct Service
+  {
+    SourceKind kind;
+    net::Endpoint endpoint;
+    utils::Millis avoidUntil;
+    int failures = 0;
+  };
+
+  bool IsDue(std::size_t aExtent);
+  std::optional<OutsidePick> PickSource(const PickInput& aInput,
+                                        std::size_t aChunk) const;
+
+  const Services services_;
+  std::shared_ptr<Swarm> swarm_;
+  std::vector<Service> list_;
+  utils::Clock clock_;
+  int running_ = 0;
+  /** Ranks by extent, for the sides of rankedVms_. */
+  std::vector<std::string> rankedVms_;
+  std::map<std::size_t, std::vector<std::string>> ranks_;
+};
+
+} // namespace waxwingyoke::weights
+
+#endif // waxwingyoke_weights_Outside_h
--- /dev/null
+++ b/libs/weights/src/Swarm.h
@@ -0,0 +1,69 @@
+#ifndef waxwingyoke_weights_Swarm_h
+#define waxwingyoke_weights_Swarm_h
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <membership/Node.h>
+#include <net/HttpClient.h>
+#include <rpc/RpcClient.h>
+#include <schema/settings.pb.h>
+
+#include "Content.h"
+#include "Fetcher.h"
+#include "Holdings.h"
+#include "Offers.h"
+#include "Pacer.h"
+#include "PeerBook.h"
+#include "Picker.h"
+
+namespace waxwingyoke::weights {
+
+/** What every part of a transfer works with; outlives all transfers. */
+struct Services
+{
+  const schema::DaemonSettings& settings;
+  membership::Node& node;
+  net::HttpClient& http;
+  rpc::RpcClient& rpc;
+  Holdings& holdings;
+  Offers& offers;
+  Pacer& link;
+  /** This side's part of the budget between regions. */
+  Pacer& regionLink;
+};
+
+/**
+ * The state of one transfer. All its fibers run on one thread, so nothing
+ * here is locked.
+ */
+struct Swarm
+{
+  utils::Digest version;
+  /** Of the profile that asked for the version. */
+  std::uint64_t revision = 0;
+  /** Null until the manifest is here. */
+  std::shared_ptr<const Content> content;
+  PeerBook peers;
+  /** Sides of this region with this one that are not leaving. */
+  std::vector<std::string> regionVms;
+  /** Chunks being fetched. */
+  std::set<std::size_t> running;
+  RateMeter rate;
+  bool cancelled = false;
+  /** The last reason why a source failed; unset after a success. */
+  utils::Error lastError;
+
+  /** The usual time of a chunk at the rate seen. */
+  utils::Millis GetChunkTime() const;
+};
+
+/** Takes the sides that the view lists into the swarm. */
+void
+SeeMembers(const Services& aServices, Swarm& aSwarm);
+
+} // namespace waxwingyoke::weights
+
+#endif // waxwingyoke_weights_Swarm_h
--- /dev/null
+++ b/libs/weights/src/SwitchOver.h
@@ -0,0 +1,57 @@
+#ifndef waxwingyoke_weights_SwitchOver_h
+#define waxwingyoke_weights_SwitchOver_h
+
+#include <optional>
+#include <string>
+
+#include <platform/EngineClient.h>
+#include <utils/RcuCell.h>
+#include <weights/Depot.h>
+
+#include "Swarm.h"
+
+namespace waxwingyoke::weights {
+
+/**
+ * Brings the engine beside this process to the version that its profile
+ * names, and keeps what the engine reported. Runs in one fiber.
+ */
+class SwitchOver
+{
+public:
+  SwitchOver(Services aServices, Depot::Hooks aHooks);
+
+  /**
+   * One look at the engine. aProfile is the one in force here, aWhole
+   * whether its version is held whole and checked.
+   */
+  void Step(const schema::Profile& aProfile, bool aWhole);
+
+  /** No profile selects this VM any more. */
+  void Forget();
+
+  ServingState GetServing() const { return *serving_.Get(); }
+
+  const utils::Error& GetLastError() const { return lastError_; }
+
+private:
+  /** What the profile asks for now, as the view has it. */
+  bool IsStillWanted(const schema::Profile& aProfile) const;
+  void Order(const schema::Profile& aProfile, bool aServes);
+  void SendOrder(const schema::Profile& aProfile);
+  std::optional<schema::EngineState> AskUntilSettled();
+  void Accept(const schema::Profile& aProfile, const std::string& aVersion);
+  void SetServing(ServingState aServing);
+
+  const Services services_;
+  Depot::Hooks hooks_;
+  platform::EngineClient engine_;
+  utils::RcuCell<ServingState> serving_;
+  utils::Error lastError_;
+  utils::Clock clock_;
+  utils::Millis notBefore_;
+};
+
+} // namespace waxwingyoke::weights
+
+#endif // waxwingyoke_weights_SwitchOver_h
--- /dev/null
+++ b/libs/weights/src/Transfer.h
@@ -0,0 +1,62 @@
+#ifndef waxwingyoke_weights_Transfer_h
+#define waxwingyoke_weights_Transfer_h
+
+#include <memory>
+
+#include <schema/weights.pb.h>
+
+#include "Gossip.h"
+#include "Outside.h"
+#include "Swarm.h"
+
+namespace waxwingyoke::weights {
+
+/**
+ * Brings one version into Holdings, from the sides of the region, and what
+ * none of them holds from outside. Its fibers run on the thread of Start.
+ */
+class Transfer : public std::enable_shared_from_this<Transfer>
+{
+public:
+  Transfer(Services aServices,
+           const utils::Digest& aVersion,
+           std::uint64_t aRevision);
+
+  void Start();
+
+  /** Ends the fibers soon; what was fetched stays in Holdings. */
+  void Cancel() { swarm_->cancelled = true; }
+
+  const utils::Digest& GetVersion() const { return swarm_->version; }
+
+  schema::TransferProgress GetProgress() const;
+
+  /** The last reason of a source; unset while all goes well. */
+  const utils::Error& GetLastError() const { return swarm_->lastError; }
+
+private:
+  void Run();
+  bool FindManifest();
+  bool FetchManifestFrom(const net::Endpoint& aSource, bool aPeer);
+  void Work();
+  bool FetchFromRegion();
+  bool FetchFromOutside();
+  bool FetchChunk(const OutsidePick& aPick,
+                  bool aOwnRegion,
+                  utils::Error& aReason);
+  void NotePeer(const std::string& aVm,
+                bool aWhole,
+                const utils::Error& aReason);
+
+  const Services services_;
+  std::shared_ptr<Swarm> swarm_;
+  std::shared_ptr<Gossip> gossip_;
+  Outside outside_;
+  Fetcher fetcher_;
+  utils::Clock clock_;
+  const utils::Millis startedAt_ = clock_.Now();
+};
+
+} // namespace waxwingyoke::weights
+
+#endif // waxwingyoke_weights_Transfer_h
