--- a/libs/membership/src/SyncMethods.cpp
+++ b/libs/membership/src/SyncMethods.cpp
@@ -12,6 +12,21 @@
 constexpr Millis kLongestWait(20000);
 constexpr std::size_t kMaxReplyRows = 200;
 
+void
+AddAppends(const platform::AppendBudget& aBudget, schema::StatusReply& aReply)
+{
+  using platform::AppendUse;
+  constexpr auto kUses = static_cast<int>(AppendUse::Count);
+  for (int i = 0; i < kUses; ++i) {
+    auto use = static_cast<AppendUse>(i);
+    auto count = aBudget.GetCount(use);
+    auto& row = *aReply.add_appends();
+    row.set_use(std::string(platform::GetName(use)));
+    row.set_sent(count.sent);
+    row.set_held_back(count.heldBack);
+  }
+}
+
 } // namespace
 
 void
@@ -120,6 +135,7 @@
   aReply.set_snapshot_mismatches(store.GetReplay().GetMismatches());
   aReply.set_skipped_records(store.GetSkippedRecords());
   aReply.set_members(current->members.size());
+  AddAppends(log.GetBudget(), aReply);
 }
 
 } // namespace waxwingyoke::membership
--- /dev/null
+++ b/libs/membership/tests/ConfigStoreTest.cpp
@@ -0,0 +1,165 @@
+#include <doctest/doctest.h>
+
+#include <ConfigStore.h>
+#include <SnapshotNeed.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::membership;
+using utils::Millis;
+
+namespace {
+
+schema::StoredRecord
+MakeRecord(std::uint64_t aOffset)
+{
+  schema::LogRecord record;
+  record.set_id("id-" + std::to_string(aOffset));
+  auto& profile = *record.mutable_profile_change()->mutable_profile();
+  profile.set_name("p" + std::to_string(aOffset));
+  profile.set_kind(schema::SERVICE);
+  profile.mutable_vms()->set_group("g" + std::to_string(aOffset));
+  schema::StoredRecord stored;
+  stored.set_offset(aOffset);
+  stored.set_payload(record.SerializeAsString());
+  return stored;
+}
+
+schema::LogPage
+MakePage(std::uint64_t aFrom, std::uint64_t aEnd)
+{
+  schema::LogPage page;
+  page.set_next_offset(aEnd);
+  for (auto offset = aFrom; offset < aEnd; ++offset) {
+    *page.add_records() = MakeRecord(offset);
+  }
+  return page;
+}
+
+void
+Ask(ConfigStore& aChild, const ConfigStore& aParent, Millis aNow)
+{
+  schema::SyncReply reply;
+  aParent.FillReply(aChild.GetNextOffset(), aNow, reply);
+  aChild.TakeReply(reply, aNow);
+}
+
+std::string
+GetState(const ConfigStore& aStore)
+{
+  return aStore.GetReplay().GetFold().GetState().SerializeAsString();
+}
+
+} // namespace
+
+TEST_CASE("a node learns from its parent, by records or by the whole state")
+{
+  ConfigStore parent;
+  parent.TakePage(MakePage(0, 10), Millis(0));
+  ConfigStore child;
+  Ask(child, parent, Millis(0));
+  CHECK(child.GetNextOffset() == 10);
+
+  parent.TakePage(MakePage(10, 12), Millis(100));
+  schema::SyncReply late;
+  parent.FillReply(child.GetNextOffset(), Millis(100), late);
+  CHECK(late.records_size() == 2);
+  CHECK_FALSE(late.has_snapshot());
+  parent.TakePage(MakePage(12, 2000), Millis(200));
+  Ask(child, parent, Millis(200));
+  while (child.GetNextOffset() < parent.GetNextOffset()) {
+    Ask(child, parent, Millis(200));
+  }
+  CHECK(GetState(child) == GetState(parent));
+  // An answer that was held up changes nothing.
+  child.TakeReply(late, Millis(300));
+  CHECK(child.GetNextOffset() == 2000);
+  CHECK(GetState(child) == GetState(parent));
+
+  ConfigStore fresh;
+  schema::SyncReply reply;
+  parent.FillReply(0, Millis(300), reply);
+  CHECK(reply.has_snapshot());
+  fresh.TakeReply(reply, Millis(300));
+  CHECK(GetState(fresh) == GetState(parent));
+}
+
+TEST_CASE("a node never goes back to what a stale neighbour has")
+{
+  ConfigStore stale;
+  stale.TakePage(MakePage(0, 3), Millis(0));
+  ConfigStore node;
+  node.TakePage(MakePage(0, 8), Millis(0));
+  auto before = GetState(node);
+  schema::SyncReply reply;
+  stale.FillReply(0, Millis(0), reply);
+  node.TakeReply(reply, Millis(0));
+  CHECK(node.GetNextOffset() == 8);
+  CHECK(GetState(node) == before);
+}
+
+TEST_CASE("the age tells how far back the log's end was last seen")
+{
+  ConfigStore parent;
+  CHECK_FALSE(parent.GetAge(Millis(0)));
+  parent.TakePage(MakePage(0, 5), Millis(1000));
+  ConfigStore child;
+  Ask(child, parent, Millis(3000));
+  CHECK(child.GetAge(Millis(3500)) == Millis(2500));
+  // A page that stops short of the log's end proves nothing.
+  auto page = MakePage(5, 7);
+  page.set_next_offset(9);
+  parent.TakePage(page, Millis(5000));
+  CHECK(parent.GetAge(Millis(5000)) == Millis(4000));
+}
+
+TEST_CASE("a fresh node without a snapshot has no state, not an empty one")
+{
+  ConfigStore node;
+  auto page = MakePage(5, 8);
+  page.set_first_offset(5);
+  node.TakePage(page, Millis(0));
+  CHECK_FALSE(node.IsStarted());
+  CHECK(node.GetNextOffset() == 0);
+  ConfigStore neighbour;
+  neighbour.TakePage(MakePage(0, 8), Millis(0));
+  Ask(node, neighbour, Millis(0));
+  CHECK(GetState(node) == GetState(neighbour));
+}
+
+TEST_CASE("the first rank writes a due snapshot, the next only if none shows")
+{
+  constexpr Millis kInterval(1000);
+  SnapshotNeed first(kInterval);
+  SnapshotNeed second(kInterval);
+  SnapshotSight sight{ 10, 0, 0 };
+  SnapshotSight behind{ 10, 0, 1 };
+  CHECK_FALSE(first.IsDue(sight, Millis(0)));
+  CHECK_FALSE(second.IsDue(behind, Millis(0)));
+  CHECK(first.IsDue(sight, Millis(1000)));
+  CHECK_FALSE(second.IsDue(behind, Millis(1000)));
+  SUBCASE("it shows up")
+  {
+    behind = { 11, 10, 1 };
+    CHECK_FALSE(second.IsDue(behind, Millis(1500)));
+    CHECK_FALSE(second.IsDue(behind, Millis(2400)));
+  }
+  SUBCASE("its writer died")
+  {
+    CHECK_FALSE(second.IsDue(behind, Millis(3900)));
+    CHECK(second.IsDue(behind, Millis(4000)));
+    CHECK_FALSE(second.IsDue(behind, Millis(4100)));
+  }
+  SUBCASE("many records need one before its time")
+  {
+    sight = { 200, 0, 0 };
+    SnapshotNeed fresh(kInterval);
+    CHECK(fresh.IsDue(sight, Millis(0)));
+  }
+  SUBCASE("an empty log needs none")
+  {
+    SnapshotNeed empty(kInterval);
+    SnapshotSight nothing;
+    CHECK_FALSE(empty.IsDue(nothing, Millis(0)));
+    CHECK_FALSE(empty.IsDue(nothing, Millis(5000)));
+  }
+}
--- /dev/null
+++ b/libs/membership/tests/DirectoryTest.cpp
@@ -0,0 +1,229 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <random>
+
+#include <Directory.h>
+#include <Tree.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::membership;
+
+namespace {
+
+constexpr std::size_t kAll = 100000;
+
+schema::Vm
+MakeVm(const std::string& aId, const std::string& aDataCentre = "osl-sone1")
+{
+  schema::Vm vm;
+  vm.set_id(aId);
+  vm.set_address("127.0.0.1");
+  vm.set_data_centre(aDataCentre);
+  return vm;
+}
+
+schema::DirectoryRow
+MakeRow(const std::string& aId,
+        std::uint64_t aListVersion,
+        std::uint64_t aSequence)
+{
+  schema::DirectoryRow row;
+  *row.mutable_vm() = MakeVm(aId);
+  row.set_list_version(aListVersion);
+  row.mutable_status()->set_vm(aId);
+  row.mutable_status()->set_sequence(aSequence);
+  return row;
+}
+
+std::string
+Show(const Directory& aDirectory)
+{
+  std::string text;
+  for (const auto& [id, member] : aDirectory.GetMembers()) {
+    text += member.vm.SerializeAsString();
+    text += member.status ? member.status->SerializeAsString() : "-";
+  }
+  return text;
+}
+
+/** Nodes that push up and ask down as the fibers do, without sockets. */
+class Forest
+{
+public:
+  explicit Forest(std::size_t aCount)
+  {
+    schema::VmList list;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      *list.add_vms() =
+        MakeVm("vm-" + std::to_string(i), "dc-" + std::to_string(i % 3));
+    }
+    for (const auto& vm : list.vms()) {
+      auto& node = nodes_[vm.id()];
+      schema::DirectoryRow own = MakeRow(vm.id(), 0, 1);
+      *own.mutable_vm() = vm;
+      node.SetOwn(own);
+      node.TakeHint(list);
+    }
+    for (const auto& vm : list.vms()) {
+      parents_[vm.id()] = FindPlace(nodes_.at(vm.id()).GetMembers(),
+                                    vm.id(),
+                                    2,
+                                    [](const std::string&) { return false; })
+                            .parent;
+    }
+  }
+
+  Directory& Get(const std::string& aVm) { return nodes_.at(aVm); }
+
+  /** Exchanges until nothing is new; the number of rows that were sent. */
+  std::size_t Settle()
+  {
+    std::size_t rows = 0;
+    for (bool isNews = true; isNews;) {
+      isNews = false;
+      for (const auto& [id, parent] : parents_) {
+        if (!parent.empty()) {
+          auto sent = Exchange(id, parent);
+          rows += sent;
+          isNews = isNews || sent > 0;
+        }
+      }
+    }
+    return rows;
+  }
+
+  bool AgreesEverywhere() const
+  {
+    auto first = Show(nodes_.begin()->second);
+    return std::ranges::all_of(nodes_, [&first](const auto& aEntry) {
+      return Show(aEntry.second) == first;
+    });
+  }
+
+private:
+  std::size_t Exchange(const std::string& aChild, const std::string& aParent)
+  {
+    auto& child = nodes_.at(aChild);
+    auto& parent = nodes_.at(aParent);
+    auto up = child.CollectUp(acknowledged_[aChild], kAll);
+    acknowledged_[aChild] = up.version;
+    for (const auto& row : up.rows) {
+      parent.Merge(row, aChild, RowSource::Below);
+    }
+    auto down = parent.CollectDown(received_[aChild], aChild, kAll);
+    received_[aChild] = down.version;
+    for (const auto& row : down.rows) {
+      child.Merge(row, aParent, RowSource::Above);
+    }
+    return up.rows.size() + down.rows.size();
+  }
+
+  std::map<std::string, Directory> nodes_;
+  std::map<std::string, std::string> parents_;
+  std::map<std::string, std::uint64_t> acknowledged_;
+  std::map<std::string, std::uint64_t> received_;
+};
+
+} // namespace
+
+TEST_CASE("rows merge to the same directory in any order and any number")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    std::vector<schema::DirectoryRow> rows;
+    for (std::size_t i = 0; i < 60; ++i) {
+      auto row = MakeRow(
+        "vm-" + std::to_string(random() % 6), random() % 4, random() % 9);
+      row.mutable_vm()->set_leaving(random() % 2 == 0);
+      row.set_removed(row.list_version() > 0 && random() % 4 == 0);
+      rows.push_back(row);
+    }
+    Directory left;
+    Directory right;
+    for (const auto& row : rows) {
+      left.Merge(row, "a", RowSource::Below);
+    }
+    rows.insert(rows.end(), rows.begin(), rows.end());
+    std::ranges::shuffle(rows, random);
+    for (const auto& row : rows) {
+      right.Merge(row, "b", RowSource::Above);
+    }
+    CHECK(Show(left) == Show(right));
+  }
+}
+
+TEST_CASE("a change reaches every node once, however many there are")
+{
+  for (std::size_t count : { 16, 64, 160 }) {
+    CAPTURE(count);
+    Forest forest(count);
+    forest.Settle();
+    CHECK(forest.AgreesEverywhere());
+    auto& node = forest.Get("vm-7");
+    node.SetOwn(MakeRow("vm-7", 0, 2));
+    auto rows = forest.Settle();
+    CHECK(forest.AgreesEverywhere());
+    CHECK(rows == count - 1);
+  }
+}
+
+TEST_CASE("one reader's list reaches all, with what goes and what comes back")
+{
+  Forest forest(20);
+  forest.Settle();
+  schema::VmList list;
+  for (std::size_t i = 1; i < 20; ++i) {
+    *list.add_vms() =
+      MakeVm("vm-" + std::to_string(i), "dc-" + std::to_string(i % 3));
+  }
+  *list.add_vms() = MakeVm("vm-20");
+  auto& reader = forest.Get("vm-3");
+  CHECK(reader.TakeVmList(list));
+  CHECK_FALSE(reader.TakeVmList(list));
+  forest.Settle();
+  CHECK(forest.AgreesEverywhere());
+  CHECK(forest.Get("vm-9").GetMembers().contains("vm-20"));
+
+  list.mutable_vms()->RemoveLast();
+  CHECK(reader.TakeVmList(list));
+  forest.Settle();
+  CHECK(forest.AgreesEverywhere());
+  CHECK_FALSE(forest.Get("vm-9").GetMembers().contains("vm-20"));
+}
+
+TEST_CASE("a long delta comes in parts, none of them lost")
+{
+  Directory from;
+  for (std::size_t i = 0; i < 25; ++i) {
+    from.Merge(MakeRow("vm-" + std::to_string(i), 1, 1), "x", RowSource::Below);
+  }
+  Directory to;
+  std::uint64_t version = 0;
+  while (version < from.GetVersion()) {
+    auto delta = from.CollectDown(version, "y", 10);
+    CHECK(delta.rows.size() <= 10);
+    version = delta.version;
+    for (const auto& row : delta.rows) {
+      to.Merge(row, "z", RowSource::Above);
+    }
+  }
+  CHECK(Show(from) == Show(to));
+}
+
+TEST_CASE("load and progress are no news for others, readiness is")
+{
+  schema::NodeStatus status;
+  auto busy = status;
+  busy.set_running(7);
+  busy.set_config_offset(9);
+  busy.mutable_transfer()->set_chunks_held(3);
+  CHECK_FALSE(IsMaterial(status, busy));
+  auto ready = status;
+  ready.set_ready_version("v");
+  CHECK(IsMaterial(status, ready));
+  auto leaving = status;
+  leaving.set_leaving(true);
+  CHECK(IsMaterial(status, leaving));
+}
--- a/libs/platform/include/platform/LogClient.h
+++ b/libs/platform/include/platform/LogClient.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include <net/HttpClient.h>
+#include <platform/AppendBudget.h>
 #include <schema/platform.pb.h>
 #include <utils/Error.h>
 
@@ -26,7 +27,8 @@
   /**
    * Appends one record; returns its offset. OutcomeUnknown: it may stand in
    * the log all the same, so a caller appends the same id again and reads
-   * it back. LogUnavailable: it does not.
+   * it back. LogUnavailable: it does not; so it is where the budget of the
+   * record's use holds it back.
    */
   std::optional<std::uint64_t> Append(const std::string& aStream,
                                       const std::string& aPayload,
@@ -52,6 +54,9 @@
                                           utils::Millis aWait,
                                           utils::Error& aReason);
 
+  /** What this process appended so far. */
+  const AppendBudget& GetBudget() const { return budget_; }
+
 private:
   std::optional<schema::LogPage> ReadPage(const std::string& aStream,
                                           std::uint64_t aFrom,
@@ -61,6 +66,8 @@
 
   net::HttpClient& client_;
   net::Endpoint service_;
+  utils::Clock clock_;
+  AppendBudget budget_;
 };
 
 } // namespace waxwingyoke::platform
--- a/libs/platform/src/LogClient.cpp
+++ b/libs/platform/src/LogClient.cpp
@@ -12,6 +12,7 @@
 using utils::Millis;
 
 constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
 constexpr Millis kConnectTimeout(1000);
 constexpr Millis kAnswerTimeout(3000);
 
@@ -34,6 +35,12 @@
                   const std::string& aPayload,
                   utils::Error& aReason)
 {
+  auto use = FindAppendUse(aPayload);
+  if (!budget_.Take(use, clock_.Now())) {
+    aReason.Set(ErrorKind::LogUnavailable,
+                "held back: the log is busy, use " + std::string(GetName(use)));
+    return std::nullopt;
+  }
   net::HttpRequest request;
   request.method = "POST";
   request.target = MakePath(aStream);
@@ -47,6 +54,9 @@
     aReason.Set(kind, "log: " + aReason.detail);
     return std::nullopt;
   }
+  if (response->status == kTooManyRequests) {
+    budget_.NoteRefusal(clock_.Now());
+  }
   if (response->status != kOk) {
     aReason.Set(ErrorKind::LogUnavailable,
                 "the log answered " + std::to_string(response->status));
--- a/libs/profiles/include/profiles/Publisher.h
+++ b/libs/profiles/include/profiles/Publisher.h
@@ -61,6 +61,7 @@
                                     const std::string& aId) const;
 
   platform::LogClient& log_;
+  utils::Clock clock_;
   Replay replay_;
   /** What each id came to, the first time that it was folded. */
   std::map<std::string, FoldResult> decided_;
--- a/libs/profiles/src/Publisher.cpp
+++ b/libs/profiles/src/Publisher.cpp
@@ -2,6 +2,7 @@
 
 #include <google/protobuf/util/message_differencer.h>
 
+#include <net/Runtime.h>
 #include <profiles/Validate.h>
 #include <utils/Hash.h>
 
@@ -14,7 +15,9 @@
 using utils::Millis;
 
 constexpr std::uint32_t kPageRecords = 500;
-constexpr int kAppendAttempts = 3;
+// Longer than claims take to give way on a busy log.
+constexpr Millis kAppendTime(4000);
+constexpr Millis kAppendPause(150);
 
 } // namespace
 
@@ -87,17 +90,18 @@
                   Error& aReason)
 {
   bool isUnknown = false;
-  for (int i = 0; i < kAppendAttempts; ++i) {
+  auto deadline = clock_.Now() + kAppendTime;
+  while (clock_.Now() < deadline) {
     if (log_.Append(platform::kConfigStream, aPayload, aReason)) {
       return true;
     }
-    // An earlier attempt may have reached the log; only reading tells.
+    // This attempt may have reached the log; only reading tells.
     isUnknown = isUnknown || aReason.kind == ErrorKind::OutcomeUnknown;
-    if (!isUnknown) {
-      return false;
-    }
+    net::Runtime::Sleep(kAppendPause);
+  }
+  if (isUnknown) {
+    aReason.Set(ErrorKind::OutcomeUnknown, aId + ": " + aReason.detail);
   }
-  aReason.Set(ErrorKind::OutcomeUnknown, aId + ": " + aReason.detail);
   return false;
 }
 
