--- /dev/null
+++ b/libs/membership/src/ClusterStatus.cpp
@@ -0,0 +1,152 @@
+#include <membership/ClusterStatus.h>
+
+#include <algorithm>
+#include <map>
+
+namespace waxwingyoke::membership {
+
+namespace {
+
+/** One data centre's line. */
+struct PlaceSummary
+{
+  std::size_t nodes = 0;
+  std::size_t relays = 0;
+  std::uint64_t lowest = UINT64_MAX;
+  std::uint64_t highest = 0;
+  std::int64_t oldestMs = 0;
+};
+
+std::map<std::string, PlaceSummary>
+Summarise(const ClusterStatus& aStatus)
+{
+  std::map<std::string, PlaceSummary> places;
+  std::ranges::for_each(aStatus.nodes, [&places](const NodeAccount& aNode) {
+    auto& place = places[aNode.vm.region() + "/" + aNode.vm.data_centre()];
+    ++place.nodes;
+    if (!aNode.reply) {
+      return;
+    }
+    place.relays += aNode.reply->relay() ? 1 : 0;
+    place.lowest = std::min(place.lowest, aNode.reply->config_offset());
+    place.highest = std::max(place.highest, aNode.reply->config_offset());
+    place.oldestMs = std::max(place.oldestMs, aNode.reply->age_ms());
+  });
+  return places;
+}
+
+std::string
+ShowPlaces(const ClusterStatus& aStatus)
+{
+  std::string text;
+  for (const auto& [name, place] : Summarise(aStatus)) {
+    text += name + ": ";
+    if (place.lowest > place.highest) {
+      text += "no answer";
+    } else {
+      text += "revision " + std::to_string(place.lowest) +
+              " in force everywhere, up to " + std::to_string(place.highest) +
+              ", seen " + std::to_string(place.oldestMs) + " ms ago";
+    }
+    text += ", " + std::to_string(place.nodes) + " nodes, " +
+            std::to_string(place.relays) + " relays\n";
+  }
+  return text;
+}
+
+std::string
+ShowLog(const LogAccount& aLog)
+{
+  if (!aLog.available) {
+    return "log: NOT AVAILABLE, no change can be accepted; what is in force "
+           "stays: " +
+           aLog.failure + "\n";
+  }
+  return "log: available, records " + std::to_string(aLog.firstOffset) +
+         " to " + std::to_string(aLog.nextOffset) + "\n";
+}
+
+std::string
+ShowAppends(const ClusterStatus& aStatus)
+{
+  std::map<std::string, schema::AppendUse> uses;
+  std::uint64_t mismatches = 0;
+  std::ranges::for_each(aStatus.nodes, [&](const NodeAccount& aNode) {
+    if (!aNode.reply) {
+      return;
+    }
+    mismatches += aNode.reply->snapshot_mismatches();
+    std::ranges::for_each(aNode.reply->appends(), [&uses](const auto& aUse) {
+      auto& sum = uses[aUse.use()];
+      sum.set_sent(sum.sent() + aUse.sent());
+      sum.set_held_back(sum.held_back() + aUse.held_back());
+    });
+  });
+  std::string text = "appends since the processes started:";
+  for (const auto& [use, sum] : uses) {
+    text += " " + use + " " + std::to_string(sum.sent());
+    if (sum.held_back() > 0) {
+      text += " (" + std::to_string(sum.held_back()) + " held back)";
+    }
+  }
+  text += "\n";
+  if (mismatches > 0) {
+    text += "WARNING: " + std::to_string(mismatches) +
+            " snapshots differ from the state of their readers\n";
+  }
+  return text;
+}
+
+} // namespace
+
+std::uint64_t
+ClusterStatus::GetWantedOffset() const
+{
+  if (log.available) {
+    return log.nextOffset;
+  }
+  std::uint64_t furthest = 0;
+  std::ranges::for_each(nodes, [&furthest](const NodeAccount& aNode) {
+    if (aNode.reply) {
+      furthest = std::max(furthest, aNode.reply->config_offset());
+    }
+  });
+  return furthest;
+}
+
+std::vector<Laggard>
+FindLaggards(const ClusterStatus& aStatus, std::uint64_t aOffset)
+{
+  std::vector<Laggard> laggards;
+  std::ranges::for_each(aStatus.nodes, [&](const NodeAccount& aNode) {
+    bool isLeaving =
+      aNode.vm.leaving() || (aNode.reply && aNode.reply->status().leaving());
+    bool isThere = aNode.reply && aNode.reply->config_offset() >= aOffset;
+    if (isLeaving || isThere) {
+      return;
+    }
+    auto reason = aNode.reply ? "at revision " +
+                                  std::to_string(aNode.reply->config_offset())
+                              : "no answer: " + aNode.failure;
+    laggards.push_back({ aNode.vm.id(), aNode.vm.data_centre(), reason });
+  });
+  return laggards;
+}
+
+std::string
+Show(const ClusterStatus& aStatus, std::uint64_t aOffset)
+{
+  auto text = ShowLog(aStatus.log) + ShowPlaces(aStatus);
+  auto laggards = FindLaggards(aStatus, aOffset);
+  text += "revision " + std::to_string(aOffset) +
+          (laggards.empty() ? " is in force on every node\n"
+                            : " is NOT in force on " +
+                                std::to_string(laggards.size()) + " nodes:\n");
+  std::ranges::for_each(laggards, [&text](const Laggard& aLaggard) {
+    text += "  " + aLaggard.vm + " in " + aLaggard.dataCentre + ": " +
+            aLaggard.reason + "\n";
+  });
+  return text + ShowAppends(aStatus);
+}
+
+} // namespace waxwingyoke::membership
--- a/libs/profiles/include/profiles/Publisher.h
+++ b/libs/profiles/include/profiles/Publisher.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include <platform/LogClient.h>
+#include <profiles/Preview.h>
 #include <profiles/Replay.h>
 
 namespace waxwingyoke::profiles {
@@ -49,6 +50,11 @@
                                        const std::string& aId,
                                        utils::Error& aReason);
 
+  /** What the change would do now; nothing is appended. */
+  std::optional<Preview> Try(const schema::ProfileChange& aChange,
+                             const schema::VmList& aVms,
+                             utils::Error& aReason);
+
   /** What is in force at the log's end. */
   std::optional<Config> ReadConfig(utils::Error& aReason);
 
@@ -67,11 +73,6 @@
   std::map<std::string, FoldResult> decided_;
 };
 
-/** Wanted against standing, a line for each field that differs. */
-std::string
-DescribeDifference(const schema::Profile* aStanding,
-                   const schema::Profile& aWanted);
-
 } // namespace waxwingyoke::profiles
 
 #endif // waxwingyoke_profiles_Publisher_h
--- a/libs/profiles/src/Publisher.cpp
+++ b/libs/profiles/src/Publisher.cpp
@@ -1,7 +1,5 @@
 #include <profiles/Publisher.h>
 
-#include <google/protobuf/util/message_differencer.h>
-
 #include <net/Runtime.h>
 #include <profiles/Validate.h>
 #include <utils/Hash.h>
@@ -21,23 +19,6 @@
 
 } // namespace
 
-std::string
-DescribeDifference(const schema::Profile* aStanding,
-                   const schema::Profile& aWanted)
-{
-  if (!aStanding) {
-    return "no such profile is in force";
-  }
-  google::protobuf::util::MessageDifferencer differencer;
-  const auto* fields = schema::Profile::descriptor();
-  differencer.IgnoreField(fields->FindFieldByName("revision"));
-  differencer.IgnoreField(fields->FindFieldByName("author"));
-  std::string text;
-  differencer.ReportDifferencesToString(&text);
-  differencer.Compare(*aStanding, aWanted);
-  return text.empty() ? "no difference" : text;
-}
-
 Publisher::Publisher(platform::LogClient& aLog)
   : log_(aLog)
 {
@@ -159,6 +140,17 @@
   }
 }
 
+std::optional<Preview>
+Publisher::Try(const schema::ProfileChange& aChange,
+               const schema::VmList& aVms,
+               Error& aReason)
+{
+  if (!ValidateChange(aChange, aReason) || !ReadToEnd(aReason)) {
+    return std::nullopt;
+  }
+  return MakePreview(replay_.GetFold(), aChange, aVms);
+}
+
 std::optional<Config>
 Publisher::ReadConfig(Error& aReason)
 {
