--- a/libs/schema/src/SettingsReader.cpp
+++ b/libs/schema/src/SettingsReader.cpp
@@ -1,6 +1,9 @@
 #include <schema/SettingsReader.h>
 
+#include <algorithm>
+#include <cctype>
 #include <fstream>
+#include <limits>
 #include <optional>
 #include <sstream>
 
@@ -28,6 +31,19 @@
   return false;
 }
 
+std::string
+ListEnumNames(const google::protobuf::EnumDescriptor& aEnum)
+{
+  std::string names;
+  for (int i = 0; i < aEnum.value_count(); ++i) {
+    names += (i > 0 ? ", " : "") + aEnum.value(i)->name();
+  }
+  std::ranges::transform(names, names.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return names;
+}
+
 // One walk over a parsed file; stops at the first fault.
 class Walk
 {
@@ -57,6 +73,15 @@
   bool FillInteger(const toml::node& aNode,
                    Message& aMessage,
                    const FieldDescriptor& aField);
+  bool FillEnum(const toml::node& aNode,
+                Message& aMessage,
+                const FieldDescriptor& aField);
+  bool FillList(const toml::node& aNode,
+                Message& aMessage,
+                const FieldDescriptor& aField);
+  bool FillListItem(const toml::node& aItem,
+                    Message& aMessage,
+                    const FieldDescriptor& aField);
   bool Fail(const toml::node& aNode, const std::string& aWhat);
 
   const std::string& file_;
@@ -107,6 +132,9 @@
                 const FieldDescriptor& aField)
 {
   const auto* node = aTable.get(aField.name());
+  if (aField.is_repeated()) {
+    return node == nullptr || FillList(*node, aMessage, aField);
+  }
   if (aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
     if (node == nullptr) {
       return FillAbsentTable(aTable, aMessage, aField);
@@ -150,6 +178,9 @@
   if (options.GetExtension(required)) {
     return Fail(aTable, "missing key '" + aField.name() + "'");
   }
+  if (!options.HasExtension(preset)) {
+    return true;
+  }
   const auto& presetText = options.GetExtension(preset);
   const auto* reflection = aMessage.GetReflection();
   switch (aField.cpp_type()) {
@@ -191,9 +222,67 @@
     reflection->SetBool(&aMessage, &aField, *flag);
     return true;
   }
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_ENUM) {
+    return FillEnum(aNode, aMessage, aField);
+  }
   return FillInteger(aNode, aMessage, aField);
 }
 
+// Enums are written in lower case in files, in upper case in the schema.
+bool
+Walk::FillEnum(const toml::node& aNode,
+               Message& aMessage,
+               const FieldDescriptor& aField)
+{
+  auto name = aNode.value_exact<std::string>().value_or("");
+  std::ranges::transform(name, name.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::toupper(aChar));
+  });
+  const auto* value = aField.enum_type()->FindValueByName(name);
+  if (value == nullptr) {
+    return Fail(aNode,
+                "'" + aField.name() + "' must be one of " +
+                  ListEnumNames(*aField.enum_type()));
+  }
+  aMessage.GetReflection()->SetEnum(&aMessage, &aField, value);
+  return true;
+}
+
+bool
+Walk::FillList(const toml::node& aNode,
+               Message& aMessage,
+               const FieldDescriptor& aField)
+{
+  const auto* list = aNode.as_array();
+  if (list == nullptr) {
+    return Fail(aNode, "'" + aField.name() + "' must be a list");
+  }
+  return std::ranges::all_of(*list, [&](const toml::node& aItem) {
+    return FillListItem(aItem, aMessage, aField);
+  });
+}
+
+bool
+Walk::FillListItem(const toml::node& aItem,
+                   Message& aMessage,
+                   const FieldDescriptor& aField)
+{
+  const auto* reflection = aMessage.GetReflection();
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
+    const auto* table = aItem.as_table();
+    if (table == nullptr) {
+      return Fail(aItem, "'" + aField.name() + "' must hold tables");
+    }
+    return FillMessage(*table, *reflection->AddMessage(&aMessage, &aField));
+  }
+  auto text = aItem.value_exact<std::string>();
+  if (!text) {
+    return Fail(aItem, "'" + aField.name() + "' must hold strings");
+  }
+  reflection->AddString(&aMessage, &aField, *text);
+  return true;
+}
+
 bool
 Walk::FillInteger(const toml::node& aNode,
                   Message& aMessage,
@@ -203,8 +292,12 @@
   if (!number) {
     return Fail(aNode, "'" + aField.name() + "' must be a whole number");
   }
-  auto low = aField.options().GetExtension(min);
-  auto high = aField.options().GetExtension(max);
+  std::int64_t low = 0;
+  std::int64_t high = std::numeric_limits<std::uint32_t>::max();
+  if (aField.options().HasExtension(max)) {
+    low = aField.options().GetExtension(min);
+    high = aField.options().GetExtension(max);
+  }
   if (*number < low || *number > high) {
     return Fail(aNode,
                 "'" + aField.name() + "' is " + std::to_string(*number) +
--- a/libs/schema/tests/SettingsReaderTest.cpp
+++ b/libs/schema/tests/SettingsReaderTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <schema/SettingsReader.h>
+#include <schema/log.pb.h>
 #include <schema/settings.pb.h>
 
 using namespace waxwingyoke;
@@ -55,3 +56,27 @@
         "s.toml:1: missing key 'role'");
   CHECK(Refuse("[node\n").detail.starts_with("s.toml:1: "));
 }
+
+TEST_CASE("lists, tables in lists and enums are read by their names")
+{
+  schema::Profile profile;
+  utils::Error reason;
+  REQUIRE(schema::ReadSettings(R"(name = "register"
+kind = "service"
+[vms]
+group = "csapregiszter"
+data_centres = ["pecs-1", "debrecen-1"]
+[[requests.idempotent]]
+method = "GET"
+path_prefix = "/status"
+)",
+                               "p.toml",
+                               profile,
+                               reason));
+  CHECK(profile.kind() == schema::SERVICE);
+  CHECK(profile.vms().data_centres(1) == "debrecen-1");
+  CHECK(profile.requests().idempotent(0).path_prefix() == "/status");
+  CHECK_FALSE(
+    schema::ReadSettings("\nkind = \"modle\"\n", "p.toml", profile, reason));
+  CHECK(reason.detail == "p.toml:2: 'kind' must be one of model, service");
+}
--- /dev/null
+++ b/tools/waxwingyoke/src/SettingsCommands.cpp
@@ -0,0 +1,92 @@
+#include "Commands.h"
+
+#include <iostream>
+#include <memory>
+
+#include <CLI/CLI.hpp>
+#include <schema/SettingsReader.h>
+#include <schema/log.pb.h>
+#include <schema/settings.pb.h>
+
+#include "Output.h"
+
+namespace waxwingyoke::tool {
+
+namespace {
+
+/** The kinds of TOML file that the system reads. */
+std::unique_ptr<google::protobuf::Message>
+MakeMessage(const std::string& aKind)
+{
+  if (aKind == "tool") {
+    return std::make_unique<schema::ToolSettings>();
+  }
+  if (aKind == "profile") {
+    return std::make_unique<schema::Profile>();
+  }
+  return std::make_unique<schema::DaemonSettings>();
+}
+
+int
+Check(const std::string& aFile, const std::string& aKind)
+{
+  auto settings = MakeMessage(aKind);
+  utils::Error reason;
+  if (!schema::ReadSettingsFile(aFile, *settings, reason)) {
+    return Fail(reason);
+  }
+  std::cout << aFile << ": good\n";
+  return 0;
+}
+
+int
+PrintReference(const std::string& aKind)
+{
+  std::cout << schema::MakeSettingsReference(
+    *MakeMessage(aKind)->GetDescriptor());
+  return 0;
+}
+
+struct Arguments
+{
+  std::string file;
+  std::string kind = "daemon";
+};
+
+void
+AddKind(CLI::App& aCommand, Arguments& aArguments)
+{
+  aCommand.add_option("--kind", aArguments.kind, "daemon, tool or profile")
+    ->check(CLI::IsMember({ "daemon", "tool", "profile" }))
+    ->capture_default_str();
+}
+
+} // namespace
+
+void
+AddSettingsCommands(CLI::App& aApp, Context& aContext)
+{
+  auto arguments = std::make_shared<Arguments>();
+  auto* group =
+    aApp.add_subcommand("settings", "check files, show what they may hold");
+  group->require_subcommand(1);
+
+  auto* check =
+    group->add_subcommand("check", "check a file and say what is wrong");
+  check->add_option("file", arguments->file, "TOML file")->required();
+  AddKind(*check, *arguments);
+  check->callback([&aContext, arguments] {
+    aContext.run = [arguments] {
+      return Check(arguments->file, arguments->kind);
+    };
+  });
+
+  auto* reference =
+    group->add_subcommand("reference", "print the reference page");
+  AddKind(*reference, *arguments);
+  reference->callback([&aContext, arguments] {
+    aContext.run = [arguments] { return PrintReference(arguments->kind); };
+  });
+}
+
+} // namespace waxwingyoke::tool
--- /dev/null
+++ b/tools/waxwingyoked/src/Main.cpp
@@ -0,0 +1,135 @@
+// waxwingyoked: the daemon, either an entry that takes callers' requests or
+// a side beside one upstream.
+
+#include <iostream>
+#include <string>
+
+#include <CLI/CLI.hpp>
+#include <schema/SettingsReader.h>
+#include <telemetry/Logger.h>
+#include <telemetry/Span.h>
+#include <utils/Hash.h>
+
+#include "ControlPort.h"
+#include "Process.h"
+#include "Role.h"
+
+namespace {
+
+using namespace waxwingyoke;
+
+int
+Fail(const utils::Error& aReason)
+{
+  std::cerr << "waxwingyoked: " << aReason.detail << "\n";
+  return utils::GetErrorTraits(aReason.kind).exitCode;
+}
+
+std::optional<net::Endpoint>
+ReadEndpoint(const std::string& aText,
+             const std::string& aKey,
+             utils::Error& aReason)
+{
+  auto endpoint = net::Endpoint::Parse(aText);
+  if (!endpoint) {
+    aReason.Set(utils::ErrorKind::BadSettings,
+                "'" + aKey + "' is '" + aText + "', expected IP:port");
+  }
+  return endpoint;
+}
+
+bool
+CheckSettings(const schema::DaemonSettings& aSettings, utils::Error& aReason)
+{
+  const auto& role = aSettings.node().role();
+  if (role != "entry" && role != "side") {
+    aReason.Set(utils::ErrorKind::BadSettings,
+                "'role' is '" + role + "', expected entry or side");
+    return false;
+  }
+  if (role == "side" && !aSettings.has_side()) {
+    aReason.Set(utils::ErrorKind::BadSettings,
+                "missing table 'side' for role side");
+    return false;
+  }
+  const auto& kind = aSettings.side().kind();
+  if (role == "side" && kind != "engine" && kind != "service") {
+    aReason.Set(utils::ErrorKind::BadSettings,
+                "'kind' is '" + kind + "', expected engine or service");
+    return false;
+  }
+  const auto& platform = aSettings.platform();
+  return ReadEndpoint(platform.log(), "log", aReason) &&
+         ReadEndpoint(platform.vm_list(), "vm_list", aReason) &&
+         (role == "entry" ||
+          ReadEndpoint(aSettings.side().upstream(), "upstream", aReason));
+}
+
+// Serves until a signal, then finishes what runs. Never returns: fibers
+// that wait for peers have no end of their own.
+int
+Serve(net::Runtime& aRuntime, const schema::DaemonSettings& aSettings)
+{
+  telemetry::Logger logger("daemon");
+  net::HttpClient httpClient;
+  rpc::RpcClient rpcClient(httpClient, aSettings.node().secret());
+  platform::LogClient log(httpClient,
+                          *net::Endpoint::Parse(aSettings.platform().log()));
+  platform::VmListClient vmList(
+    httpClient, *net::Endpoint::Parse(aSettings.platform().vm_list()));
+  membership::Node node(
+    aRuntime, aSettings, utils::MakeUniqueId(), log, vmList, rpcClient);
+  Process process{ aRuntime, aSettings, httpClient, rpcClient, log, node };
+  auto role = aSettings.node().role() == "entry" ? MakeEntryRole(process)
+                                                 : MakeSideRole(process);
+  ControlPort control(process, *role);
+  utils::Error reason;
+  // The control port comes first: one side a VM is held by its port.
+  if (!control.Start(reason) || !role->Start(reason)) {
+    net::ExitProcess(Fail(reason));
+  }
+  node.Start();
+  logger.Info("started", { { "role", aSettings.node().role() } });
+  auto signal = aRuntime.WaitForSignal();
+  logger.Info("draining", { { "signal", std::to_string(signal) } });
+  node.UpdateStatus(
+    [](schema::NodeStatus& aStatus) { aStatus.set_leaving(true); });
+  role->Drain();
+  control.Close();
+  logger.Info("stopped");
+  net::ExitProcess(0);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app{ "Daemon of waxwingyoke. It reads its settings once; a changed "
+                "file takes effect by a restart. SIGTERM drains: new work is "
+                "refused, what runs is finished." };
+  std::string file;
+  bool checkOnly = false;
+  app.add_option("--settings", file, "TOML file of settings")->required();
+  app.add_flag("--check", checkOnly, "only check the settings");
+  CLI11_PARSE(app, aCount, aArguments);
+
+  schema::DaemonSettings settings;
+  utils::Error reason;
+  if (!schema::ReadSettingsFile(file, settings, reason)) {
+    return Fail(reason);
+  }
+  if (!CheckSettings(settings, reason)) {
+    reason.detail = file + ": " + reason.detail;
+    return Fail(reason);
+  }
+  if (checkOnly) {
+    return 0;
+  }
+  telemetry::StartLogging({ telemetry::ParseLogLevel(settings.log().level()),
+                            settings.log().file(),
+                            settings.node().vm() });
+  telemetry::StartSpans(settings.log().spans());
+  net::Runtime runtime(settings.node().threads());
+  return runtime.Run([&] { return Serve(runtime, settings); });
+}
--- /dev/null
+++ b/tools/waxwingyoked/src/SideRole.cpp
@@ -0,0 +1,142 @@
+#include "Role.h"
+
+#include <net/HttpServer.h>
+#include <requests/Side.h>
+#include <weights/Depot.h>
+
+#include "ServiceProbe.h"
+
+namespace waxwingyoke::daemon {
+
+namespace {
+
+/** Admits requests to the plain service beside it. */
+class ServiceSideRole : public Role
+{
+public:
+  explicit ServiceSideRole(const Process& aProcess)
+    : probe_(aProcess)
+    , side_(aProcess.runtime,
+            aProcess.settings,
+            aProcess.node,
+            aProcess.httpClient,
+            [this] { return probe_.GetServing(); })
+  {
+  }
+
+  void AddRoutes(net::Router& aRouter) override { side_.AddRoutes(aRouter); }
+  void AddMethods(rpc::RpcServer& aServer) override
+  {
+    side_.AddMethods(aServer);
+  }
+  bool Start(utils::Error&) override
+  {
+    probe_.Start();
+    side_.Start();
+    return true;
+  }
+  bool IsReady() const override { return true; }
+  void Drain() override { side_.Drain(); }
+
+private:
+  ServiceProbe probe_;
+  requests::Side side_;
+};
+
+/** Brings weights to the model engine beside it and admits requests. */
+class EngineSideRole : public Role
+{
+public:
+  explicit EngineSideRole(const Process& aProcess)
+    : process_(aProcess)
+    , side_(aProcess.runtime,
+            aProcess.settings,
+            aProcess.node,
+            aProcess.httpClient,
+            [this] { return GetServing(); })
+    , depot_(aProcess.runtime,
+             aProcess.settings,
+             aProcess.node,
+             aProcess.log,
+             aProcess.httpClient,
+             aProcess.rpcClient,
+             MakeHooks())
+  {
+    depot_.AddEngineRoutes(engineRouter_);
+  }
+
+  void AddRoutes(net::Router& aRouter) override
+  {
+    side_.AddRoutes(aRouter);
+    depot_.AddRoutes(aRouter);
+  }
+  void AddMethods(rpc::RpcServer& aServer) override
+  {
+    side_.AddMethods(aServer);
+    depot_.AddMethods(aServer);
+  }
+  bool Start(utils::Error& aReason) override;
+  bool IsReady() const override { return true; }
+  void Drain() override { side_.Drain(); }
+
+private:
+  weights::Depot::Hooks MakeHooks();
+  requests::Serving GetServing() const;
+
+  const Process& process_;
+  requests::Side side_;
+  weights::Depot depot_;
+  net::Router engineRouter_;
+  std::unique_ptr<net::HttpServer> engineServer_;
+};
+
+weights::Depot::Hooks
+EngineSideRole::MakeHooks()
+{
+  weights::Depot::Hooks hooks;
+  hooks.pause = [this] { side_.Pause(); };
+  hooks.waitIdle = [this](utils::Millis aTime) {
+    return side_.WaitIdle(aTime);
+  };
+  hooks.resume = [this] { side_.Resume(); };
+  return hooks;
+}
+
+requests::Serving
+EngineSideRole::GetServing() const
+{
+  auto serving = depot_.GetServing();
+  return { serving.profile, serving.revision, serving.version };
+}
+
+bool
+EngineSideRole::Start(utils::Error& aReason)
+{
+  const auto& settings = process_.settings;
+  auto port = static_cast<std::uint16_t>(settings.side().engine_port());
+  engineServer_ = net::HttpServer::Builder(process_.runtime)
+                    .SetEndpoint({ settings.node().address(), port })
+                    .SetHandler([this](const auto& aRequest, auto& aWriter) {
+                      engineRouter_.Handle(aRequest, aWriter);
+                    })
+                    .Build(aReason);
+  if (!engineServer_) {
+    return false;
+  }
+  side_.Start();
+  depot_.Start();
+  return true;
+}
+
+} // namespace
+
+std::unique_ptr<Role>
+MakeSideRole(const Process& aProcess)
+{
+  if (aProcess.settings.side().kind() == "service") {
+    return std::make_unique<ServiceSideRole>(aProcess);
+  }
+  return std::make_unique<EngineSideRole>(aProcess);
+}
+
+} // namespace waxwingyoke::daemon
