--- a/tools/waxwingyoke/src/Commands.h
+++ b/tools/waxwingyoke/src/Commands.h
@@ -4,7 +4,8 @@
 #include <functional>
 #include <string>
 
-namespace CLI {
+// The library's own name for itself.
+namespace CLI { // NOLINT(readability-identifier-naming)
 class App;
 }
 
--- a/tools/waxwingyoked/src/Main.cpp
+++ b/tools/waxwingyoked/src/Main.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 using namespace waxwingyoke;
+using namespace waxwingyoke::daemon;
 
 int
 Fail(const utils::Error& aReason)
