--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -235,6 +235,9 @@
 void
 AttemptCall::Cancel(const Progress& aProgress) const
 {
+  if (!aProgress.options.mayCancel) {
+    return;
+  }
   schema::AskRequest request;
   request.set_attempt(aProgress.attempt);
   request.set_incarnation(aProgress.side.incarnation);
--- a/libs/requests/src/AttemptCall.h
+++ b/libs/requests/src/AttemptCall.h
@@ -43,6 +43,8 @@
   utils::Millis deadline;
   /** How long a side that is not to be reached is asked again. */
   utils::Millis patience;
+  /** Whether the upstream may be stopped when nobody waits any more. */
+  bool mayCancel = true;
 };
 
 /**
--- a/libs/requests/src/Attempts.cpp
+++ b/libs/requests/src/Attempts.cpp
@@ -33,11 +33,12 @@
   if (place != entries_.end()) {
     return place->second.state;
   }
-  if (aNow - aAge <= forgottenUntil_) {
+  ExpireBars(aNow);
+  if (aNow - aAge <= forgottenUntil_ || bars_.size() >= limits_.maxBars) {
     return schema::FORGOTTEN;
   }
   entries_.try_emplace(aId, Entry{ schema::BARRED, nullptr });
-  seen_.push_back({ aId, aNow });
+  bars_.push_back({ aId, aNow });
   return schema::BARRED;
 }
 
@@ -78,10 +79,20 @@
   }
 }
 
+void
+Attempts::ExpireBars(utils::Millis aNow)
+{
+  while (!bars_.empty() && aNow - bars_.front().time > limits_.retention) {
+    entries_.erase(bars_.front().id);
+    bars_.pop_front();
+  }
+}
+
 void
 Attempts::Expire(utils::Millis aNow)
 {
   ExpireHeld(aNow);
+  ExpireBars(aNow);
   auto isDue = [&] {
     return seen_.size() > limits_.maxEntries ||
            (!seen_.empty() && aNow - seen_.front().time > limits_.retention);
--- a/libs/requests/src/Attempts.h
+++ b/libs/requests/src/Attempts.h
@@ -30,6 +30,7 @@
   /** How long an attempt or a bar is remembered at least, if room is. */
   utils::Millis retention{ 30 * 60 * 1000 };
   std::size_t maxEntries = 8192;
+  std::size_t maxBars = 8192;
   /** Bytes of finished answers that are held for repeats. */
   std::size_t heldBytes = 2 << 20;
   /** How long a finished answer is held at most. */
@@ -41,7 +42,9 @@
  * an attempt began. An id that is asked about before it began is barred, so
  * "not run" stays true ever after.
  *
- * What was forgotten to save room can't be told from what was never seen;
+ * A bar is kept for its whole time, since its attempt may still be on the
+ * way; where no more bars have room, a question is answered FORGOTTEN.
+ * What else was forgotten to save room can't be told from what was never seen;
  * so a question says how old its attempt is, and one that reaches back to
  * forgotten times is answered FORGOTTEN.
  */
@@ -94,10 +97,12 @@
   };
 
   void ExpireHeld(utils::Millis aNow);
+  void ExpireBars(utils::Millis aNow);
 
   AttemptsLimits limits_;
   std::unordered_map<std::string, Entry> entries_;
   std::deque<Seen> seen_;
+  std::deque<Seen> bars_;
   std::deque<Held> held_;
   std::size_t heldBytes_ = 0;
   /** Attempts first seen up to then may be forgotten. */
--- a/libs/requests/src/CallerRequest.cpp
+++ b/libs/requests/src/CallerRequest.cpp
@@ -18,8 +18,6 @@
 
 constexpr std::string_view kServicePrefix = "/services/";
 constexpr Millis kMaxTimeout(3600 * 1000);
-// How far a caller's clock may be ahead of ours.
-constexpr Millis kKeySkew(60 * 1000);
 constexpr std::size_t kMaxKeyBytes = 200;
 // Prompts that share their beginning share it in these bytes, and longer
 // beginnings would part conversations that share a system prompt.
--- a/libs/requests/src/CallerRequest.h
+++ b/libs/requests/src/CallerRequest.h
@@ -79,6 +79,9 @@
 /** Age that a key may have; less than the log keeps records. */
 inline constexpr utils::Millis kKeyWindow{ 15 * 60 * 1000 };
 
+/** By how much the clocks of callers and entries may differ. */
+inline constexpr utils::Millis kKeySkew{ 60 * 1000 };
+
 } // namespace waxwingyoke::requests
 
 #endif // waxwingyoke_requests_CallerRequest_h
--- /dev/null
+++ b/libs/requests/src/ClaimDesk.cpp
@@ -0,0 +1,116 @@
+#include "ClaimDesk.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <utils/Hash.h>
+
+namespace waxwingyoke::requests {
+
+namespace {
+
+using utils::ErrorKind;
+using utils::Millis;
+
+constexpr Millis kConnectTimeout(300);
+constexpr Millis kOwnerTimeout(4000);
+
+std::string
+GetStreamName(const schema::Claim& aClaim)
+{
+  return GetClaimStream(aClaim.organisation(), aClaim.key());
+}
+
+bool
+IsAnswerOfOwner(ErrorKind aKind)
+{
+  return aKind == ErrorKind::KeyExpired || aKind == ErrorKind::LogUnavailable;
+}
+
+} // namespace
+
+ClaimDesk::ClaimDesk(membership::Node& aNode,
+                     rpc::RpcClient& aRpc,
+                     platform::LogClient& aLog)
+  : node_(aNode)
+  , rpc_(aRpc)
+{
+  for (std::uint32_t i = 0; i < kClaimStreams; ++i) {
+    auto name = GetClaimStreamName(i);
+    streams_[name] = std::make_unique<ClaimStream>(aLog, name);
+  }
+}
+
+ClaimStream&
+ClaimDesk::GetStream(const schema::Claim& aClaim)
+{
+  return *streams_.at(GetStreamName(aClaim));
+}
+
+const membership::Member*
+ClaimDesk::FindOwner(const membership::View& aView,
+                     const std::string& aStream) const
+{
+  std::vector<std::string> entries;
+  for (const auto& [vm, member] : aView.members) {
+    if (member.vm.role() == "entry" && !member.IsLeaving()) {
+      entries.push_back(vm);
+    }
+  }
+  auto ranked = utils::RankMembers(aStream, std::move(entries));
+  if (ranked.empty() || ranked.front() == node_.GetSettings().vm()) {
+    return nullptr;
+  }
+  return aView.FindMember(ranked.front());
+}
+
+std::optional<schema::ClaimReply>
+ClaimDesk::Claim(const schema::Claim& aClaim,
+                 Millis aDeadline,
+                 utils::Error& aReason)
+{
+  auto view = node_.GetView();
+  const auto* owner = FindOwner(*view, GetStreamName(aClaim));
+  if (owner) {
+    auto left = std::max(aDeadline - clock_.Now(), Millis(1));
+    schema::ClaimRequest request;
+    *request.mutable_claim() = aClaim;
+    request.set_timeout_ms(left.value);
+    schema::ClaimReply reply;
+    auto wait = std::min(left, kOwnerTimeout);
+    net::CallTimeouts timeouts{ kConnectTimeout, wait, wait };
+    utils::Error reason;
+    if (rpc_.Call(owner->GetControlEndpoint(),
+                  "entry.claim",
+                  request,
+                  reply,
+                  timeouts,
+                  reason)) {
+      return reply;
+    }
+    if (IsAnswerOfOwner(reason.kind)) {
+      aReason = reason;
+      return std::nullopt;
+    }
+  }
+  // The same claim may get into the log twice; the second is a repeat of
+  // the first attempt and changes nothing.
+  return GetStream(aClaim).Claim(aClaim, aDeadline, aReason);
+}
+
+bool
+ClaimDesk::Take(const schema::ClaimRequest& aRequest,
+                schema::ClaimReply& aReply,
+                utils::Error& aReason)
+{
+  auto deadline = clock_.Now() + Millis(aRequest.timeout_ms());
+  auto reply =
+    GetStream(aRequest.claim()).Claim(aRequest.claim(), deadline, aReason);
+  if (reply) {
+    aReply = std::move(*reply);
+  }
+  return reply.has_value();
+}
+
+} // namespace waxwingyoke::requests
--- a/libs/requests/src/Entry.cpp
+++ b/libs/requests/src/Entry.cpp
@@ -69,6 +69,14 @@
       impl->strikes.Take(aNotice);
       return true;
     });
+  using schema::ClaimReply;
+  using schema::ClaimRequest;
+  aServer.Add<ClaimRequest, ClaimReply>(
+    "entry.claim",
+    [impl = impl_](
+      const ClaimRequest& aRequest, ClaimReply& aReply, utils::Error& aReason) {
+      return impl->claims.Take(aRequest, aReply, aReason);
+    });
 }
 
 void
--- a/libs/requests/src/EntryImpl.cpp
+++ b/libs/requests/src/EntryImpl.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 using utils::ErrorKind;
-using utils::Millis;
 
 constexpr int kOk = 200;
 
@@ -36,6 +35,7 @@
   , budget(aSettings.entry().retry_budget_percent())
   , call(aClient, aRpc, aSettings.node().secret())
   , strikes(aNode, aRpc, aLog)
+  , claims(aNode, aRpc, aLog)
 {
 }
 
--- a/libs/requests/src/EntryImpl.h
+++ b/libs/requests/src/EntryImpl.h
@@ -16,6 +16,7 @@
 #include "AttemptCall.h"
 #include "CallerRequest.h"
 #include "CallerSink.h"
+#include "ClaimDesk.h"
 #include "RetryBudget.h"
 #include "StrikeDesk.h"
 
@@ -49,6 +50,7 @@
   RetryBudget budget;
   AttemptCall call;
   StrikeDesk strikes;
+  ClaimDesk claims;
   utils::RcuCell<routing::RouteTable> routes;
   std::mutex routesMutex;
   routing::RouteTableBuilder routesBuilder;
--- a/libs/requests/src/RequestRun.cpp
+++ b/libs/requests/src/RequestRun.cpp
@@ -69,16 +69,19 @@
   }
 }
 
+bool
+RequestRun::Fail()
+{
+  sink_.Fail(MakeFinalError(error_, mayHaveRun_), retryAfter_);
+  return true;
+}
+
 bool
 RequestRun::TryOnce()
 {
-  auto fail = [this] {
-    sink_.Fail(MakeFinalError(error_, mayHaveRun_), retryAfter_);
-    return true;
-  };
   // Again before each attempt: the profile may have changed meanwhile.
   if (!entry_.Check(request_, profile_, error_)) {
-    return fail();
+    return Fail();
   }
   idempotent_ =
     IsIdempotent(profile_.requests(), request_.method, request_.path);
@@ -89,22 +92,99 @@
       error_.Set(ErrorKind::NoUpstream, "no upstream serves the profile now");
       retryAfter_ = kRetryAfter;
     }
-    return fail();
+    return Fail();
+  }
+  auto attempt = MakeAttempt(*candidate);
+  if (IsKeyed()) {
+    auto claimed = ClaimKey(attempt, *candidate);
+    if (claimed != Claimed::Granted) {
+      return claimed == Claimed::Answered;
+    }
   }
   if (clock_.Now() >= deadline_) {
     error_.Set(ErrorKind::Overloaded, "the deadline passed before a slot");
-    return fail();
+    return Fail();
   }
-  auto result = Send(*candidate, MakeAttempt(*candidate));
-  if (result.callerGone) {
+  return Conclude(*candidate, Send(*candidate, attempt));
+}
+
+bool
+RequestRun::Conclude(const routing::Candidate& aCandidate,
+                     const AttemptResult& aResult)
+{
+  if (aResult.callerGone) {
     return true;
   }
-  if (!result.error.IsSet()) {
+  if (!aResult.error.IsSet()) {
     sink_.Finish();
     return true;
   }
+  error_ = aResult.error;
+  return MayGoOn(aCandidate, aResult) ? false : Fail();
+}
+
+RequestRun::Claimed
+RequestRun::ClaimKey(const schema::AttemptRequest& aAttempt,
+                     const routing::Candidate& aCandidate)
+{
+  schema::Claim claim;
+  claim.set_organisation(request_.organisation);
+  claim.set_key(request_.key->text);
+  claim.set_request_digest(request_.digest);
+  claim.set_attempt(aAttempt.attempt());
+  claim.set_side(aCandidate.vm);
+  claim.set_incarnation(aCandidate.incarnation);
+  claim.set_replaces_attempt(replaces_);
+  auto reply = entry_.claims.Claim(claim, deadline_, error_);
+  if (!reply) {
+    retryAfter_ = kRetryAfter;
+    Fail();
+    return Claimed::Answered;
+  }
+  if (reply->verdict() == schema::GRANTED) {
+    replaces_ = aAttempt.attempt();
+    return Claimed::Granted;
+  }
+  if (reply->verdict() == schema::OTHER_BODY) {
+    error_.Set(ErrorKind::KeyReused, "the key was used for another request");
+    Fail();
+    return Claimed::Answered;
+  }
+  return FollowRepeat(reply->claim());
+}
+
+// The key's first attempt belongs to another request of the caller's: its
+// answer is this one's, or proof that it never ran lets this one take over.
+RequestRun::Claimed
+RequestRun::FollowRepeat(const schema::Claim& aClaim)
+{
+  auto view = entry_.node.GetView();
+  const auto* member = view->FindMember(aClaim.side());
+  AttemptResult result;
+  result.error.Set(ErrorKind::OutcomeUnknown, "the side that had it is gone");
+  if (member) {
+    // Older than the attempt can be, so that the side forgets nothing in it.
+    auto age = utils::GetWallTime() - request_.key->issued + kKeySkew;
+    SideAddress side{ member->GetControlEndpoint(), aClaim.incarnation() };
+    AttemptOptions options{ deadline_, kLongPatience, false };
+    result = entry_.call.Follow(side, aClaim.attempt(), age, options, sink_);
+  }
+  if (result.callerGone) {
+    return Claimed::Answered;
+  }
+  if (!result.error.IsSet()) {
+    sink_.Finish();
+    return Claimed::Answered;
+  }
   error_ = result.error;
-  return MayGoOn(*candidate, result) ? false : fail();
+  bool notRun = utils::GetErrorTraits(error_.kind).run == utils::RunOutcome::No;
+  if (!notRun || sink_.HasGiven()) {
+    Fail();
+    return Claimed::Answered;
+  }
+  replaces_ = aClaim.attempt();
+  sink_.Reset();
+  return Claimed::Again;
 }
 
 const routing::Candidate*
@@ -155,8 +235,10 @@
   auto attempt = aAttempt;
   attempt.set_deadline_ms((deadline_ - clock_.Now()).value);
   SideAddress side{ aCandidate.endpoint, aCandidate.incarnation };
+  // A caller that left may come back with its key.
   AttemptOptions options{ deadline_,
-                          idempotent_ ? kShortPatience : kLongPatience };
+                          idempotent_ ? kShortPatience : kLongPatience,
+                          !IsKeyed() };
   aCandidate.state->Begin();
   auto result = entry_.call.Run(side, attempt, options, sink_);
   aCandidate.state->End();
--- a/libs/requests/src/RequestRun.h
+++ b/libs/requests/src/RequestRun.h
@@ -23,6 +23,20 @@
 private:
   /** Whether the request is answered, one way or the other. */
   bool TryOnce();
+  bool Conclude(const routing::Candidate& aCandidate,
+                const AttemptResult& aResult);
+  bool Fail();
+  /** Whether the attempt may run; else what to do is done. */
+  enum class Claimed
+  {
+    Granted,
+    Answered,
+    Again
+  };
+  Claimed ClaimKey(const schema::AttemptRequest& aAttempt,
+                   const routing::Candidate& aCandidate);
+  Claimed FollowRepeat(const schema::Claim& aClaim);
+  bool IsKeyed() const { return request_.key && !idempotent_; }
   const routing::Candidate* Choose(const routing::Candidates& aCandidates);
   schema::AttemptRequest MakeAttempt(const routing::Candidate& aCandidate);
   AttemptResult Send(const routing::Candidate& aCandidate,
@@ -43,6 +57,8 @@
   bool idempotent_ = false;
   bool mayHaveRun_ = false;
   std::vector<std::string> excluded_;
+  /** The attempt that holds the key's claim and is known not to have run. */
+  std::string replaces_;
   utils::Error error_;
   utils::Millis retryAfter_;
 };
