weights: cap the origin by tickets and switch over by permits, both in the log

Ranks alone keep origin copies near one a region only while views agree and few sides die. Each fetch from the store or the origin now needs a ticket: the first four for an extent of one publication are granted, in the log's order; a ticket is good for one try at each chunk, so corrupt bytes count. While the log is out each chunk may be tried once.

A side takes its engine out of service only with a permit, granted up to the profile's maximum and kept until released. Tested as folds over generated histories; not yet measured.

--- a/libs/weights/src/Depot.cpp
+++ b/libs/weights/src/Depot.cpp
@@ -11,6 +11,7 @@
 #include "ChunkRoutes.h"
 #include "Holdings.h"
 #include "Offers.h"
+#include "RolloutLog.h"
 #include "SwitchOver.h"
 #include "Transfer.h"
 
@@ -40,6 +41,7 @@
 {
   Impl(const schema::DaemonSettings& aSettings,
        membership::Node& aNode,
+       platform::LogClient& aLog,
        net::HttpClient& aHttp,
        rpc::RpcClient& aRpc,
        Hooks aHooks);
@@ -54,6 +56,7 @@
 
   const schema::DaemonSettings settings;
   Holdings holdings;
+  RolloutLog rollout;
   Pacer link;
   Pacer regionLink;
   ChunkRoutes routes;
@@ -71,17 +74,19 @@
 
 Depot::Impl::Impl(const schema::DaemonSettings& aSettings,
                   membership::Node& aNode,
+                  platform::LogClient& aLog,
                   net::HttpClient& aHttp,
                   rpc::RpcClient& aRpc,
                   Hooks aHooks)
   : settings(aSettings)
   , holdings(aSettings.weights().memory_bytes())
+  , rollout(aLog)
   , link(aSettings.weights().link_bytes_per_s())
   , regionLink(aSettings.weights().region_bytes_per_s())
   , routes(holdings, link)
   , offers(aSettings.node().vm(), aNode.GetIncarnation(), holdings, routes)
   , services{ settings, aNode, aHttp, aRpc, holdings, offers, link, regionLink }
-  , switchOver(services, std::move(aHooks))
+  , switchOver(services, rollout, std::move(aHooks))
 {
 }
 
@@ -158,7 +163,7 @@
     }
   }
   holdings.KeepOnly(kept);
-  transfer = std::make_shared<Transfer>(services, aVersion, aRevision);
+  transfer = std::make_shared<Transfer>(services, rollout, aVersion, aRevision);
   transfer->Start();
   wasWhole = false;
 }
@@ -208,10 +213,13 @@
              rpc::RpcClient& aRpc,
              Hooks aHooks)
   : runtime_(aRuntime)
-  , impl_(
-      std::make_shared<Impl>(aSettings, aNode, aHttp, aRpc, std::move(aHooks)))
+  , impl_(std::make_shared<Impl>(aSettings,
+                                 aNode,
+                                 aLog,
+                                 aHttp,
+                                 aRpc,
+                                 std::move(aHooks)))
 {
-  (void)aLog;
 }
 
 Depot::~Depot() = default;
--- a/libs/weights/src/Outside.cpp
+++ b/libs/weights/src/Outside.cpp
@@ -16,9 +16,12 @@
 
 } // namespace
 
-Outside::Outside(Services aServices, std::shared_ptr<Swarm> aSwarm)
+Outside::Outside(Services aServices,
+                 std::shared_ptr<Swarm> aSwarm,
+                 OriginBudget& aBudget)
   : services_(aServices)
   , swarm_(std::move(aSwarm))
+  , budget_(aBudget)
 {
   const auto& platform = services_.settings.platform();
   auto add = [&](SourceKind aKind, const std::string& aText) {
@@ -62,11 +65,24 @@
                      clock_.Now());
 }
 
+std::size_t
+Outside::GetExtentOf(std::size_t aChunk) const
+{
+  return GetExtent(aChunk, swarm_->content->chunks.size());
+}
+
+bool
+Outside::Admit(const OutsidePick& aPick)
+{
+  return aPick.kind == SourceKind::RemotePeer ||
+         budget_.Admit(aPick.chunk, GetExtentOf(aPick.chunk));
+}
+
 std::optional<OutsidePick>
 Outside::PickSource(const PickInput& aInput, std::size_t aChunk) const
 {
   auto services = ListServices();
-  if (!services.empty()) {
+  if (!services.empty() && !budget_.IsSpent(GetExtentOf(aChunk))) {
     services.front().chunk = aChunk;
     return services.front();
   }
@@ -91,8 +107,7 @@
   auto count = held->GetSize();
   for (std::size_t chunk = 0; chunk < count; ++chunk) {
     bool wanted = !held->Has(chunk) && !swarm_->running.contains(chunk) &&
-                  CountHolders(input, chunk) == 0 &&
-                  IsDue(GetExtent(chunk, count));
+                  CountHolders(input, chunk) == 0 && IsDue(GetExtentOf(chunk));
     if (wanted) {
       if (auto pick = PickSource(input, chunk)) {
         return pick;
--- a/libs/weights/src/Outside.h
+++ b/libs/weights/src/Outside.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "OriginBudget.h"
 #include "StepIn.h"
 #include "Swarm.h"
 
@@ -37,12 +38,18 @@
 class Outside
 {
 public:
-  Outside(Services aServices, std::shared_ptr<Swarm> aSwarm);
+  Outside(Services aServices,
+          std::shared_ptr<Swarm> aSwarm,
+          OriginBudget& aBudget);
 
   /** The next chunk that is this side's turn; empty where there is none. */
   std::optional<OutsidePick> Next();
 
   void Begin() { ++running_; }
+
+  /** Whether the origin's budget lets that pick be fetched; may suspend. */
+  bool Admit(const OutsidePick& aPick);
+
   void End(const OutsidePick& aPick, const utils::Error& aError);
 
   /** The store and the origin, as far as there are any and they work. */
@@ -60,9 +67,11 @@
   bool IsDue(std::size_t aExtent);
   std::optional<OutsidePick> PickSource(const PickInput& aInput,
                                         std::size_t aChunk) const;
+  std::size_t GetExtentOf(std::size_t aChunk) const;
 
   const Services services_;
   std::shared_ptr<Swarm> swarm_;
+  OriginBudget& budget_;
   std::vector<Service> list_;
   utils::Clock clock_;
   int running_ = 0;
--- /dev/null
+++ b/libs/weights/src/RolloutLog.cpp
@@ -0,0 +1,110 @@
+#include "RolloutLog.h"
+
+#include <limits>
+#include <mutex>
+
+#include <telemetry/Metrics.h>
+
+namespace waxwingyoke::weights {
+
+using utils::ErrorKind;
+
+namespace {
+
+constexpr std::uint32_t kPageRecords = 1000;
+constexpr utils::Millis kNoWait(0);
+constexpr int kAppendTries = 3;
+
+} // namespace
+
+RolloutLog::RolloutLog(platform::LogClient& aLog)
+  : log_(aLog)
+{
+}
+
+bool
+RolloutLog::Sync(utils::Error& aReason)
+{
+  std::scoped_lock lock(mutex_);
+  bool more = true;
+  while (more) {
+    if (!ReadPage(more, aReason)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+RolloutLog::ReadPage(bool& aMore, utils::Error& aReason)
+{
+  utils::Error reason;
+  auto page =
+    log_.Read(platform::kRolloutStream, next_, kPageRecords, kNoWait, reason);
+  if (!page && reason.kind == ErrorKind::LogTrimmed) {
+    return SkipTrimmed(aReason);
+  }
+  if (!page) {
+    aReason = reason;
+    return false;
+  }
+  for (const auto& record : page->records()) {
+    Fold(record);
+    next_ = record.offset() + 1;
+  }
+  aMore = page->records_size() > 0 && next_ < page->next_offset();
+  return true;
+}
+
+// Records that are gone granted tickets of bursts long past and permits that
+// have long been freed.
+bool
+RolloutLog::SkipTrimmed(utils::Error& aReason)
+{
+  constexpr auto kEnd =
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+  auto page = log_.Read(platform::kRolloutStream, kEnd, 1, kNoWait, aReason);
+  if (!page) {
+    return false;
+  }
+  next_ = page->first_offset();
+  return true;
+}
+
+bool
+RolloutLog::Append(const schema::LogRecord& aRecord, utils::Error& aReason)
+{
+  auto payload = aRecord.SerializeAsString();
+  for (int left = kAppendTries; left > 0; --left) {
+    utils::Error reason;
+    auto offset = log_.Append(platform::kRolloutStream, payload, reason);
+    if (offset) {
+      return Sync(aReason);
+    }
+    aReason = reason;
+    if (reason.kind == ErrorKind::LogUnavailable) {
+      return false;
+    }
+  }
+  return false;
+}
+
+void
+RolloutLog::Fold(const schema::StoredRecord& aRecord)
+{
+  static auto& sSkipped =
+    telemetry::Metrics::Get().GetCounter("rollout_records_skipped_total");
+  schema::LogRecord record;
+  bool read = record.ParseFromString(aRecord.payload());
+  if (read && record.has_origin_ticket()) {
+    tickets_.Apply(record.id(), record.origin_ticket());
+  } else if (read && record.has_permit_request()) {
+    permits_.Apply(aRecord.offset(), record.permit_request());
+  } else if (read && record.has_permit_release()) {
+    permits_.Apply(record.permit_release());
+  } else {
+    sSkipped.Add();
+  }
+}
+
+} // namespace waxwingyoke::weights
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -15,6 +15,7 @@
 constexpr utils::Millis kLoadTimeout(60000);
 constexpr utils::Millis kSettlePause(200);
 constexpr utils::Millis kRetryPause(1000);
+constexpr utils::Millis kPermitPause(300);
 
 const telemetry::Logger&
 GetLogger()
@@ -32,9 +33,12 @@
 
 } // namespace
 
-SwitchOver::SwitchOver(Services aServices, Depot::Hooks aHooks)
+SwitchOver::SwitchOver(Services aServices,
+                       RolloutLog& aLog,
+                       Depot::Hooks aHooks)
   : services_(aServices)
   , hooks_(std::move(aHooks))
+  , permits_(aServices, aLog)
   , engine_(aServices.http, ReadUpstream(aServices.settings))
 {
 }
@@ -90,20 +94,43 @@
 void
 SwitchOver::Order(const schema::Profile& aProfile, bool aServes)
 {
-  auto before = GetServing();
+  // An engine that serves nothing can't be taken out of service.
+  utils::Error reason;
+  if (aServes && !permits_.Poll(aProfile, reason)) {
+    lastError_ = reason;
+    notBefore_ = clock_.Now() + kPermitPause;
+    return;
+  }
+  lastError_ = {};
   hooks_.pause();
   SetServing({});
-  bool idle = !aServes || hooks_.waitIdle(kDrainTime);
-  if (!idle) {
-    lastError_.Set(ErrorKind::Overloaded, "requests still run");
-    SetServing(before);
-  } else if (IsStillWanted(aProfile)) {
-    SendOrder(aProfile);
-  }
+  DrainAndOrder(aProfile, aServes);
   hooks_.resume();
+  permits_.Release();
   if (lastError_.IsSet()) {
     notBefore_ = clock_.Now() + kRetryPause;
+    // Step looks at what the engine really holds before it is used again.
+  }
+}
+
+void
+SwitchOver::DrainAndOrder(const schema::Profile& aProfile, bool aServes)
+{
+  if (aServes && !hooks_.waitIdle(kDrainTime)) {
+    lastError_.Set(ErrorKind::Overloaded, "requests still run");
+    return;
+  }
+  // This process may have been paused at any point above, so both are looked
+  // at right before the order.
+  if (aServes && !permits_.IsValid()) {
+    lastError_.Set(ErrorKind::DeadlineExceeded, "the permit has run out");
+    return;
+  }
+  if (!IsStillWanted(aProfile)) {
+    lastError_.Set(ErrorKind::StaleRevision, "the profile has changed");
+    return;
   }
+  SendOrder(aProfile);
 }
 
 void
--- a/libs/weights/src/SwitchOver.h
+++ b/libs/weights/src/SwitchOver.h
@@ -8,6 +8,7 @@
 #include <utils/RcuCell.h>
 #include <weights/Depot.h>
 
+#include "PermitDesk.h"
 #include "Swarm.h"
 
 namespace waxwingyoke::weights {
@@ -19,7 +20,7 @@
 class SwitchOver
 {
 public:
-  SwitchOver(Services aServices, Depot::Hooks aHooks);
+  SwitchOver(Services aServices, RolloutLog& aLog, Depot::Hooks aHooks);
 
   /**
    * One look at the engine. aProfile is the one in force here, aWhole
@@ -38,6 +39,7 @@
   /** What the profile asks for now, as the view has it. */
   bool IsStillWanted(const schema::Profile& aProfile) const;
   void Order(const schema::Profile& aProfile, bool aServes);
+  void DrainAndOrder(const schema::Profile& aProfile, bool aServes);
   void SendOrder(const schema::Profile& aProfile);
   std::optional<schema::EngineState> AskUntilSettled();
   void Accept(const schema::Profile& aProfile, const std::string& aVersion);
@@ -45,6 +47,7 @@
 
   const Services services_;
   Depot::Hooks hooks_;
+  PermitDesk permits_;
   platform::EngineClient engine_;
   utils::RcuCell<ServingState> serving_;
   utils::Error lastError_;
--- a/libs/weights/src/Transfer.cpp
+++ b/libs/weights/src/Transfer.cpp
@@ -69,12 +69,19 @@
 } // namespace
 
 Transfer::Transfer(Services aServices,
+                   RolloutLog& aLog,
                    const utils::Digest& aVersion,
                    std::uint64_t aRevision)
   : services_(aServices)
   , swarm_(std::make_shared<Swarm>())
   , gossip_(std::make_shared<Gossip>(aServices, swarm_))
-  , outside_(aServices, swarm_)
+  , budget_(aLog,
+            { aServices.settings.node().vm(),
+              aServices.node.GetIncarnation(),
+              aServices.settings.node().region(),
+              aVersion.ToHex(),
+              aRevision })
+  , outside_(aServices, swarm_, budget_)
   , fetcher_(aServices.http, aServices.link)
 {
   swarm_->version = aVersion;
@@ -225,6 +232,12 @@
   }
   utils::Error reason;
   outside_.Begin();
+  swarm_->running.insert(pick->chunk);
+  if (!outside_.Admit(*pick)) {
+    swarm_->running.erase(pick->chunk);
+    outside_.End(*pick, reason);
+    return false;
+  }
   swarm_->peers.BeginFetch(pick->vm);
   bool whole = FetchChunk(*pick, false, reason);
   swarm_->peers.EndFetch(pick->vm);
--- a/libs/weights/src/Transfer.h
+++ b/libs/weights/src/Transfer.h
@@ -6,6 +6,7 @@
 #include <schema/weights.pb.h>
 
 #include "Gossip.h"
+#include "OriginBudget.h"
 #include "Outside.h"
 #include "Swarm.h"
 
@@ -19,6 +20,7 @@
 {
 public:
   Transfer(Services aServices,
+           RolloutLog& aLog,
            const utils::Digest& aVersion,
            std::uint64_t aRevision);
 
@@ -51,6 +53,7 @@
   const Services services_;
   std::shared_ptr<Swarm> swarm_;
   std::shared_ptr<Gossip> gossip_;
+  OriginBudget budget_;
   Outside outside_;
   Fetcher fetcher_;
   utils::Clock clock_;
--- /dev/null
+++ b/libs/weights/tests/RolloutFoldTest.cpp
@@ -0,0 +1,179 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <PermitClock.h>
+#include <PermitFold.h>
+#include <TicketFold.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::weights;
+using utils::Millis;
+
+namespace {
+
+constexpr unsigned kSeed = 20261203;
+
+schema::OriginTicket
+MakeTicket(std::uint32_t aExtent, std::uint64_t aRevision = 1)
+{
+  schema::OriginTicket ticket;
+  ticket.set_version("v");
+  ticket.set_revision(aRevision);
+  ticket.set_extent(aExtent);
+  return ticket;
+}
+
+schema::PermitRequest
+MakeRequest(const std::string& aVm,
+            std::uint64_t aRevision,
+            std::uint32_t aLimit,
+            const std::string& aIncarnation = "1")
+{
+  schema::PermitRequest request;
+  request.set_profile("p");
+  request.set_revision(aRevision);
+  request.set_vm(aVm);
+  request.set_incarnation(aIncarnation);
+  request.set_max_unavailable(aLimit);
+  return request;
+}
+
+schema::PermitRelease
+MakeRelease(const Permit& aPermit)
+{
+  schema::PermitRelease release;
+  release.set_profile("p");
+  release.set_revision(aPermit.revision);
+  release.set_vm(aPermit.vm);
+  release.set_incarnation(aPermit.incarnation);
+  return release;
+}
+
+std::vector<std::string>
+ListGranted(const PermitFold& aFold)
+{
+  std::vector<std::string> granted;
+  for (const auto& permit : aFold.GetPermits("p")) {
+    if (permit.granted) {
+      granted.push_back(permit.vm);
+    }
+  }
+  return granted;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("an extent has four tickets a publication, whoever asks how often")
+{
+  std::mt19937 random(kSeed);
+  TicketFold fold;
+  std::map<std::uint32_t, std::size_t> granted;
+  for (int step = 0; step < 2000; ++step) {
+    auto extent = static_cast<std::uint32_t>(random() % 48);
+    auto id = std::to_string(random() % 900);
+    bool repeated = fold.IsKnown(id);
+    bool before = fold.IsGranted(id);
+    fold.Apply(id, MakeTicket(extent));
+    CHECK(fold.IsKnown(id));
+    if (repeated) {
+      CHECK(fold.IsGranted(id) == before);
+    } else {
+      granted[extent] += fold.IsGranted(id) ? 1 : 0;
+    }
+  }
+  CHECK(std::ranges::all_of(granted, [](const auto& aEntry) {
+    return aEntry.second == kMaxOriginCopies;
+  }));
+  fold.Apply("next", MakeTicket(0, 2));
+  CHECK(fold.IsGranted("next"));
+}
+
+TEST_CASE("permits are granted in the log's order and stay until released")
+{
+  PermitFold fold;
+  fold.Apply(1, MakeRequest("a", 5, 2));
+  fold.Apply(2, MakeRequest("b", 5, 2));
+  fold.Apply(3, MakeRequest("c", 5, 2));
+  fold.Apply(4, MakeRequest("a", 5, 2));
+  CHECK(ListGranted(fold) == Names{ "a", "b" });
+  fold.Apply(MakeRelease(fold.GetPermits("p")[0]));
+  CHECK(ListGranted(fold) == Names{ "b", "c" });
+  // A newer revision drops who waits; who holds counts until released.
+  fold.Apply(5, MakeRequest("d", 5, 2));
+  fold.Apply(6, MakeRequest("e", 6, 1));
+  CHECK(ListGranted(fold) == Names{ "b", "c" });
+  CHECK(fold.Find("p", 5, "d", "1") == nullptr);
+  fold.Apply(7, MakeRequest("f", 5, 9));
+  CHECK(fold.Find("p", 5, "f", "1") == nullptr);
+  fold.Apply(MakeRelease(*fold.Find("p", 5, "b", "1")));
+  CHECK(ListGranted(fold) == Names{ "c" });
+  fold.Apply(MakeRelease(*fold.Find("p", 5, "c", "1")));
+  CHECK(ListGranted(fold) == Names{ "e" });
+  // A VM's new process takes the place of its old one, at the end.
+  fold.Apply(8, MakeRequest("f", 6, 1));
+  fold.Apply(9, MakeRequest("e", 6, 1, "2"));
+  CHECK(ListGranted(fold) == Names{ "f" });
+}
+
+TEST_CASE("no history of requests and releases grants more than the maximum")
+{
+  std::mt19937 random(kSeed);
+  for (int history = 0; history < 200; ++history) {
+    PermitFold fold;
+    auto limit = static_cast<std::uint32_t>(1 + random() % 3);
+    for (std::uint64_t offset = 0; offset < 60; ++offset) {
+      const auto& permits = fold.GetPermits("p");
+      auto vm = std::string(1, static_cast<char>('a' + random() % 6));
+      if (random() % 3 != 0 || permits.empty()) {
+        auto revision = 1 + offset / 20;
+        auto incarnation = std::to_string(random() % 2);
+        fold.Apply(offset, MakeRequest(vm, revision, limit, incarnation));
+      } else {
+        auto at = random() % permits.size();
+        fold.Apply(MakeRelease(Permit(permits[at])));
+      }
+      auto granted = ListGranted(fold);
+      REQUIRE(granted.size() <= limit);
+      // Nobody waits while there is room.
+      REQUIRE(granted.size() ==
+              std::min<std::size_t>(limit, fold.GetPermits("p").size()));
+    }
+  }
+}
+
+TEST_CASE("others free a permit only after its holder has stopped using it")
+{
+  CHECK(kPermitHold < kPermitLife);
+  PermitClock clock;
+  std::vector<Permit> permits{ { 7, "a", "1", 5, true },
+                               { 8, "b", "1", 5, false } };
+  bool gone = false;
+  auto expired = [&](Millis aNow) {
+    return clock
+      .ListExpired(
+        permits, [&](const Permit&) { return gone; }, aNow)
+      .size();
+  };
+  CHECK(expired(Millis(100)) == 0);
+  CHECK(expired(Millis(99) + kPermitLife) == 0);
+  // Not one that waits, however long.
+  CHECK(expired(Millis(100) + kPermitLife) == 1);
+  // Those of processes that are gone are freed sooner, waiting or not.
+  gone = true;
+  CHECK(expired(Millis(200) + kPermitLife) == 1);
+  CHECK(expired(Millis(200) + kPermitLife + kGonePermitLife) == 2);
+  // One that came back in between starts anew.
+  gone = false;
+  permits[0].offset = 9;
+  auto later = kPermitLife * 2;
+  CHECK(expired(later) == 0);
+  gone = true;
+  CHECK(expired(later + kGonePermitLife) == 0);
+}
