Resume broken streams by checked replay; tell a death by the engine's process

A stream that broke goes on with another attempt on the same version, whose first events are compared with those that were given: where they differ the caller gets an error event. An engine that came back before the side looked counted as alive; its incarnation now tells.

--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -190,7 +190,9 @@
     }
   }
   // Reads the end of the body, so that the connection can be kept.
-  aStream.Read(part, kSilence, reason);
+  if (aProgress.result.hasEnd) {
+    aStream.Read(part, kSilence, reason);
+  }
 }
 
 void
@@ -204,6 +206,12 @@
     aProgress.bytes += aFrame.data().size();
     aProgress.digest.Add(aFrame.data());
     aProgress.sink.OnData(aFrame.data());
+    if (aProgress.sink.IsParted()) {
+      aProgress.result.error.Set(ErrorKind::AnswerBroken,
+                                 "the stream can't be resumed");
+      aProgress.done = true;
+      Cancel(aProgress);
+    }
   } else if (aFrame.has_end()) {
     TakeEnd(aFrame.end(), aProgress);
   }
--- a/libs/requests/src/CallerRequest.cpp
+++ b/libs/requests/src/CallerRequest.cpp
@@ -1,6 +1,7 @@
 #include "CallerRequest.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 #include <google/protobuf/struct.pb.h>
@@ -57,13 +58,26 @@
   return number;
 }
 
+// Fields that belong to one connection or are this system's own.
+constexpr std::array<std::string_view, 14> kOwnFields{
+  "Host",         "Connection",       "Keep-Alive",
+  "TE",           "Trailer",          "Transfer-Encoding",
+  "Upgrade",      "Content-Length",   "Expect",
+  "traceparent",  "Proxy-Connection", "Proxy-Authorization",
+  kDeadlineField, kPriorityField
+};
+
 void
 CopyFields(const net::HttpRequest& aRequest, CallerRequest& aOut)
 {
-  for (const char* name : { "Content-Type", "Accept", kOrganisationField }) {
-    auto value = aRequest.fields.Find(name);
-    if (!value.empty()) {
-      aOut.fields.Set(name, value);
+  for (const auto& field : aRequest.fields) {
+    net::HttpFields one{ field };
+    bool isOwn =
+      std::ranges::any_of(kOwnFields, [&one](std::string_view aName) {
+        return !one.Find(aName).empty();
+      });
+    if (!isOwn) {
+      aOut.fields.Add(field.name, field.value);
     }
   }
 }
--- a/libs/requests/src/CallerSink.cpp
+++ b/libs/requests/src/CallerSink.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <utils/Hash.h>
+
 namespace waxwingyoke::requests {
 
 namespace {
@@ -22,15 +24,26 @@
   return fields;
 }
 
+// What an event says, without the ids that differ from attempt to attempt.
 std::uint64_t
-CountEvents(std::string_view aData)
+MarkEvent(std::string_view aEvent)
+{
+  auto choices = aEvent.find("\"choices\"");
+  return utils::StableHash(
+    aEvent.substr(choices == std::string_view::npos ? 0 : choices));
+}
+
+// Calls aAction with each whole event of aData in turn.
+template<typename Action>
+void
+ForEachEvent(std::string_view aData, Action aAction)
 {
-  std::uint64_t count = 0;
-  for (auto at = aData.find(kEventEnd); at != std::string_view::npos;
-       at = aData.find(kEventEnd, at + kEventEnd.size())) {
-    ++count;
+  for (auto end = aData.find(kEventEnd); end != std::string_view::npos;
+       end = aData.find(kEventEnd)) {
+    end += kEventEnd.size();
+    aAction(aData.substr(0, end));
+    aData.remove_prefix(end);
   }
-  return count;
 }
 
 } // namespace
@@ -56,17 +69,35 @@
 bool
 CallerSink::OnData(std::string_view aData)
 {
+  held_ += aData;
   if (!isStream_) {
-    held_ += aData;
     return true;
   }
-  return WriteEvents(aData);
+  SkipReplayed();
+  return !parted_ && WriteEvents();
+}
+
+void
+CallerSink::SkipReplayed()
+{
+  while (replayed_ < marks_.size() && !parted_) {
+    auto end = held_.find(kEventEnd);
+    if (end == std::string::npos) {
+      return;
+    }
+    end += kEventEnd.size();
+    auto mark = MarkEvent(std::string_view(held_).substr(0, end));
+    parted_ = mark != marks_[replayed_++];
+    held_.erase(0, end);
+  }
 }
 
 bool
-CallerSink::WriteEvents(std::string_view aData)
+CallerSink::WriteEvents()
 {
-  held_ += aData;
+  if (replayed_ < marks_.size()) {
+    return true;
+  }
   // What is complete goes out, up to the end mark if there is one.
   auto end = held_.rfind(kEventEnd);
   auto ready = end == std::string::npos ? 0 : end + kEventEnd.size();
@@ -81,7 +112,10 @@
     }
   }
   auto events = std::string_view(held_).substr(0, ready);
-  events_ += CountEvents(events);
+  ForEachEvent(events, [this](std::string_view aEvent) {
+    marks_.push_back(MarkEvent(aEvent));
+  });
+  replayed_ = marks_.size();
   bool written = writer_.Write(events);
   held_.erase(0, ready);
   return written;
@@ -90,7 +124,12 @@
 bool
 CallerSink::HasEndMark() const
 {
-  return !isStream_ || !needsEndMark_ || held_.starts_with(kDone);
+  if (!isStream_) {
+    // Nothing else can go on with a stream.
+    return !given_;
+  }
+  bool caughtUp = replayed_ == marks_.size();
+  return caughtUp && (!needsEndMark_ || held_.starts_with(kDone));
 }
 
 void
@@ -137,6 +176,7 @@
   head_.reset();
   held_.clear();
   isStream_ = false;
+  replayed_ = 0;
 }
 
 } // namespace waxwingyoke::requests
--- a/libs/requests/src/CallerSink.h
+++ b/libs/requests/src/CallerSink.h
@@ -1,10 +1,12 @@
 #ifndef waxwingyoke_requests_CallerSink_h
 #define waxwingyoke_requests_CallerSink_h
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <net/HttpServer.h>
 #include <schema/requests.pb.h>
@@ -18,6 +20,9 @@
  *
  * An event stream goes out as it comes, but for its end mark, which waits
  * for the answer to be checked; every other answer goes out when it is.
+ *
+ * A stream that broke goes on with another attempt's: its first events are
+ * compared with those that were given, and not given again.
  */
 class CallerSink
 {
@@ -41,23 +46,31 @@
   /** Drops what was buffered before another attempt. */
   void Reset();
 
+  /** Whether another attempt's stream began unlike what was given. */
+  bool IsParted() const { return parted_; }
+
   bool IsCallerGone() { return writer_.IsPeerGone(); }
 
   /** Whether the caller saw any of the answer. */
   bool HasGiven() const { return given_; }
 
   /** Events that the caller was given. */
-  std::uint64_t GetEvents() const { return events_; }
+  std::size_t GetEvents() const { return marks_.size(); }
 
 private:
-  bool WriteEvents(std::string_view aData);
+  bool WriteEvents();
+  void SkipReplayed();
 
   net::ResponseWriter& writer_;
   bool needsEndMark_;
   std::optional<schema::AnswerHead> head_;
   bool isStream_ = false;
   bool given_ = false;
-  std::uint64_t events_ = 0;
+  bool parted_ = false;
+  /** A hash of each event that was given. */
+  std::vector<std::uint64_t> marks_;
+  /** How many of them this attempt has repeated. */
+  std::size_t replayed_ = 0;
   /** A stream's last event, or the whole of another answer. */
   std::string held_;
 };
--- a/libs/requests/src/Entry.cpp
+++ b/libs/requests/src/Entry.cpp
@@ -94,7 +94,6 @@
 Entry::Drain()
 {
   impl_->draining = true;
-  net::Runtime::Sleep(impl_->drainNotice);
   impl_->closed = true;
   while (impl_->active > 0) {
     net::Runtime::Sleep(kDrainPoll);
--- a/libs/requests/src/EntryImpl.cpp
+++ b/libs/requests/src/EntryImpl.cpp
@@ -31,7 +31,6 @@
   , rpc(aRpc)
   , log(aLog)
   , defaultTimeout(aSettings.entry().default_deadline_ms())
-  , drainNotice(aSettings.entry().drain_notice_ms())
   , budget(aSettings.entry().retry_budget_percent())
   , call(aClient, aRpc, aSettings.node().secret())
   , strikes(aNode, aRpc, aLog)
--- a/libs/requests/src/EntryImpl.h
+++ b/libs/requests/src/EntryImpl.h
@@ -46,7 +46,6 @@
   rpc::RpcClient& rpc;
   platform::LogClient& log;
   utils::Millis defaultTimeout;
-  utils::Millis drainNotice;
   RetryBudget budget;
   AttemptCall call;
   StrikeDesk strikes;
--- a/libs/requests/src/RequestRun.cpp
+++ b/libs/requests/src/RequestRun.cpp
@@ -196,6 +196,7 @@
   query.dataCentre = self.data_centre();
   query.region = self.region();
   query.excluded = excluded_;
+  query.version = version_;
   query.now = clock_.Now();
   query.random = Draw();
   return routing::Choose(aCandidates, query);
@@ -224,6 +225,7 @@
   attempt.set_traceparent(traceparent_);
   attempt.set_suspect(entry_.strikes.Find(request_.digest) ==
                       Suspicion::Suspect);
+  attempt.set_version(version_);
   attempt.set_keyed(request_.key.has_value());
   return attempt;
 }
@@ -288,10 +290,14 @@
   mayHaveRun_ |= utils::GetErrorTraits(kind).run != utils::RunOutcome::No;
   retryAfter_ = Millis(aResult.end.retry_after_ms());
   auto next = DecideNext(kind, idempotent_);
-  if (sink_.HasGiven() || next == NextStep::GiveUp ||
+  bool mayResume = idempotent_ && request_.isChat && !sink_.IsParted();
+  if (next == NextStep::GiveUp || (sink_.HasGiven() && !mayResume) ||
       (next == NextStep::TryOnBudget && !entry_.budget.Take())) {
     return false;
   }
+  if (sink_.HasGiven() && version_.empty()) {
+    version_ = aResult.version;
+  }
   bool isBehind = aResult.end.profile_revision() > profile_.revision();
   if (kind == ErrorKind::StaleRevision && isBehind) {
     entry_.node.CatchUp(aResult.end.profile_revision(), kCatchUpWait);
--- a/libs/requests/src/RequestRun.h
+++ b/libs/requests/src/RequestRun.h
@@ -57,6 +57,8 @@
   bool idempotent_ = false;
   bool mayHaveRun_ = false;
   std::vector<std::string> excluded_;
+  /** Version of what the caller was given; a resumed stream keeps to it. */
+  std::string version_;
   /** The attempt that holds the key's claim and is known not to have run. */
   std::string replaces_;
   utils::Error error_;
--- a/libs/requests/src/Side.cpp
+++ b/libs/requests/src/Side.cpp
@@ -10,6 +10,7 @@
 
 constexpr utils::Millis kDrainPoll(1000);
 constexpr utils::Millis kDeliveryPoll(10);
+constexpr utils::Millis kWatchInterval(1000);
 
 } // namespace
 
@@ -64,6 +65,12 @@
 void
 Side::Start()
 {
+  net::Runtime::SpawnHere([impl = impl_] {
+    while (true) {
+      impl->runner.Watch();
+      net::Runtime::Sleep(kWatchInterval);
+    }
+  });
 }
 
 void
--- a/libs/requests/src/SideImpl.cpp
+++ b/libs/requests/src/SideImpl.cpp
@@ -316,12 +316,13 @@
   if (aRequest.suspect()) {
     deaths.EnterSuspect();
   }
+  auto process = runner.GetIncarnation();
   Serving begun;
   bool whole =
     Check(aRequest, begun, aReason) &&
     runner.Run(aRequest, begun.version, aApplicant.deadline, aAnswer, aReason);
   bool lost = !whole && aReason.kind == ErrorKind::UpstreamFailed;
-  bool died = lost && !runner.IsAlive();
+  bool died = lost && runner.HasDied(process);
   if (died) {
     GetCounter("side_upstream_deaths_total").Add();
     aEnd.set_strike(deaths.Judge(aRequest.suspect(), clock.Now()));
--- a/libs/requests/src/UpstreamRun.cpp
+++ b/libs/requests/src/UpstreamRun.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <string_view>
 
+#include <platform/EngineClient.h>
+
+#include "CallerRequest.h"
 #include "Fingerprints.h"
 
 namespace waxwingyoke::requests {
@@ -15,6 +19,7 @@
 
 constexpr Millis kConnectTimeout(1000);
 constexpr Millis kControlTimeout(2000);
+constexpr int kServerError = 500;
 
 // Fields that belong to one connection, or that the hop sets itself.
 constexpr std::array<std::string_view, 5> kHopFields{ "Transfer-Encoding",
@@ -48,19 +53,25 @@
   return head;
 }
 
-// The engine's field request_id goes in first; the entry lets no caller's
-// own through.
+// What the engine is told of a request goes in first; the entry lets no
+// request_id of a caller's own through. Engines take high for urgent.
 std::string
-AddRequestId(const std::string& aBody, const std::string& aAttempt)
+AddEngineFields(const schema::AttemptRequest& aRequest)
 {
-  auto open = aBody.find('{');
+  const auto& body = aRequest.body();
+  auto open = body.find('{');
   if (open == std::string::npos) {
-    return aBody;
+    return body;
+  }
+  auto fields = "\"request_id\":\"" + aRequest.attempt() + "\"";
+  if (body.find("\"priority\"") == std::string::npos) {
+    fields +=
+      ",\"priority\":" + std::to_string(kLowestPriority - aRequest.priority());
   }
-  auto rest = aBody.substr(open + 1);
+  auto rest = body.substr(open + 1);
   auto next = rest.find_first_not_of(" \t\r\n");
   bool isEmpty = next == std::string::npos || rest[next] == '}';
-  return "{\"request_id\":\"" + aAttempt + "\"" + (isEmpty ? "" : ",") + rest;
+  return "{" + fields + (isEmpty ? "" : ",") + rest;
 }
 
 } // namespace
@@ -81,9 +92,8 @@
     request.fields.Add(field.name(), field.value());
   }
   request.fields.Set("traceparent", aRequest.traceparent());
-  request.body = upstream_.isEngine
-                   ? AddRequestId(aRequest.body(), aRequest.attempt())
-                   : aRequest.body();
+  request.body =
+    upstream_.isEngine ? AddEngineFields(aRequest) : aRequest.body();
   return request;
 }
 
@@ -165,19 +175,42 @@
   client_.Call(upstream_.endpoint, request, timeouts, ignored);
 }
 
+std::string
+UpstreamRun::AskIncarnation(utils::Error& aReason)
+{
+  platform::EngineClient engine(client_, upstream_.endpoint);
+  auto state = engine.GetState(aReason);
+  return state ? state->incarnation() : std::string();
+}
+
+void
+UpstreamRun::Watch()
+{
+  utils::Error ignored;
+  auto incarnation = upstream_.isEngine ? AskIncarnation(ignored) : "";
+  if (!incarnation.empty() && incarnation != *incarnation_.Get()) {
+    incarnation_.Set(std::make_shared<const std::string>(incarnation));
+  }
+}
+
 bool
-UpstreamRun::IsAlive()
+UpstreamRun::HasDied(const std::string& aIncarnation)
 {
-  net::HttpRequest request;
+  utils::Error reason;
+  if (upstream_.isEngine) {
+    auto incarnation = AskIncarnation(reason);
+    return reason.kind == ErrorKind::ConnectFailed ||
+           (!incarnation.empty() && !aIncarnation.empty() &&
+            incarnation != aIncarnation);
+  }
   // OPTIONS runs nothing on any service that keeps to HTTP.
-  request.method = upstream_.isEngine ? "GET" : "OPTIONS";
-  request.target = upstream_.isEngine ? "/admin/state" : "/";
+  net::HttpRequest request;
+  request.method = "OPTIONS";
   net::CallTimeouts timeouts{ kConnectTimeout,
                               kControlTimeout,
                               kControlTimeout };
-  utils::Error reason;
   auto answer = client_.Call(upstream_.endpoint, request, timeouts, reason);
-  return answer || reason.kind == ErrorKind::TimedOut;
+  return !answer && reason.kind == ErrorKind::ConnectFailed;
 }
 
 } // namespace waxwingyoke::requests
--- a/libs/requests/src/UpstreamRun.h
+++ b/libs/requests/src/UpstreamRun.h
@@ -7,6 +7,7 @@
 #include <net/HttpClient.h>
 #include <schema/requests.pb.h>
 #include <utils/Error.h>
+#include <utils/RcuCell.h>
 #include <utils/Time.h>
 
 #include "Answer.h"
@@ -39,8 +40,17 @@
   /** Tells an engine to stop the attempt. */
   void Cancel(const std::string& aAttempt);
 
-  /** Whether the upstream still takes connections. */
-  bool IsAlive();
+  /**
+   * Whether the upstream died since it was that process: it takes no
+   * connections, or is another one.
+   */
+  bool HasDied(const std::string& aIncarnation);
+
+  /** The process that Watch last saw; empty where it can't be told. */
+  std::string GetIncarnation() const { return *incarnation_.Get(); }
+
+  /** Looks which process the engine is; to be called now and then. */
+  void Watch();
 
 private:
   net::HttpRequest MakeRequest(const schema::AttemptRequest& aRequest) const;
@@ -50,8 +60,12 @@
              Answer& aAnswer,
              utils::Error& aReason);
 
+  /** Empty if it does not answer. */
+  std::string AskIncarnation(utils::Error& aReason);
+
   net::HttpClient& client_;
   const Upstream& upstream_;
+  utils::RcuCell<std::string> incarnation_;
   utils::Clock clock_;
 };
 
--- a/libs/requests/tests/StreamTest.cpp
+++ b/libs/requests/tests/StreamTest.cpp
@@ -170,3 +170,48 @@
   CHECK(other.status == 201);
   CHECK(other.text == "halfwhole");
 }
+
+TEST_CASE("a broken stream goes on where it broke, wherever that was")
+{
+  auto event = [](int aNumber, const char* aId) {
+    return std::string("data: {\"id\":\"") + aId + "\",\"choices\":[" +
+           std::to_string(aNumber) + "]}\n\n";
+  };
+  std::string first;
+  std::string second;
+  for (int i = 0; i < 8; ++i) {
+    first += event(i, "a");
+    second += event(i, "b");
+  }
+  second += "data: [DONE]\n\n";
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    RecordingWriter writer;
+    CallerSink sink(writer, true);
+    sink.OnHead(MakeStreamHead());
+    sink.OnData(first.substr(0, random() % first.size()));
+    auto given = writer.text.size();
+    sink.Reset();
+    sink.OnHead(MakeStreamHead());
+    for (const auto& part : Cut(second, random)) {
+      CHECK(sink.OnData(part));
+    }
+    CHECK(sink.HasEndMark());
+    sink.Finish();
+    CHECK(writer.text == first.substr(0, given) + second.substr(given));
+  }
+}
+
+TEST_CASE("two generations that differ are never joined")
+{
+  RecordingWriter writer;
+  CallerSink sink(writer, true);
+  sink.OnHead(MakeStreamHead());
+  sink.OnData("data: {\"choices\":[1]}\n\n");
+  sink.Reset();
+  sink.OnHead(MakeStreamHead());
+  CHECK_FALSE(sink.OnData("data: {\"choices\":[2]}\n\n"));
+  CHECK(sink.IsParted());
+  CHECK(writer.text == "data: {\"choices\":[1]}\n\n");
+}
