--- a/libs/requests/src/UpstreamRun.cpp
+++ b/libs/requests/src/UpstreamRun.cpp
@@ -108,6 +108,13 @@
   net::CallTimeouts timeouts{ std::min(left, kConnectTimeout), left, left };
   auto stream =
     client_.Open(upstream_.endpoint, MakeRequest(aRequest), timeouts, aReason);
+  // An engine's own faults are no answer to a caller; a plain service's are
+  // its own to tell.
+  if (stream && upstream_.isEngine && stream->GetStatus() >= kServerError) {
+    aReason.Set(ErrorKind::UpstreamFailed,
+                "the engine answered " + std::to_string(stream->GetStatus()));
+    return false;
+  }
   if (stream) {
     aAnswer.SetHead(MakeHead(*stream, aVersion));
   }
