Add the stand-ins for the platform and the bed for integration tests

Tests and measurements need the platform's services and the upstreams as real processes whose faults can be switched: log, store and origin, VM list, model engines, plain services. One program, a subcommand each, faults and counters over the same HTTP control path. The bed starts them and the daemons on a loopback block of its own and ends all by id.

Content is made from seeds at each read, so that large versions cost no memory. Each VM reads weights through its own point, so that the counters tell who read how much: on loopback all connections come from one address. The engine's stream goes on over a change of version and says so in its fingerprint, as real engines may; hiding that was ruled out, since it would hide mixed answers.

--- a/build.sh
+++ b/build.sh
@@ -50,14 +50,19 @@
   fi
 }
 
-check_generated() {
+check_generated_from() { # PROTO_DIR GENERATED_DIR
   local fresh
   fresh=$(mktemp -d)
-  protoc --proto_path=libs/schema/proto --cpp_out="$fresh" libs/schema/proto/*.proto
-  diff -r "$fresh" libs/schema/generated/schema
+  protoc --proto_path="$1" --cpp_out="$fresh" "$1"/*.proto
+  diff -r "$fresh" "$2"
   rm -r "$fresh"
 }
 
+check_generated() {
+  check_generated_from libs/schema/proto libs/schema/generated/schema
+  check_generated_from fakes/proto fakes/generated/fakes
+}
+
 # Lists unit test programs: everything that ctest knows but the integration
 # tests, which start other processes.
 run_unit_tests() { # BUILD_DIR
--- /dev/null
+++ b/fakes/src/ServiceFake.cpp
@@ -0,0 +1,60 @@
+#include "ServiceFake.h"
+
+#include <utils/Digest.h>
+
+#include "Messages.h"
+
+namespace waxwingyoke::fakes {
+
+namespace {
+
+// The field that names a call; a call without one is named by its body.
+constexpr const char* kCallIdField = "X-Call-Id";
+
+} // namespace
+
+ServiceFake::ServiceFake(Upstream& aUpstream, FaultGate& aGate)
+  : upstream_(aUpstream)
+  , gate_(aGate)
+{
+  gate_.OnCounters([this](Counters& aCounters) {
+    for (const auto& [id, count] : runs_) {
+      auto* row = aCounters.add_runs();
+      row->set_id(id);
+      row->set_count(count);
+    }
+  });
+  aUpstream.GetRouter().Add(
+    "*", "/*", gate_.Wrap([this](const auto& aRequest, auto& aWriter) {
+      Run(aRequest, aWriter);
+    }));
+}
+
+void
+ServiceFake::Run(const net::HttpRequest& aRequest, net::ResponseWriter& aWriter)
+{
+  constexpr int kNoContent = 204;
+  if (aRequest.method == "OPTIONS") {
+    aWriter.Send({ kNoContent, {}, {} });
+    return;
+  }
+  auto digest = utils::Digest::Of(aRequest.body).ToHex();
+  std::string id(aRequest.fields.Find(kCallIdField));
+  if (id.empty()) {
+    id = digest;
+  }
+  auto run = ++runs_[id];
+  if (upstream_.MaybeCrash(aRequest.body)) {
+    return;
+  }
+  ServiceReply reply;
+  reply.set_id(id);
+  reply.set_method(aRequest.method);
+  reply.set_path(aRequest.target);
+  reply.set_body_digest(digest);
+  reply.set_run(run);
+  reply.set_upstream(upstream_.GetListen());
+  SendMessage(aWriter, reply);
+}
+
+} // namespace waxwingyoke::fakes
--- /dev/null
+++ b/tests/bed/src/AddressBlock.cpp
@@ -0,0 +1,69 @@
+#include <bed/AddressBlock.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace waxwingyoke::bed {
+
+namespace {
+
+constexpr unsigned kFirstBlock = 100;
+constexpr unsigned kBlocks = 140;
+constexpr std::uint16_t kLockPort = 6999;
+
+// A socket bound in the block stands for the whole of it; -1 if taken.
+int
+LockBlock(unsigned aBlock)
+{
+  int lock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  auto text = "127." + std::to_string(aBlock) + ".0.1";
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(kLockPort);
+  inet_pton(AF_INET, text.c_str(), &address.sin_addr);
+  const auto* plain = reinterpret_cast<const sockaddr*>(&address);
+  if (bind(lock, plain, sizeof(address)) == 0) {
+    return lock;
+  }
+  close(lock);
+  return -1;
+}
+
+} // namespace
+
+std::unique_ptr<AddressBlock>
+AddressBlock::Take(utils::Error& aReason)
+{
+  auto start = static_cast<unsigned>(getpid());
+  for (unsigned i = 0; i < kBlocks; ++i) {
+    auto block = kFirstBlock + (start + i) % kBlocks;
+    int lock = LockBlock(block);
+    if (lock >= 0) {
+      return std::unique_ptr<AddressBlock>(new AddressBlock(lock, block));
+    }
+  }
+  aReason.Set(utils::ErrorKind::Internal, "no free block of addresses");
+  return nullptr;
+}
+
+AddressBlock::AddressBlock(int aLock, unsigned aBlock)
+  : lock_(aLock)
+  , block_(aBlock)
+{
+}
+
+AddressBlock::~AddressBlock()
+{
+  close(lock_);
+}
+
+std::string
+AddressBlock::GetAddress(unsigned aThird, unsigned aFourth) const
+{
+  return "127." + std::to_string(block_) + "." + std::to_string(aThird) + "." +
+         std::to_string(aFourth);
+}
+
+} // namespace waxwingyoke::bed
--- /dev/null
+++ b/tests/bed/src/BedStart.cpp
@@ -0,0 +1,326 @@
+#include <bed/Bed.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+#include <net/Runtime.h>
+#include <schema/Json.h>
+
+namespace waxwingyoke::bed {
+
+namespace {
+
+using utils::Millis;
+
+constexpr std::uint16_t kLogPort = 9001;
+constexpr std::uint16_t kStorePort = 9002;
+constexpr std::uint16_t kOriginPort = 9003;
+constexpr std::uint16_t kVmListPort = 9004;
+constexpr unsigned kPlatformHost = 2;
+constexpr Millis kStartTimeout(20000);
+
+std::string
+QuoteToml(const std::string& aText)
+{
+  return "\"" + aText + "\"";
+}
+
+} // namespace
+
+Bed::Bed(BedOptions aOptions)
+  : options_(std::move(aOptions))
+{
+}
+
+Bed::~Bed()
+{
+  nodes_.clear();
+  fakes_.clear();
+  if (!options_.keepFolder && !folder_.empty() &&
+      std::uncaught_exceptions() == 0) {
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+  }
+}
+
+std::unique_ptr<Bed>
+Bed::Make(BedOptions aOptions, utils::Error& aReason)
+{
+  std::unique_ptr<Bed> bed(new Bed(std::move(aOptions)));
+  return bed->Start(aReason) ? std::move(bed) : nullptr;
+}
+
+bool
+Bed::Start(utils::Error& aReason)
+{
+  block_ = AddressBlock::Take(aReason);
+  if (!block_) {
+    return false;
+  }
+  auto pattern =
+    (std::filesystem::temp_directory_path() / "waxwingyoke-bed-XXXXXX")
+      .string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    aReason.Set(utils::ErrorKind::Internal, "no temporary folder");
+    return false;
+  }
+  folder_ = pattern;
+  LayOut();
+  return StartPlatform(aReason) && StartUpstreams(aReason) && PutVms(aReason) &&
+         (!options_.startDaemons || StartDaemons(aReason));
+}
+
+void
+Bed::LayOut()
+{
+  for (unsigned i = 0; i < options_.sites.size(); ++i) {
+    const auto& site = options_.sites[i];
+    unsigned place = 0;
+    auto add = [&](std::size_t aCount, const char* aKind) {
+      for (std::size_t k = 0; k < aCount; ++k) {
+        AddNode(site, i, ++place, aKind);
+      }
+    };
+    add(site.entries, "entry");
+    add(site.sides, "side");
+    add(site.services, "service");
+  }
+}
+
+BedNode&
+Bed::AddNode(const Site& aSite,
+             unsigned aSiteIndex,
+             unsigned aPlace,
+             const std::string& aKind)
+{
+  auto node = std::make_unique<BedNode>();
+  auto address = block_->GetAddress(aSiteIndex + 1, aPlace);
+  auto& vm = node->vm;
+  vm.set_id(aKind + "-" + aSite.dataCentre + "-" + std::to_string(aPlace));
+  vm.set_address(address);
+  vm.set_control_port(kControlPort);
+  vm.set_role(aKind == "entry" ? "entry" : "side");
+  vm.set_group(aKind == "entry"  ? "entry"
+               : aKind == "side" ? kEngineGroup
+                                 : kServiceGroup);
+  vm.set_data_centre(aSite.dataCentre);
+  vm.set_region(aSite.region);
+  node->control = { address, kControlPort };
+  node->caller = { address, kCallerPort };
+  node->upstream = { address, kUpstreamPort };
+  node->isService = aKind == "service";
+  node->settingsFile = folder_ + "/" + vm.id() + ".toml";
+  node->logFile = folder_ + "/" + vm.id() + ".log";
+  nodes_.push_back(std::move(node));
+  return *nodes_.back();
+}
+
+net::Endpoint
+Bed::GetEndpoint(Service aService) const
+{
+  auto address = block_->GetAddress(0, kPlatformHost);
+  switch (aService) {
+    case Service::Log:
+      return { address, kLogPort };
+    case Service::Store:
+      return { address, kStorePort };
+    case Service::Origin:
+      return { address, kOriginPort };
+    case Service::VmList:
+      return { address, kVmListPort };
+  }
+  return {};
+}
+
+bool
+Bed::StartFake(const std::string& aCommand,
+               const std::vector<net::Endpoint>& aListen,
+               const fakes::Faults& aFaults,
+               utils::Error& aReason)
+{
+  std::vector<std::string> arguments{
+    GetProgramPath("waxwingyoke-fakes"), aCommand,   "--seed",
+    std::to_string(options_.seed),       "--faults", schema::ToJson(aFaults)
+  };
+  for (const auto& endpoint : aListen) {
+    arguments.insert(arguments.end(), { "--listen", endpoint.ToString() });
+  }
+  auto output =
+    folder_ + "/" + aCommand + "-" + std::to_string(fakes_.size()) + ".log";
+  auto process = Process::Start(arguments, output, aReason);
+  if (!process) {
+    return false;
+  }
+  fakes_.push_back(std::move(process));
+  return true;
+}
+
+bool
+Bed::StartPlatform(utils::Error& aReason)
+{
+  // Each VM reads weights through a point of its own, so that the counters
+  // show who read how much.
+  std::vector<net::Endpoint> store{ GetEndpoint(Service::Store) };
+  std::vector<net::Endpoint> origin{ GetEndpoint(Service::Origin) };
+  for (const auto& node : nodes_) {
+    if (node->IsEngineSide()) {
+      store.push_back({ node->vm.address(), kStorePort });
+      origin.push_back({ node->vm.address(), kOriginPort });
+    }
+  }
+  auto& faults = options_.serviceFaults;
+  bool started =
+    StartFake(
+      "log", { GetEndpoint(Service::Log) }, faults[Service::Log], aReason) &&
+    StartFake("store", store, faults[Service::Store], aReason) &&
+    StartFake("store", origin, faults[Service::Origin], aReason) &&
+    StartFake("vms",
+              { GetEndpoint(Service::VmList) },
+              faults[Service::VmList],
+              aReason);
+  if (!started) {
+    return false;
+  }
+  bool answering = std::ranges::all_of(
+    std::vector{
+      Service::Log, Service::Store, Service::Origin, Service::VmList },
+    [this](Service aService) { return WaitFake(GetEndpoint(aService)); });
+  if (!answering) {
+    aReason.Set(utils::ErrorKind::Internal,
+                "a stand-in of the platform does not answer, see " + folder_);
+  }
+  return answering;
+}
+
+bool
+Bed::StartUpstreams(utils::Error& aReason)
+{
+  std::vector<net::Endpoint> engines;
+  std::vector<net::Endpoint> services;
+  for (const auto& node : nodes_) {
+    if (node->IsEngineSide()) {
+      engines.push_back(node->upstream);
+    } else if (node->isService) {
+      services.push_back(node->upstream);
+    }
+  }
+  for (std::size_t at = 0; at < engines.size();
+       at += options_.enginesPerProgram) {
+    auto end = std::min(engines.size(), at + options_.enginesPerProgram);
+    std::vector<net::Endpoint> part(
+      engines.begin() + static_cast<std::ptrdiff_t>(at),
+      engines.begin() + static_cast<std::ptrdiff_t>(end));
+    if (!StartFake("engine", part, options_.engineFaults, aReason)) {
+      return false;
+    }
+  }
+  if (!services.empty() &&
+      !StartFake(
+        "service", services, options_.upstreamServiceFaults, aReason)) {
+    return false;
+  }
+  engines.insert(engines.end(), services.begin(), services.end());
+  bool answering = std::ranges::all_of(
+    engines, [this](const auto& aEndpoint) { return WaitFake(aEndpoint); });
+  if (!answering) {
+    aReason.Set(utils::ErrorKind::Internal,
+                "an upstream does not answer, see " + folder_);
+  }
+  return answering;
+}
+
+void
+Bed::WriteSettings(const BedNode& aNode) const
+{
+  const auto& vm = aNode.vm;
+  auto weights = [&](Service aService, std::uint16_t aPort) {
+    return aNode.IsEngineSide() ? net::Endpoint{ vm.address(), aPort }
+                                : GetEndpoint(aService);
+  };
+  std::ofstream file(aNode.settingsFile);
+  file << "[node]\nvm = " << QuoteToml(vm.id())
+       << "\nrole = " << QuoteToml(vm.role())
+       << "\ndata_centre = " << QuoteToml(vm.data_centre())
+       << "\nregion = " << QuoteToml(vm.region())
+       << "\naddress = " << QuoteToml(vm.address())
+       << "\ncontrol_port = " << kControlPort
+       << "\nsecret = " << QuoteToml(kSecret) << "\n\n[platform]\nlog = "
+       << QuoteToml(GetEndpoint(Service::Log).ToString())
+       << "\nvm_list = " << QuoteToml(GetEndpoint(Service::VmList).ToString())
+       << "\nstore = "
+       << QuoteToml(weights(Service::Store, kStorePort).ToString())
+       << "\norigin = "
+       << QuoteToml(weights(Service::Origin, kOriginPort).ToString()) << "\n\n";
+  if (aNode.IsEntry()) {
+    file << "[entry]\ncaller_port = " << kCallerPort << "\n"
+         << options_.entryLines << "\n";
+  } else {
+    file << "[side]\nupstream = " << QuoteToml(aNode.upstream.ToString())
+         << "\nkind = " << QuoteToml(aNode.isService ? "service" : "engine")
+         << "\n"
+         << options_.sideLines << "\n";
+  }
+  file << options_.settings
+       << "\n[log]\nlevel = " << QuoteToml(options_.logLevel)
+       << "\nfile = " << QuoteToml(aNode.logFile) << "\n";
+  if (options_.spans) {
+    file << "spans = " << QuoteToml(folder_ + "/" + vm.id() + ".spans") << "\n";
+  }
+}
+
+bool
+Bed::StartNode(BedNode& aNode, utils::Error& aReason)
+{
+  WriteSettings(aNode);
+  aNode.process = Process::Start(
+    { GetProgramPath("waxwingyoked"), "--settings", aNode.settingsFile },
+    folder_ + "/" + aNode.vm.id() + ".out",
+    aReason);
+  return aNode.process != nullptr;
+}
+
+bool
+Bed::StartDaemons(utils::Error& aReason)
+{
+  bool started = std::ranges::all_of(
+    nodes_, [&](auto& aNode) { return StartNode(*aNode, aReason); });
+  if (!started) {
+    return false;
+  }
+  auto silent = std::ranges::find_if(nodes_, [this](auto& aNode) {
+    return !WaitHealthy(*aNode, kStartTimeout);
+  });
+  if (silent != nodes_.end()) {
+    aReason.Set(utils::ErrorKind::Internal,
+                (*silent)->vm.id() + " does not answer, see " + folder_);
+  }
+  return silent == nodes_.end();
+}
+
+void
+RunWithBed(const BedOptions& aOptions, const std::function<void(Bed&)>& aTest)
+{
+  std::exception_ptr thrown;
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    try {
+      utils::Error reason;
+      auto bed = Bed::Make(aOptions, reason);
+      if (!bed) {
+        throw std::runtime_error("no bed: " + reason.detail);
+      }
+      aTest(*bed);
+    } catch (...) {
+      // A failed check or no bed: told to the caller's thread.
+      thrown = std::current_exception();
+    }
+    return 0;
+  });
+  if (thrown) {
+    std::rethrow_exception(thrown);
+  }
+}
+
+} // namespace waxwingyoke::bed
--- /dev/null
+++ b/tests/bed/src/Process.cpp
@@ -0,0 +1,102 @@
+#include <bed/Process.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <net/Runtime.h>
+
+extern char** environ;
+
+namespace waxwingyoke::bed {
+
+std::unique_ptr<Process>
+Process::Start(const std::vector<std::string>& aArguments,
+               const std::string& aOutputFile,
+               utils::Error& aReason)
+{
+  constexpr mode_t kMode = 0644;
+  std::vector<char*> arguments;
+  std::ranges::transform(
+    aArguments, std::back_inserter(arguments), [](const auto& aText) {
+      return const_cast<char*>(aText.c_str());
+    });
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions,
+                                   STDOUT_FILENO,
+                                   aOutputFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND,
+                                   kMode);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  pid_t id = 0;
+  int error = posix_spawn(
+    &id, arguments[0], &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    aReason.Set(utils::ErrorKind::Internal,
+                aArguments[0] + ": " + std::strerror(error));
+    return nullptr;
+  }
+  return std::unique_ptr<Process>(new Process(id));
+}
+
+Process::Process(pid_t aId)
+  : id_(aId)
+{
+}
+
+Process::~Process()
+{
+  if (IsRunning()) {
+    Signal(SIGKILL);
+    waitpid(id_, &waitStatus_, 0);
+  }
+}
+
+void
+Process::Signal(int aSignal)
+{
+  // An ended process that was not waited for keeps its id, so the id can't
+  // be another's.
+  if (!ended_) {
+    kill(id_, aSignal);
+  }
+}
+
+bool
+Process::IsRunning()
+{
+  ended_ = ended_ || waitpid(id_, &waitStatus_, WNOHANG) == id_;
+  return !ended_;
+}
+
+bool
+Process::WaitForEnd(utils::Millis aTimeout)
+{
+  constexpr utils::Millis kPoll(5);
+  utils::Clock clock;
+  auto deadline = clock.Now() + aTimeout;
+  while (IsRunning()) {
+    if (clock.Now() > deadline) {
+      return false;
+    }
+    net::Runtime::Sleep(kPoll);
+  }
+  return true;
+}
+
+std::string
+GetProgramPath(const std::string& aName)
+{
+  return std::string(WAXWINGYOKE_BIN_DIR) + "/" + aName;
+}
+
+} // namespace waxwingyoke::bed
