--- a/fakes/src/ServiceFake.cpp
+++ b/fakes/src/ServiceFake.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-// The field that names a call; a call without one is named by its body.
+// The field that names a call; a call without one is named by the beginning
+// of its body, which the system passes on whole.
 constexpr const char* kCallIdField = "X-Call-Id";
+constexpr std::size_t kBodyIdChars = 80;
 
 } // namespace
 
@@ -41,7 +43,7 @@
   auto digest = utils::Digest::Of(aRequest.body).ToHex();
   std::string id(aRequest.fields.Find(kCallIdField));
   if (id.empty()) {
-    id = digest;
+    id = aRequest.body.substr(0, kBodyIdChars);
   }
   auto run = ++runs_[id];
   if (upstream_.MaybeCrash(aRequest.body)) {
--- /dev/null
+++ b/tests/bed/src/Caller.cpp
@@ -0,0 +1,230 @@
+#include <bed/Caller.h>
+
+#include <google/protobuf/util/json_util.h>
+
+#include <telemetry/Logger.h>
+#include <utils/Hash.h>
+
+namespace waxwingyoke::bed {
+
+namespace {
+
+constexpr int kOk = 200;
+// Callers wait a little longer than they tell the entry, for its answer.
+constexpr utils::Millis kGrace(5000);
+constexpr std::string_view kEventStart = "data: ";
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kDone = "[DONE]";
+
+bool
+ParseLenient(std::string_view aJson, fakes::ChatAnswer& aAnswer)
+{
+  google::protobuf::util::JsonParseOptions options;
+  options.ignore_unknown_fields = true;
+  return google::protobuf::util::JsonStringToMessage(
+           std::string(aJson), &aAnswer, options)
+    .ok();
+}
+
+void
+NoteVersion(const std::string& aVersion, CallerAnswer& aAnswer)
+{
+  if (aVersion.empty() || aVersion == aAnswer.version) {
+    return;
+  }
+  aAnswer.version = aAnswer.version.empty() ? aVersion : "mixed";
+}
+
+void
+NoteError(const fakes::ChatAnswer& aMessage, CallerAnswer& aAnswer)
+{
+  if (aMessage.has_error()) {
+    aAnswer.errorType = aMessage.error().type();
+    aAnswer.run = aMessage.error().run();
+  }
+}
+
+// Takes one event in; true at the end mark.
+bool
+TakeEvent(std::string_view aEvent, CallerAnswer& aAnswer)
+{
+  auto start = aEvent.find(kEventStart);
+  if (start == std::string_view::npos) {
+    return false;
+  }
+  auto data = aEvent.substr(start + kEventStart.size());
+  if (data == kDone) {
+    return true;
+  }
+  fakes::ChatAnswer message;
+  if (!ParseLenient(data, message)) {
+    aAnswer.errorType = "unreadable event";
+    return false;
+  }
+  NoteError(message, aAnswer);
+  NoteVersion(message.system_fingerprint(), aAnswer);
+  for (const auto& choice : message.choices()) {
+    aAnswer.text += choice.delta().content();
+  }
+  return false;
+}
+
+void
+ReadEvents(net::ResponseStream& aStream,
+           utils::Millis aTimeout,
+           CallerAnswer& aAnswer)
+{
+  std::string buffer;
+  std::string part;
+  bool done = false;
+  while (true) {
+    auto result = aStream.Read(part, aTimeout, aAnswer.reason);
+    if (result != net::ReadResult::Data) {
+      aAnswer.whole =
+        done && result == net::ReadResult::End && aAnswer.errorType.empty();
+      return;
+    }
+    buffer += part;
+    for (auto end = buffer.find(kEventEnd); end != std::string::npos;
+         end = buffer.find(kEventEnd)) {
+      done =
+        TakeEvent(std::string_view(buffer).substr(0, end), aAnswer) || done;
+      buffer.erase(0, end + kEventEnd.size());
+    }
+  }
+}
+
+bool
+ReadWhole(net::ResponseStream& aStream,
+          utils::Millis aTimeout,
+          std::string& aBody,
+          utils::Error& aReason)
+{
+  std::string part;
+  while (true) {
+    switch (aStream.Read(part, aTimeout, aReason)) {
+      case net::ReadResult::Data:
+        aBody += part;
+        break;
+      case net::ReadResult::End:
+        return true;
+      case net::ReadResult::Failed:
+        return false;
+    }
+  }
+}
+
+template<typename Call>
+net::HttpRequest
+MakeRequest(const Call& aCall, std::string aMethod, std::string aTarget)
+{
+  net::HttpRequest request;
+  request.method = std::move(aMethod);
+  request.target = std::move(aTarget);
+  request.fields.Set("X-Organisation", aCall.organisation);
+  request.fields.Set("X-Deadline-Ms", std::to_string(aCall.deadline.value));
+  if (!aCall.idempotencyKey.empty()) {
+    request.fields.Set("Idempotency-Key", aCall.idempotencyKey);
+  }
+  return request;
+}
+
+std::unique_ptr<net::ResponseStream>
+Open(net::HttpClient& aClient,
+     const net::Endpoint& aEntry,
+     const net::HttpRequest& aRequest,
+     utils::Millis aDeadline,
+     CallerAnswer& aAnswer)
+{
+  net::CallTimeouts timeouts;
+  timeouts.head = aDeadline + kGrace;
+  auto stream = aClient.Open(aEntry, aRequest, timeouts, aAnswer.reason);
+  if (stream) {
+    aAnswer.status = stream->GetStatus();
+  }
+  return stream;
+}
+
+// Refusals and other errors come whole, with the kind in the body.
+void
+TakeErrorBody(const std::string& aBody, CallerAnswer& aAnswer)
+{
+  fakes::ChatAnswer message;
+  if (ParseLenient(aBody, message)) {
+    NoteError(message, aAnswer);
+  }
+  aAnswer.text = aBody;
+}
+
+} // namespace
+
+CallerAnswer
+Chat(net::HttpClient& aClient,
+     const net::Endpoint& aEntry,
+     const ChatCall& aCall)
+{
+  auto request = MakeRequest(aCall, "POST", "/v1/chat/completions");
+  request.fields.Set("Content-Type", "application/json");
+  request.body = "{\"model\":" + telemetry::QuoteJson(aCall.profile) +
+                 ",\"stream\":" + (aCall.stream ? "true" : "false") +
+                 ",\"max_tokens\":" + std::to_string(aCall.tokens) +
+                 ",\"messages\":[{\"role\":\"user\",\"content\":" +
+                 telemetry::QuoteJson(aCall.prompt) + "}]}";
+  CallerAnswer answer;
+  auto stream = Open(aClient, aEntry, request, aCall.deadline, answer);
+  if (!stream) {
+    return answer;
+  }
+  auto timeout = aCall.deadline + kGrace;
+  if (answer.status == kOk && aCall.stream) {
+    ReadEvents(*stream, timeout, answer);
+    return answer;
+  }
+  std::string body;
+  bool ended = ReadWhole(*stream, timeout, body, answer.reason);
+  fakes::ChatAnswer message;
+  if (answer.status != kOk || !ParseLenient(body, message)) {
+    TakeErrorBody(body, answer);
+    return answer;
+  }
+  NoteError(message, answer);
+  NoteVersion(message.system_fingerprint(), answer);
+  for (const auto& choice : message.choices()) {
+    answer.text += choice.message().content();
+  }
+  answer.whole = ended && answer.errorType.empty();
+  return answer;
+}
+
+CallerAnswer
+CallService(net::HttpClient& aClient,
+            const net::Endpoint& aEntry,
+            const ServiceCall& aCall)
+{
+  auto request =
+    MakeRequest(aCall, aCall.method, "/services/" + aCall.profile + aCall.path);
+  request.body = aCall.body;
+  CallerAnswer answer;
+  auto stream = Open(aClient, aEntry, request, aCall.deadline, answer);
+  if (!stream) {
+    return answer;
+  }
+  std::string body;
+  bool ended = ReadWhole(*stream, aCall.deadline + kGrace, body, answer.reason);
+  if (answer.status != kOk) {
+    TakeErrorBody(body, answer);
+    return answer;
+  }
+  answer.text = std::move(body);
+  answer.whole = ended;
+  return answer;
+}
+
+std::string
+MakeIdempotencyKey()
+{
+  return std::to_string(utils::GetWallTime().value) + "-" +
+         utils::MakeUniqueId();
+}
+
+} // namespace waxwingyoke::bed
