Add the fault-injecting TCP proxy and put it before a bed's links

Faults between two processes can't be had by killing either: a stall, a cut of one direction, a connection that goes silent while new ones work, a changed byte, an answer cut after the act. The proxy stands before the control port, the upstream and the log of each VM of a proxied bed. Faults are by the reached end: on loopback all connections come from one address, so pairs can't be told apart.

--- a/fakes/src/Main.cpp
+++ b/fakes/src/Main.cpp
@@ -16,6 +16,7 @@
 
 #include "EngineFake.h"
 #include "LogFake.h"
+#include "Proxy.h"
 #include "ServiceFake.h"
 #include "StoreFake.h"
 #include "VmListFake.h"
@@ -241,6 +242,18 @@
   return command;
 }
 
+CLI::App*
+AddProxyCommand(CLI::App& aApp, fakes::ProxyOptions& aOptions)
+{
+  auto* command = aApp.add_subcommand("proxy", "The fault-injecting TCP proxy");
+  command->add_option("--control", aOptions.control, "IP:PORT of its control")
+    ->required();
+  command->add_option("--link", aOptions.links, "LISTEN=TARGET, repeatable")
+    ->required();
+  command->add_option("--seed", aOptions.seed, "Seed of all that is drawn");
+  return command;
+}
+
 } // namespace
 
 int
@@ -257,9 +270,14 @@
   auto* vms = AddCommand(app, "vms", "The list of VMs", options);
   auto* engine = AddCommand(app, "engine", "Model engines", options);
   auto* service = AddCommand(app, "service", "Plain services", options);
+  fakes::ProxyOptions proxyOptions;
+  auto* proxy = AddProxyCommand(app, proxyOptions);
   CLI11_PARSE(app, aCount, aArguments);
 
   telemetry::StartLogging({ utils::LogLevel::Warn, "", "fakes" });
+  if (*proxy) {
+    return fakes::RunProxy(proxyOptions);
+  }
   if (*log) {
     return RunOnOneThread(options, &RunLog);
   }
--- a/tests/bed/include/bed/Bed.h
+++ b/tests/bed/include/bed/Bed.h
@@ -35,6 +35,17 @@
   VmList
 };
 
+/** Links of one VM that the proxy can stand before. */
+enum class Link
+{
+  /** Other processes of ours to this VM's daemon. */
+  Control,
+  /** The daemon to its upstream. */
+  Upstream,
+  /** The daemon to the log. */
+  Log
+};
+
 /** One data centre of a bed. */
 struct Site
 {
@@ -82,6 +93,8 @@
   std::size_t enginesPerProgram = 200;
   /** Leaves the folder with settings and logs in place. */
   bool keepFolder = false;
+  /** Puts the fault-injecting proxy before every Link of every VM. */
+  bool proxied = false;
   /** False: the daemons are started one by one, by StartNode. */
   bool startDaemons = true;
 };
@@ -155,6 +168,9 @@
 
   bool SetFaults(const net::Endpoint& aFake, const fakes::Faults& aFaults);
   bool SetFaults(Service aService, const fakes::Faults& aFaults);
+  /** Needs a proxied bed. */
+  bool SetLink(const BedNode& aNode, Link aLink, fakes::LinkFaults aFaults);
+  bool SetAllLinks(const fakes::LinkFaults& aFaults);
   std::optional<fakes::Counters> GetCounters(const net::Endpoint& aFake);
   std::optional<fakes::Counters> GetCounters(Service aService);
   /** Runs of an id over all plain services. */
@@ -175,6 +191,11 @@
                    const std::string& aKind);
   bool StartPlatform(utils::Error& aReason);
   bool StartUpstreams(utils::Error& aReason);
+  bool StartProxy(utils::Error& aReason);
+  net::Endpoint GetProxyControl() const;
+  /** Where a link of a VM is reached: at the proxy, if there is one. */
+  net::Endpoint GetLink(const BedNode& aNode, Link aLink) const;
+  net::Endpoint GetLinkTarget(const BedNode& aNode, Link aLink) const;
   bool StartFake(const std::string& aCommand,
                  const std::vector<net::Endpoint>& aListen,
                  const fakes::Faults& aFaults,
--- a/tests/bed/src/BedStart.cpp
+++ b/tests/bed/src/BedStart.cpp
@@ -1,6 +1,7 @@
 #include <bed/Bed.h>
 
 #include <algorithm>
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -18,7 +19,11 @@
 constexpr std::uint16_t kStorePort = 9002;
 constexpr std::uint16_t kOriginPort = 9003;
 constexpr std::uint16_t kVmListPort = 9004;
+constexpr std::uint16_t kProxyPort = 9010;
+// The proxy listens beside each port that it stands before.
+constexpr std::uint16_t kProxyPortStep = 100;
 constexpr unsigned kPlatformHost = 2;
+constexpr std::array kLinks{ Link::Control, Link::Upstream, Link::Log };
 constexpr Millis kStartTimeout(20000);
 
 std::string
@@ -68,7 +73,8 @@
   }
   folder_ = pattern;
   LayOut();
-  return StartPlatform(aReason) && StartUpstreams(aReason) && PutVms(aReason) &&
+  return StartPlatform(aReason) && StartUpstreams(aReason) &&
+         (!options_.proxied || StartProxy(aReason)) && PutVms(aReason) &&
          (!options_.startDaemons || StartDaemons(aReason));
 }
 
@@ -100,7 +106,7 @@
   auto& vm = node->vm;
   vm.set_id(aKind + "-" + aSite.dataCentre + "-" + std::to_string(aPlace));
   vm.set_address(address);
-  vm.set_control_port(kControlPort);
+  vm.set_control_port(kControlPort + (options_.proxied ? kProxyPortStep : 0));
   vm.set_role(aKind == "entry" ? "entry" : "side");
   vm.set_group(aKind == "entry"  ? "entry"
                : aKind == "side" ? kEngineGroup
@@ -194,6 +200,89 @@
   return answering;
 }
 
+net::Endpoint
+Bed::GetProxyControl() const
+{
+  return { block_->GetAddress(0, kPlatformHost), kProxyPort };
+}
+
+net::Endpoint
+Bed::GetLinkTarget(const BedNode& aNode, Link aLink) const
+{
+  switch (aLink) {
+    case Link::Control:
+      return aNode.control;
+    case Link::Upstream:
+      return aNode.upstream;
+    case Link::Log:
+      return GetEndpoint(Service::Log);
+  }
+  return {};
+}
+
+net::Endpoint
+Bed::GetLink(const BedNode& aNode, Link aLink) const
+{
+  auto target = GetLinkTarget(aNode, aLink);
+  if (!options_.proxied) {
+    return target;
+  }
+  auto port = static_cast<std::uint16_t>(target.port + kProxyPortStep);
+  return { aNode.vm.address(), port };
+}
+
+bool
+Bed::StartProxy(utils::Error& aReason)
+{
+  std::vector<std::string> arguments{ GetProgramPath("waxwingyoke-fakes"),
+                                      "proxy",
+                                      "--seed",
+                                      std::to_string(options_.seed),
+                                      "--control",
+                                      GetProxyControl().ToString() };
+  for (const auto& node : nodes_) {
+    for (auto link : kLinks) {
+      if (node->IsEntry() && link == Link::Upstream) {
+        continue;
+      }
+      arguments.insert(arguments.end(),
+                       { "--link",
+                         GetLink(*node, link).ToString() + "=" +
+                           GetLinkTarget(*node, link).ToString() });
+    }
+  }
+  auto process = Process::Start(arguments, folder_ + "/proxy.log", aReason);
+  if (!process) {
+    return false;
+  }
+  fakes_.push_back(std::move(process));
+  bool answers = WaitFor([this] { return SetAllLinks({}); }, kStartTimeout);
+  if (!answers) {
+    aReason.Set(utils::ErrorKind::Internal, "the proxy does not answer");
+  }
+  return answers;
+}
+
+bool
+Bed::SetLink(const BedNode& aNode, Link aLink, fakes::LinkFaults aFaults)
+{
+  aFaults.set_listen(GetLink(aNode, aLink).ToString());
+  return SetAllLinks(aFaults);
+}
+
+bool
+Bed::SetAllLinks(const fakes::LinkFaults& aFaults)
+{
+  std::string answer;
+  utils::Error ignored;
+  return Send(GetProxyControl(),
+              "POST",
+              "/links",
+              schema::ToJson(aFaults),
+              answer,
+              ignored);
+}
+
 bool
 Bed::StartUpstreams(utils::Error& aReason)
 {
@@ -247,7 +336,7 @@
        << "\naddress = " << QuoteToml(vm.address())
        << "\ncontrol_port = " << kControlPort
        << "\nsecret = " << QuoteToml(kSecret) << "\n\n[platform]\nlog = "
-       << QuoteToml(GetEndpoint(Service::Log).ToString())
+       << QuoteToml(GetLink(aNode, Link::Log).ToString())
        << "\nvm_list = " << QuoteToml(GetEndpoint(Service::VmList).ToString())
        << "\nstore = "
        << QuoteToml(weights(Service::Store, kStorePort).ToString())
@@ -257,7 +346,8 @@
     file << "[entry]\ncaller_port = " << kCallerPort << "\n"
          << options_.entryLines << "\n";
   } else {
-    file << "[side]\nupstream = " << QuoteToml(aNode.upstream.ToString())
+    file << "[side]\nupstream = "
+         << QuoteToml(GetLink(aNode, Link::Upstream).ToString())
          << "\nkind = " << QuoteToml(aNode.isService ? "service" : "engine")
          << "\n"
          << options_.sideLines << "\n";
