--- a/fakes/src/ServiceFake.cpp
+++ b/fakes/src/ServiceFake.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // The field that names a call; a call without one is named by the beginning
-// of its body, which the system passes on whole.
+// of its body, which the system passes on whole, or by its path if it has none.
 constexpr const char* kCallIdField = "X-Call-Id";
 constexpr std::size_t kBodyIdChars = 80;
 
@@ -43,7 +43,8 @@
   auto digest = utils::Digest::Of(aRequest.body).ToHex();
   std::string id(aRequest.fields.Find(kCallIdField));
   if (id.empty()) {
-    id = aRequest.body.substr(0, kBodyIdChars);
+    id = aRequest.body.empty() ? aRequest.target
+                               : aRequest.body.substr(0, kBodyIdChars);
   }
   auto run = ++runs_[id];
   if (upstream_.MaybeCrash(aRequest.body)) {
--- /dev/null
+++ b/tests/matrix/Main.cpp
@@ -0,0 +1,114 @@
+// waxwingyoke-matrix: every fault at every step, with real processes.
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+#include <telemetry/Logger.h>
+
+#include "Cell.h"
+#include "Faults.h"
+#include "Page.h"
+#include "Steps.h"
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::matrix;
+
+namespace {
+
+struct Options
+{
+  std::vector<std::string> steps;
+  std::vector<std::string> faults;
+  std::uint64_t seed = 1;
+  std::size_t pairs = 0;
+  std::size_t shard = 0;
+  std::size_t shards = 1;
+  std::string results;
+  std::string page;
+};
+
+bool
+IsChosen(const std::vector<std::string>& aChosen, const std::string& aName)
+{
+  return aChosen.empty() || std::ranges::find(aChosen, aName) != aChosen.end();
+}
+
+std::vector<CellName>
+ListCells(const Options& aOptions)
+{
+  std::vector<CellName> cells;
+  if (aOptions.pairs > 0) {
+    return ListPairs(aOptions.pairs, aOptions.seed);
+  }
+  for (const auto& step : GetSteps()) {
+    for (const auto& fault : GetFaults()) {
+      if (IsChosen(aOptions.steps, step.name) &&
+          IsChosen(aOptions.faults, fault.name)) {
+        cells.push_back({ step.name, { fault.name }, aOptions.seed });
+      }
+    }
+  }
+  return cells;
+}
+
+void
+PrintFindings(const std::vector<std::string>& aFindings)
+{
+  constexpr std::size_t kMost = 8;
+  for (std::size_t i = 0; i < std::min(kMost, aFindings.size()); ++i) {
+    std::printf("  %s\n", aFindings[i].c_str());
+  }
+  if (aFindings.size() > kMost) {
+    std::printf("  and %zu more\n", aFindings.size() - kMost);
+  }
+}
+
+int
+RunCells(const Options& aOptions)
+{
+  auto cells = ListCells(aOptions);
+  int red = 0;
+  for (std::size_t i = aOptions.shard; i < cells.size(); i += aOptions.shards) {
+    auto result = RunCell(cells[i]);
+    red += result.findings.empty() ? 0 : 1;
+    std::printf("%s: %s\n",
+                cells[i].ToString().c_str(),
+                result.findings.empty() ? "ok" : "RED");
+    PrintFindings(result.findings);
+    std::fflush(stdout);
+    if (!aOptions.results.empty()) {
+      AppendResult(aOptions.results, result);
+    }
+  }
+  std::printf("%d red\n", red);
+  return red == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("Runs the fault matrix: every fault at every step");
+  Options options;
+  app.add_option("--step", options.steps, "Only these steps, repeatable");
+  app.add_option("--fault", options.faults, "Only these faults, repeatable");
+  app.add_option("--seed", options.seed, "Seed of each cell");
+  app.add_option(
+    "--pairs", options.pairs, "Instead: that many pairs of faults by seed");
+  app.add_option("--shard", options.shard, "Run only each --shards'th cell");
+  app.add_option("--shards", options.shards, "Number of shards");
+  app.add_option("--results", options.results, "File to append results to");
+  app.add_option(
+    "--page", options.page, "Only write this page from the results");
+  CLI11_PARSE(app, aCount, aArguments);
+  telemetry::StartLogging({ utils::LogLevel::Error, "", "matrix" });
+  if (!options.page.empty()) {
+    return WritePage(options.results, options.page) ? 0 : 1;
+  }
+  return RunCells(options);
+}
