--- /dev/null
+++ b/bench/burst/src/Agent.cpp
@@ -0,0 +1,128 @@
+#include "Agent.h"
+
+#include <cstdio>
+
+#include <net/HttpServer.h>
+#include <net/Router.h>
+#include <net/Runtime.h>
+#include <telemetry/Metrics.h>
+
+#include <ChunkRoutes.h>
+#include <Content.h>
+#include <Fetcher.h>
+#include <Holdings.h>
+#include <Pacer.h>
+
+namespace waxwingyoke::burst {
+
+namespace {
+
+constexpr utils::Millis kRetryPause(20);
+constexpr utils::Millis kDeadline(600000);
+constexpr std::uint64_t kMaxBytes = std::uint64_t(1) << 32;
+constexpr const char* kSecret = "bench";
+
+/** Everything that one agent is made of. */
+class Agent
+{
+public:
+  explicit Agent(const AgentOptions& aOptions)
+    : source_(*net::Endpoint::Parse(aOptions.source))
+    , version_(*utils::Digest::Parse(aOptions.version))
+    , holdings_(kMaxBytes)
+    , link_(aOptions.linkBytesPerSecond)
+    , routes_(holdings_, link_)
+    , fetcher_(http_, link_)
+  {
+  }
+
+  void AddRoutes(net::Router& aRouter)
+  {
+    routes_.AddPeerRoutes(aRouter, kSecret);
+    aRouter.Add("GET", "/metrics", [](const auto&, auto& aWriter) {
+      net::HttpResponse response;
+      response.body = telemetry::Metrics::Get().Show();
+      aWriter.Send(response);
+    });
+    aRouter.Add("GET", "/whole", [this](const auto&, auto& aWriter) {
+      constexpr int kNotFound = 404;
+      net::HttpResponse response;
+      response.status =
+        holdings_.IsWhole(version_) ? response.status : kNotFound;
+      aWriter.Send(response);
+    });
+  }
+
+  void FetchAll()
+  {
+    utils::Error reason;
+    auto bytes = FetchUntilThere("/manifests/" + version_.ToHex(), kMaxBytes);
+    auto content = weights::Content::Read(version_, std::move(bytes), reason);
+    holdings_.AddContent(content);
+    for (const auto& chunk : content->chunks) {
+      auto body =
+        FetchUntilThere("/chunks/" + chunk.digest.ToHex(), chunk.bytes);
+      holdings_.AddChunk(chunk.digest, std::move(body), reason);
+    }
+  }
+
+private:
+  std::string FetchUntilThere(const std::string& aPath, std::uint64_t aMax)
+  {
+    static auto& sDown =
+      telemetry::Metrics::Get().GetCounter("weights_down_peer_bytes_total");
+    weights::FetchOrder order;
+    order.source = source_;
+    order.path = aPath;
+    order.fields = { net::MakeSecretField(kSecret) };
+    order.maxBytes = aMax;
+    order.deadline = kDeadline;
+    order.goOn = [] { return true; };
+    order.onBytes = [&](std::size_t aBytes) { sDown.Add(aBytes); };
+    while (true) {
+      utils::Error reason;
+      if (auto bytes = fetcher_.Fetch(order, reason)) {
+        return std::move(*bytes);
+      }
+      net::Runtime::Sleep(kRetryPause);
+    }
+  }
+
+  const net::Endpoint source_;
+  const utils::Digest version_;
+  net::HttpClient http_;
+  weights::Holdings holdings_;
+  weights::Pacer link_;
+  weights::ChunkRoutes routes_;
+  weights::Fetcher fetcher_;
+};
+
+} // namespace
+
+int
+RunAgent(const AgentOptions& aOptions)
+{
+  net::Runtime runtime(1);
+  return runtime.Run([&] {
+    Agent agent(aOptions);
+    net::Router router;
+    agent.AddRoutes(router);
+    utils::Error reason;
+    auto server = net::HttpServer::Builder(runtime)
+                    .SetEndpoint(*net::Endpoint::Parse(aOptions.listen))
+                    .SetHandler([&](const auto& aRequest, auto& aWriter) {
+                      router.Handle(aRequest, aWriter);
+                    })
+                    .Build(reason);
+    if (!server) {
+      std::fprintf(stderr, "agent: %s\n", reason.detail.c_str());
+      net::ExitProcess(1);
+    }
+    net::Runtime::SpawnHere([&] { agent.FetchAll(); });
+    runtime.WaitForSignal();
+    net::ExitProcess(0);
+    return 0;
+  });
+}
+
+} // namespace waxwingyoke::burst
--- /dev/null
+++ b/bench/burst/src/Options.cpp
@@ -0,0 +1,25 @@
+#include "Options.h"
+
+namespace waxwingyoke::burst {
+
+std::uint64_t
+Options::GetOriginRate() const
+{
+  constexpr std::uint64_t kLinksOfOrigin = 4;
+  return originBytesPerSecond != 0 ? originBytesPerSecond
+                                   : linkBytesPerSecond * kLinksOfOrigin;
+}
+
+utils::Millis
+Options::GetBound() const
+{
+  constexpr double kMillisPerSecond = 1000;
+  auto count = static_cast<double>(vms);
+  auto passedOn = count - static_cast<double>(regions);
+  auto copies = 1 + passedOn / count;
+  return utils::Millis(static_cast<std::int64_t>(
+    copies * static_cast<double>(bytes) /
+    static_cast<double>(linkBytesPerSecond) * kMillisPerSecond));
+}
+
+} // namespace waxwingyoke::burst
--- /dev/null
+++ b/bench/burst/src/SwarmRun.h
@@ -0,0 +1,15 @@
+#ifndef waxwingyoke_burst_SwarmRun_h
+#define waxwingyoke_burst_SwarmRun_h
+
+#include "Options.h"
+#include "Report.h"
+
+namespace waxwingyoke::burst {
+
+/** Publishes a version to daemons of the product and measures the burst. */
+WayResult
+RunSwarm(const Options& aOptions);
+
+} // namespace waxwingyoke::burst
+
+#endif // waxwingyoke_burst_SwarmRun_h
--- a/libs/weights/src/Depot.cpp
+++ b/libs/weights/src/Depot.cpp
@@ -49,7 +49,6 @@
   void Run();
   void Step();
   void StepModel(const schema::Profile& aProfile);
-  void StepService(const schema::Profile& aProfile);
   void Want(const utils::Digest& aVersion, std::uint64_t aRevision);
   void StepEngine(const schema::Profile& aProfile, bool aWhole);
   void Report();
@@ -64,7 +63,6 @@
   Services services;
   SwitchOver switchOver;
   std::shared_ptr<Transfer> transfer;
-  utils::RcuCell<ServingState> plain;
   utils::Error error;
   utils::Clock clock;
   utils::Millis nextEngineLook;
@@ -110,30 +108,11 @@
       transfer = nullptr;
     }
     switchOver.Forget();
-    plain.Set(std::make_shared<const ServingState>());
-  } else if (profile->kind() == schema::SERVICE) {
-    StepService(*profile);
   } else {
     StepModel(*profile);
   }
 }
 
-void
-Depot::Impl::StepService(const schema::Profile& aProfile)
-{
-  auto now = plain.Get();
-  if (now->profile == aProfile.name() && now->revision == aProfile.revision()) {
-    return;
-  }
-  plain.Set(std::make_shared<const ServingState>(
-    ServingState{ aProfile.name(), aProfile.revision(), "" }));
-  services.node.UpdateStatus([&](schema::NodeStatus& aStatus) {
-    aStatus.set_ready_profile(aProfile.name());
-    aStatus.set_ready_revision(aProfile.revision());
-    aStatus.clear_ready_version();
-  });
-}
-
 void
 Depot::Impl::StepModel(const schema::Profile& aProfile)
 {
@@ -251,8 +230,7 @@
 ServingState
 Depot::GetServing() const
 {
-  auto plain = impl_->plain.Get();
-  return plain->profile.empty() ? impl_->switchOver.GetServing() : *plain;
+  return impl_->switchOver.GetServing();
 }
 
 void
