--- a/bench/burst/src/SwarmRun.cpp
+++ b/bench/burst/src/SwarmRun.cpp
@@ -23,6 +23,7 @@
 constexpr Millis kPoll(30);
 constexpr std::uint32_t kCorruptPerMille = 20;
 constexpr std::size_t kVmsPerKilled = 10;
+constexpr std::size_t kEnginesPerProgram = 8;
 constexpr const char* kProfile = "bench";
 
 /** One burst over a bed's daemons. */
@@ -223,6 +224,8 @@
   }
   options.serviceFaults[Service::Store] = source;
   options.serviceFaults[Service::Origin] = source;
+  // Engines of one program share a thread, which reads all their chunks.
+  options.enginesPerProgram = kEnginesPerProgram;
   options.logLevel = aOptions.logLevel;
   options.keepFolder = aOptions.keepFolder;
   return options;
--- a/libs/weights/src/Picker.cpp
+++ b/libs/weights/src/Picker.cpp
@@ -1,6 +1,7 @@
 #include "Picker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <tuple>
 #include <vector>
@@ -28,6 +29,9 @@
   return aPeer.fetches < kMaxFetchesPerPeer && aPeer.avoidUntil <= aInput.now;
 }
 
+// Chunks that a peer may have given beyond those that it holds.
+constexpr std::uint64_t kGivenAhead = 3;
+
 using PeerRow = const Peer*;
 
 std::vector<PeerRow>
@@ -70,17 +74,18 @@
     }));
 }
 
+namespace {
+
 std::optional<Pick>
-PickFromRegion(const PickInput& aInput)
+PickFrom(const PickInput& aInput, const std::vector<PeerRow>& aRows)
 {
-  auto rows = ListUsable(aInput, true);
   std::optional<std::size_t> best;
   std::tuple bestRank(std::numeric_limits<std::size_t>::max(),
                       std::numeric_limits<std::uint64_t>::max());
   for (std::size_t chunk = 0; chunk < aInput.held.GetSize(); ++chunk) {
     bool wanted = !aInput.held.Has(chunk) && !aInput.running.contains(chunk) &&
                   std::ranges::any_of(
-                    rows, [&](PeerRow aRow) { return aRow->held.Has(chunk); });
+                    aRows, [&](PeerRow aRow) { return aRow->held.Has(chunk); });
     if (!wanted) {
       continue;
     }
@@ -94,10 +99,25 @@
   if (!best) {
     return std::nullopt;
   }
-  auto holder = PickHolder(aInput, rows, *best);
+  auto holder = PickHolder(aInput, aRows, *best);
   return Pick{ *best, *holder };
 }
 
+} // namespace
+
+std::optional<Pick>
+PickFromRegion(const PickInput& aInput)
+{
+  auto rows = ListUsable(aInput, true);
+  // Whoever gives more than it got would carry the burst for the others.
+  std::vector<PeerRow> fair;
+  std::ranges::copy_if(rows, std::back_inserter(fair), [](PeerRow aRow) {
+    return aRow->given <= aRow->held.GetCount() + kGivenAhead;
+  });
+  auto pick = PickFrom(aInput, fair);
+  return pick ? pick : PickFrom(aInput, rows);
+}
+
 std::optional<std::string>
 PickRemotePeer(const PickInput& aInput, std::size_t aChunk)
 {
--- a/libs/weights/src/Transfer.cpp
+++ b/libs/weights/src/Transfer.cpp
@@ -124,10 +124,15 @@
     return;
   }
   swarm_->peers.SetChunkCount(swarm_->content->chunks.size());
+  GetLogger().Info("manifest held", { { "version", swarm_->version.ToHex() } });
   for (int worker = 0; worker < kWorkers; ++worker) {
     net::Runtime::SpawnHere([self = shared_from_this()] { self->Work(); });
   }
   gossip_->Run();
+  if (!swarm_->cancelled) {
+    GetLogger().Info("version whole",
+                     { { "version", swarm_->version.ToHex() } });
+  }
 }
 
 bool
