--- a/libs/profiles/src/Publisher.cpp
+++ b/libs/profiles/src/Publisher.cpp
@@ -1,7 +1,6 @@
 #include <profiles/Publisher.h>
 
-#include <google/protobuf/util/message_differencer.h>
-
+#include <net/Runtime.h>
 #include <profiles/Validate.h>
 #include <utils/Hash.h>
 
@@ -14,27 +13,12 @@
 using utils::Millis;
 
 constexpr std::uint32_t kPageRecords = 500;
-constexpr int kAppendAttempts = 3;
+// Longer than claims take to give way on a busy log.
+constexpr Millis kAppendTime(4000);
+constexpr Millis kAppendPause(150);
 
 } // namespace
 
-std::string
-DescribeDifference(const schema::Profile* aStanding,
-                   const schema::Profile& aWanted)
-{
-  if (!aStanding) {
-    return "no such profile is in force";
-  }
-  google::protobuf::util::MessageDifferencer differencer;
-  const auto* fields = schema::Profile::descriptor();
-  differencer.IgnoreField(fields->FindFieldByName("revision"));
-  differencer.IgnoreField(fields->FindFieldByName("author"));
-  std::string text;
-  differencer.ReportDifferencesToString(&text);
-  differencer.Compare(*aStanding, aWanted);
-  return text.empty() ? "no difference" : text;
-}
-
 Publisher::Publisher(platform::LogClient& aLog)
   : log_(aLog)
 {
@@ -87,17 +71,18 @@
                   Error& aReason)
 {
   bool isUnknown = false;
-  for (int i = 0; i < kAppendAttempts; ++i) {
+  auto deadline = clock_.Now() + kAppendTime;
+  while (clock_.Now() < deadline) {
     if (log_.Append(platform::kConfigStream, aPayload, aReason)) {
       return true;
     }
-    // An earlier attempt may have reached the log; only reading tells.
+    // This attempt may have reached the log; only reading tells.
     isUnknown = isUnknown || aReason.kind == ErrorKind::OutcomeUnknown;
-    if (!isUnknown) {
-      return false;
-    }
+    net::Runtime::Sleep(kAppendPause);
+  }
+  if (isUnknown) {
+    aReason.Set(ErrorKind::OutcomeUnknown, aId + ": " + aReason.detail);
   }
-  aReason.Set(ErrorKind::OutcomeUnknown, aId + ": " + aReason.detail);
   return false;
 }
 
@@ -155,6 +140,17 @@
   }
 }
 
+std::optional<Preview>
+Publisher::Try(const schema::ProfileChange& aChange,
+               const schema::VmList& aVms,
+               Error& aReason)
+{
+  if (!ValidateChange(aChange, aReason) || !ReadToEnd(aReason)) {
+    return std::nullopt;
+  }
+  return MakePreview(replay_.GetFold(), aChange, aVms);
+}
+
 std::optional<Config>
 Publisher::ReadConfig(Error& aReason)
 {
