Give the tool status, waiting, dry runs, rollout watch and quarantine

Cause: an operator could publish but not see where a change was in force, how far new weights were, or lift a quarantine.

--- a/tools/waxwingyoke/src/Commands.h
+++ b/tools/waxwingyoke/src/Commands.h
@@ -23,6 +23,15 @@
 void
 AddProfileCommands(CLI::App& aApp, Context& aContext);
 
+void
+AddQuarantineCommands(CLI::App& aApp, Context& aContext);
+
+void
+AddRolloutCommands(CLI::App& aApp, Context& aContext);
+
+void
+AddStatusCommand(CLI::App& aApp, Context& aContext);
+
 void
 AddSettingsCommands(CLI::App& aApp, Context& aContext);
 
--- a/tools/waxwingyoke/src/Main.cpp
+++ b/tools/waxwingyoke/src/Main.cpp
@@ -23,6 +23,9 @@
   app.require_subcommand(1);
   app.fallthrough();
   tool::AddProfileCommands(app, context);
+  tool::AddStatusCommand(app, context);
+  tool::AddRolloutCommands(app, context);
+  tool::AddQuarantineCommands(app, context);
   tool::AddSettingsCommands(app, context);
   CLI11_PARSE(app, aCount, aArguments);
   return context.run();
--- a/tools/waxwingyoke/src/Platform.cpp
+++ b/tools/waxwingyoke/src/Platform.cpp
@@ -15,17 +15,20 @@
   if (!schema::ReadSettingsFile(aSettingsFile, settings, reason)) {
     return Fail(reason);
   }
-  auto endpoint = net::Endpoint::Parse(settings.platform().log());
-  if (!endpoint) {
+  auto logEndpoint = net::Endpoint::Parse(settings.platform().log());
+  auto vmListEndpoint = net::Endpoint::Parse(settings.platform().vm_list());
+  if (!logEndpoint || !vmListEndpoint) {
     reason.Set(utils::ErrorKind::BadSettings,
-               aSettingsFile + ": 'log' must be IP:port");
+               aSettingsFile + ": 'log' and 'vm_list' must be IP:port");
     return Fail(reason);
   }
   net::Runtime runtime(1);
   return runtime.Run([&] {
     net::HttpClient httpClient;
-    platform::LogClient log(httpClient, *endpoint);
-    return aCommand({ httpClient, log, settings });
+    rpc::RpcClient rpcClient(httpClient, settings.secret());
+    platform::LogClient log(httpClient, *logEndpoint);
+    platform::VmListClient vmList(httpClient, *vmListEndpoint);
+    return aCommand({ httpClient, rpcClient, log, vmList, settings });
   });
 }
 
--- a/tools/waxwingyoke/src/Platform.h
+++ b/tools/waxwingyoke/src/Platform.h
@@ -7,6 +7,8 @@
 #include <net/HttpClient.h>
 #include <net/Runtime.h>
 #include <platform/LogClient.h>
+#include <platform/VmListClient.h>
+#include <rpc/RpcClient.h>
 #include <schema/settings.pb.h>
 
 namespace waxwingyoke::tool {
@@ -15,7 +17,9 @@
 struct Platform
 {
   net::HttpClient& httpClient;
+  rpc::RpcClient& rpcClient;
   platform::LogClient& log;
+  platform::VmListClient& vmList;
   const schema::ToolSettings& settings;
 };
 
--- a/tools/waxwingyoke/src/ProfileCommands.cpp
+++ b/tools/waxwingyoke/src/ProfileCommands.cpp
@@ -11,6 +11,7 @@
 
 #include "Output.h"
 #include "Platform.h"
+#include "StatusCommand.h"
 
 namespace waxwingyoke::tool {
 
@@ -25,6 +26,9 @@
   std::string name;
   std::string id;
   std::uint64_t replaces = 0;
+  bool dryRun = false;
+  bool wait = false;
+  std::int64_t waitMs = 16000;
 };
 
 using ArgumentsPointer = std::shared_ptr<Arguments>;
@@ -59,6 +63,51 @@
   return 1;
 }
 
+// A change without --replaces replaces what is in force now.
+bool
+FillInReplaces(profiles::Publisher& aPublisher,
+               const Arguments& aArguments,
+               schema::ProfileChange& aChange,
+               utils::Error& aReason)
+{
+  if (aChange.kind() == schema::PUBLISH) {
+    return true;
+  }
+  aChange.set_replaces_revision(aArguments.replaces);
+  if (aArguments.replaces != 0) {
+    return true;
+  }
+  auto config = aPublisher.ReadConfig(aReason);
+  if (!config) {
+    return false;
+  }
+  const auto* profile = config->FindProfile(aChange.profile().name());
+  if (profile == nullptr) {
+    aReason.Set(ErrorKind::UnknownProfile, aChange.profile().name());
+    return false;
+  }
+  aChange.set_replaces_revision(profile->revision());
+  return true;
+}
+
+int
+TryOut(const Platform& aPlatform,
+       profiles::Publisher& aPublisher,
+       const schema::ProfileChange& aChange)
+{
+  utils::Error reason;
+  auto vms = aPlatform.vmList.Read(reason);
+  if (!vms) {
+    return Fail(reason);
+  }
+  auto preview = aPublisher.Try(aChange, *vms, reason);
+  if (!preview) {
+    return Fail(reason);
+  }
+  std::cout << profiles::Show(*preview);
+  return 0;
+}
+
 int
 Send(const Platform& aPlatform,
      schema::ProfileChange aChange,
@@ -68,23 +117,23 @@
   aChange.set_author(aPlatform.settings.author());
   profiles::Publisher publisher(aPlatform.log);
   utils::Error reason;
-  if (aChange.kind() != schema::PUBLISH) {
-    aChange.set_replaces_revision(aArguments.replaces);
+  if (!FillInReplaces(publisher, aArguments, aChange, reason)) {
+    return Fail(reason);
   }
-  if (aChange.kind() != schema::PUBLISH && aArguments.replaces == 0) {
-    auto config = publisher.ReadConfig(reason);
-    if (!config) {
-      return Fail(reason);
-    }
-    const auto* profile = config->FindProfile(aChange.profile().name());
-    if (profile == nullptr) {
-      reason.Set(ErrorKind::UnknownProfile, aChange.profile().name());
-      return Fail(reason);
-    }
-    aChange.set_replaces_revision(profile->revision());
+  if (aArguments.dryRun) {
+    return TryOut(aPlatform, publisher, aChange);
   }
   auto result = publisher.Publish(aChange, aArguments.id, reason);
-  return result ? Report(*result, aJson) : Fail(reason);
+  if (!result) {
+    return Fail(reason);
+  }
+  auto code = Report(*result, aJson);
+  if (code != 0 || !aArguments.wait) {
+    return code;
+  }
+  // A revision is its record's offset + 1, the first offset not folded in.
+  return WaitInForce(
+    aPlatform, result->revision, utils::Millis(aArguments.waitMs));
 }
 
 int
@@ -163,67 +212,107 @@
 }
 
 void
-AddChangeOptions(CLI::App& aCommand, Arguments& aArguments)
+AddSendOptions(CLI::App& aCommand, Arguments& aArguments)
 {
-  aCommand.add_option("--replaces",
-                      aArguments.replaces,
-                      "the revision that this replaces; without it the one "
-                      "in force now");
   aCommand.add_option(
     "--id", aArguments.id, "ask again for a change whose outcome was unknown");
+  aCommand.add_flag("--dry-run",
+                    aArguments.dryRun,
+                    "only show which VMs and requests it would touch");
+  aCommand.add_flag(
+    "--wait", aArguments.wait, "wait until it is in force, say where not");
+  aCommand
+    .add_option("--wait-ms", aArguments.waitMs, "how long --wait waits, ms")
+    ->capture_default_str();
 }
 
-} // namespace
-
 void
-AddProfileCommands(CLI::App& aApp, Context& aContext)
+AddReplaces(CLI::App& aCommand, Arguments& aArguments)
 {
-  auto arguments = std::make_shared<Arguments>();
-  auto* group = aApp.add_subcommand("profile", "publish, change, retire, show");
-  group->require_subcommand(1);
-
-  auto* publish =
-    group->add_subcommand("publish", "declare a new profile from a TOML file");
-  publish->add_option("file", arguments->file, "TOML file")->required();
-  publish->add_option(
-    "--id", arguments->id, "ask again for a change whose outcome was unknown");
-  publish->callback([&aContext, arguments] {
-    aContext.run = [&aContext, arguments] {
-      return SendFile(aContext, schema::PUBLISH, *arguments);
-    };
-  });
+  aCommand.add_option("--replaces",
+                      aArguments.replaces,
+                      "the revision that this replaces; without it the one "
+                      "in force now");
+}
 
-  auto* change =
-    group->add_subcommand("change", "replace a profile from a TOML file");
-  change->add_option("file", arguments->file, "TOML file")->required();
-  AddChangeOptions(*change, *arguments);
-  change->callback([&aContext, arguments] {
-    aContext.run = [&aContext, arguments] {
-      return SendFile(aContext, schema::CHANGE, *arguments);
+// A command that sends a TOML file as a change of aKind.
+CLI::App*
+AddFileCommand(CLI::App& aGroup,
+               const std::string& aName,
+               const std::string& aHelp,
+               schema::ChangeKind aKind,
+               Context& aContext,
+               const ArgumentsPointer& aArguments)
+{
+  auto* command = aGroup.add_subcommand(aName, aHelp);
+  command->add_option("file", aArguments->file, "TOML file")->required();
+  AddSendOptions(*command, *aArguments);
+  command->callback([&aContext, aKind, aArguments] {
+    aContext.run = [&aContext, aKind, aArguments] {
+      return SendFile(aContext, aKind, *aArguments);
     };
   });
+  return command;
+}
 
-  auto* retire = group->add_subcommand("retire", "take a profile out of use");
-  retire->add_option("name", arguments->name, "the profile")->required();
-  AddChangeOptions(*retire, *arguments);
-  retire->callback([&aContext, arguments] {
-    aContext.run = [&aContext, arguments] {
-      return Retire(aContext, *arguments);
+void
+AddRetire(CLI::App& aGroup,
+          Context& aContext,
+          const ArgumentsPointer& aArguments)
+{
+  auto* retire = aGroup.add_subcommand("retire", "take a profile out of use");
+  retire->add_option("name", aArguments->name, "the profile")->required();
+  AddSendOptions(*retire, *aArguments);
+  AddReplaces(*retire, *aArguments);
+  retire->callback([&aContext, aArguments] {
+    aContext.run = [&aContext, aArguments] {
+      return Retire(aContext, *aArguments);
     };
   });
+}
 
-  auto* show = group->add_subcommand("show", "one profile whole");
-  show->add_option("name", arguments->name, "the profile")->required();
-  show->callback([&aContext, arguments] {
-    aContext.run = [&aContext, arguments] {
-      return Show(aContext, *arguments);
+void
+AddReaders(CLI::App& aGroup,
+           Context& aContext,
+           const ArgumentsPointer& aArguments)
+{
+  auto* show = aGroup.add_subcommand("show", "one profile whole");
+  show->add_option("name", aArguments->name, "the profile")->required();
+  show->callback([&aContext, aArguments] {
+    aContext.run = [&aContext, aArguments] {
+      return Show(aContext, *aArguments);
     };
   });
 
   auto* list =
-    group->add_subcommand("list", "a line for each profile in force");
+    aGroup.add_subcommand("list", "a line for each profile in force");
   list->callback(
     [&aContext] { aContext.run = [&aContext] { return List(aContext); }; });
 }
 
+} // namespace
+
+void
+AddProfileCommands(CLI::App& aApp, Context& aContext)
+{
+  auto arguments = std::make_shared<Arguments>();
+  auto* group = aApp.add_subcommand("profile", "publish, change, retire, show");
+  group->require_subcommand(1);
+  AddFileCommand(*group,
+                 "publish",
+                 "declare a new profile from a TOML file",
+                 schema::PUBLISH,
+                 aContext,
+                 arguments);
+  auto* change = AddFileCommand(*group,
+                                "change",
+                                "replace a profile from a TOML file",
+                                schema::CHANGE,
+                                aContext,
+                                arguments);
+  AddReplaces(*change, *arguments);
+  AddRetire(*group, aContext, arguments);
+  AddReaders(*group, aContext, arguments);
+}
+
 } // namespace waxwingyoke::tool
