--- a/tests/bed/include/bed/Caller.h
+++ b/tests/bed/include/bed/Caller.h
@@ -46,6 +46,7 @@
   bool whole = false;
   /** The error's type and run as the answer gives them, if it does. */
   std::string errorType;
+  std::string errorDetail;
   std::string run;
   /** Why nothing, or no end, came. */
   utils::Error reason;
--- a/tests/bed/src/Caller.cpp
+++ b/tests/bed/src/Caller.cpp
@@ -40,6 +40,7 @@
 {
   if (aMessage.has_error()) {
     aAnswer.errorType = aMessage.error().type();
+    aAnswer.errorDetail = aMessage.error().message();
     aAnswer.run = aMessage.error().run();
   }
 }
--- a/tests/matrix/Cell.cpp
+++ b/tests/matrix/Cell.cpp
@@ -183,14 +183,16 @@
   if (!bed.Append(MakeServicePublication(), reason)) {
     throw std::runtime_error("not published: " + reason.detail);
   }
+  // Every entry must know the profile before callers rely on it.
   auto answers = [this](CallKind aKind) {
-    return bed::Bed::WaitFor(
-      [this, aKind] {
-        const auto& call = traffic.CallOnce(aKind);
-        return std::ranges::all_of(
-          call.answers, [](const auto& aAnswer) { return aAnswer.whole; });
-      },
-      kPatience);
+    return std::ranges::all_of(
+      bed.GetEntries(), [&](const bed::BedNode* aEntry) {
+        return bed::Bed::WaitFor(
+          [&] {
+            return traffic.CallOnceAt(aKind, aEntry->caller).answers[0].whole;
+          },
+          kPatience);
+      });
   };
   bool serving = answers(CallKind::Idempotent) && answers(CallKind::Keyed);
   if (aModelToo) {
--- a/tests/matrix/Promises.cpp
+++ b/tests/matrix/Promises.cpp
@@ -57,7 +57,8 @@
 Describe(const CallRecord& aRecord, const CallerAnswer& aAnswer)
 {
   return aRecord.id + " (status " + std::to_string(aAnswer.status) + " " +
-         aAnswer.errorType + " " + aAnswer.reason.detail + ")";
+         aAnswer.errorType + " " + aAnswer.errorDetail + aAnswer.reason.detail +
+         ")";
 }
 
 bool
--- a/tests/matrix/Traffic.cpp
+++ b/tests/matrix/Traffic.cpp
@@ -105,8 +105,8 @@
   return CallService(bed_.GetClient(), aEntry, call);
 }
 
-const CallRecord&
-Traffic::CallOnce(CallKind aKind)
+CallRecord&
+Traffic::AddRecord(CallKind aKind)
 {
   records_.push_back(std::make_unique<CallRecord>());
   auto& record = *records_.back();
@@ -114,6 +114,13 @@
   record.id = std::string(aKind == CallKind::Idempotent ? "/status/" : "") +
               GetName(aKind) + "-" + std::to_string(seed_) + "-" +
               std::to_string(next_++);
+  return record;
+}
+
+const CallRecord&
+Traffic::CallOnce(CallKind aKind)
+{
+  auto& record = AddRecord(aKind);
   bool keyed = aKind == CallKind::Keyed;
   auto key = keyed ? bed::MakeIdempotencyKey() : "";
   record.answers.push_back(Send(record, key, PickEntry()));
@@ -124,6 +131,15 @@
   return record;
 }
 
+const CallRecord&
+Traffic::CallOnceAt(CallKind aKind, const net::Endpoint& aEntry)
+{
+  auto& record = AddRecord(aKind);
+  auto key = aKind == CallKind::Keyed ? bed::MakeIdempotencyKey() : "";
+  record.answers.push_back(Send(record, key, aEntry));
+  return record;
+}
+
 void
 Traffic::Loop(CallKind aKind)
 {
--- a/tests/matrix/Traffic.h
+++ b/tests/matrix/Traffic.h
@@ -50,6 +50,9 @@
   /** One call now, by the calling fiber; it is recorded as well. */
   const CallRecord& CallOnce(CallKind aKind);
 
+  /** The same through one entry. */
+  const CallRecord& CallOnceAt(CallKind aKind, const net::Endpoint& aEntry);
+
   const std::vector<std::unique_ptr<CallRecord>>& GetRecords() const
   {
     return records_;
@@ -58,6 +61,7 @@
 private:
   void Loop(CallKind aKind);
   void Balance();
+  CallRecord& AddRecord(CallKind aKind);
   bed::CallerAnswer Send(const CallRecord& aRecord,
                          const std::string& aKey,
                          const net::Endpoint& aEntry);
