--- /dev/null
+++ b/bench/requests/src/Prefix.cpp
@@ -0,0 +1,136 @@
+#include <algorithm>
+#include <random>
+#include <vector>
+
+#include <requests_load/Beds.h>
+#include <requests_load/Streams.h>
+
+#include "Figures.h"
+#include "Parts.h"
+
+namespace waxwingyoke::bench_requests {
+
+namespace {
+
+using namespace requests_load;
+using utils::Millis;
+
+constexpr std::size_t kSides = 8;
+constexpr std::size_t kEntries = 4;
+constexpr std::size_t kGroups = 64;
+constexpr std::size_t kPrefixChars = 2000;
+constexpr std::size_t kTailChars = 200;
+constexpr double kRequestsPerSecond = 80;
+constexpr Millis kDuration(15000);
+constexpr std::uint64_t kSeed = 15;
+
+// Few groups are asked often and many seldom, as Zipf has it; each shares a
+// long beginning.
+std::vector<std::string>
+MakeTrace(std::size_t aCount)
+{
+  std::mt19937 random(kSeed);
+  std::vector<double> weights;
+  for (std::size_t i = 1; i <= kGroups; ++i) {
+    weights.push_back(1.0 / static_cast<double>(i));
+  }
+  std::discrete_distribution<std::size_t> group(weights.begin(), weights.end());
+  std::vector<std::string> trace;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    auto number = group(random);
+    auto prompt = "group " + std::to_string(number) + " ";
+    prompt.resize(kPrefixChars, static_cast<char>('a' + number % 26));
+    prompt += " question " + std::to_string(i);
+    prompt.resize(kPrefixChars + kTailChars, '.');
+    trace.push_back(prompt);
+  }
+  return trace;
+}
+
+struct CacheFigures
+{
+  double hits = 0;
+  double missed = 0;
+  double most = 0;
+  double mean = 0;
+};
+
+CacheFigures
+ReadCaches(bed::Bed& aBed)
+{
+  CacheFigures figures;
+  auto sides = aBed.GetEngineSides();
+  for (auto* side : sides) {
+    auto counters = aBed.GetCounters(side->upstream);
+    if (!counters) {
+      continue;
+    }
+    figures.hits += static_cast<double>(counters->cache_hit_blocks());
+    figures.missed += static_cast<double>(counters->cache_missed_blocks());
+    auto tokens = static_cast<double>(counters->tokens());
+    figures.most = std::max(figures.most, tokens);
+    figures.mean += tokens / static_cast<double>(sides.size());
+  }
+  return figures;
+}
+
+std::string
+Run(std::size_t aEntries)
+{
+  std::string figures;
+  auto options =
+    MakeOptions({ { "a1", "a", aEntries, kSides, 0 } }, { 16, 50 }, kSeed);
+  options.engineFaults.mutable_engine()->set_cache_blocks(1500);
+  bed::RunWithBed(options, [&](bed::Bed& aBed) {
+    utils::Error reason;
+    if (!PublishModel(aBed, reason)) {
+      return;
+    }
+    Load load;
+    load.requestsPerSecond = kRequestsPerSecond;
+    load.duration = kDuration;
+    auto trace = MakeTrace(static_cast<std::size_t>(
+      kRequestsPerSecond * static_cast<double>(kDuration.value) / 1000));
+    load.makeCall = [&trace](std::size_t aNumber) {
+      StreamCall call;
+      call.prompt = trace[aNumber % trace.size()];
+      call.tokens = 16;
+      return call;
+    };
+    load.pickPeer = [&aBed](std::size_t aNumber) {
+      auto entries = aBed.GetEntries();
+      return entries[aNumber % entries.size()]->caller;
+    };
+    auto before = ReadCaches(aBed);
+    auto samples = RunLoad(aBed.GetClient(), load);
+    auto after = ReadCaches(aBed);
+    auto whole = std::ranges::count_if(samples, &StreamSample::whole);
+    auto hits = after.hits - before.hits;
+    auto missed = after.missed - before.missed;
+    figures = Figures()
+                .Add("entries", static_cast<double>(aEntries))
+                .Add("calls", static_cast<double>(samples.size()))
+                .Add("whole", static_cast<double>(whole))
+                .Add("hit_share", hits / std::max(hits + missed, 1.0))
+                .Add("most_over_mean_load", after.most / after.mean)
+                .Finish();
+  });
+  return figures;
+}
+
+} // namespace
+
+std::string
+MeasurePrefix()
+{
+  // One entry sees all of the trace and all of the load: it stands for a
+  // router that knows everything.
+  auto one = Run(1);
+  auto many = Run(kEntries);
+  if (one.empty() || many.empty()) {
+    return {};
+  }
+  return Figures().AddJson("one_router", one).AddJson("entries", many).Finish();
+}
+
+} // namespace waxwingyoke::bench_requests
--- a/libs/requests/include/requests/Entry.h
+++ b/libs/requests/include/requests/Entry.h
@@ -37,7 +37,8 @@
 
   void Start();
 
-  /** Whether the balancer should send requests here. */
+  /** Whether the balancer should send requests here: profiles are known
+   * and it does not leave. */
   bool IsReady() const;
 
   /** Turns unready, refuses what is new, returns when all is answered. */
--- a/libs/requests/src/ClaimStream.cpp
+++ b/libs/requests/src/ClaimStream.cpp
@@ -20,7 +20,6 @@
 // Sixteen streams then make 320 appends a second at most, of the several
 // hundred that the log takes.
 constexpr Millis kAppendInterval(50);
-constexpr Millis kRetryPause(50);
 constexpr Millis kReadWait(0);
 // A log that does not answer in this time counts as down.
 constexpr Millis kLogPatience(2000);
@@ -43,7 +42,7 @@
 {
   auto pending = std::make_shared<Pending>();
   pending->claim = aClaim;
-  pending->deadline = aDeadline;
+  pending->giveUpAt = std::min(aDeadline, clock_.Now() + kLogPatience);
   Lock lock(mutex_);
   pending_.push_back(pending);
   while (!pending->done) {
@@ -65,10 +64,12 @@
 void
 ClaimStream::Commit()
 {
-  auto since = clock_.Now() - lastAppend_;
-  if (appended_ > 0 && since < kAppendInterval) {
+  auto since = clock_.Now() - lastTry_;
+  if (tries_ > 0 && since < kAppendInterval) {
     net::Runtime::Sleep(kAppendInterval - since);
   }
+  ++tries_;
+  lastTry_ = clock_.Now();
   PendingList batch;
   {
     Lock lock(mutex_);
@@ -76,30 +77,29 @@
   }
   CommitBatch(batch);
   Lock lock(mutex_);
-  std::ranges::for_each(batch, [](const auto& aOne) { aOne->done = true; });
+  for (const auto& one : batch) {
+    one->done = one->settled;
+    if (!one->done) {
+      pending_.push_back(one);
+    }
+  }
 }
 
 void
 ClaimStream::CommitBatch(const PendingList& aBatch)
 {
-  if (aBatch.empty()) {
-    return;
-  }
-  auto last = std::ranges::max_element(
-    aBatch, {}, [](const auto& aOne) { return aOne->deadline; });
-  auto latest = std::min((*last)->deadline, clock_.Now() + kLogPatience);
   utils::Error reason;
   fold_.Expire(utils::GetWallTime() - kRowTime);
-  if (!CatchUp(latest, reason)) {
-    Fail(aBatch, reason);
+  if (!CatchUp(reason)) {
+    FailOverdue(aBatch, reason);
     return;
   }
   auto fresh = SettleKnown(aBatch);
   if (fresh.empty()) {
     return;
   }
-  if (!Append(fresh, reason) || !CatchUp(latest, reason)) {
-    Fail(fresh, reason);
+  if (!Append(fresh, reason) || !CatchUp(reason)) {
+    FailOverdue(fresh, reason);
     return;
   }
   std::ranges::for_each(fresh, [this](const auto& aOne) { Settle(*aOne); });
@@ -119,10 +119,12 @@
     if (reply.verdict() == schema::UNCLAIMED && !fold_.Covers(issued)) {
       one->error.Set(ErrorKind::KeyExpired,
                      "the log no longer covers the key's time of issue");
+      one->settled = true;
     } else if (reply.verdict() == schema::UNCLAIMED || replaces) {
       fresh.push_back(one);
     } else {
       one->reply = reply;
+      one->settled = true;
     }
   }
   return fresh;
@@ -140,28 +142,22 @@
   for (const auto& one : aBatch) {
     *batch->add_claims() = one->claim;
   }
-  ++appended_;
   sAppends.Add();
   // A lost answer needs no second append: the record either shows when the
   // stream is read back or it does not stand.
   auto offset = log_.Append(stream_, record.SerializeAsString(), aReason);
-  lastAppend_ = clock_.Now();
   return offset || aReason.kind == ErrorKind::OutcomeUnknown;
 }
 
 bool
-ClaimStream::CatchUp(Millis aDeadline, utils::Error& aReason)
+ClaimStream::CatchUp(utils::Error& aReason)
 {
   while (true) {
     auto from = fold_.GetNextOffset();
     auto page = log_.ReadKept(stream_, from, kPageRecords, kReadWait, aReason);
     if (!page) {
-      if (clock_.Now() + kRetryPause >= aDeadline) {
-        aReason.kind = ErrorKind::LogUnavailable;
-        return false;
-      }
-      net::Runtime::Sleep(kRetryPause);
-      continue;
+      aReason.kind = ErrorKind::LogUnavailable;
+      return false;
     }
     if (page->first_offset() > from) {
       fold_.RestartAt(page->first_offset(), utils::GetWallTime());
@@ -184,6 +180,7 @@
 void
 ClaimStream::Settle(Pending& aPending)
 {
+  aPending.settled = true;
   auto reply = fold_.Judge(aPending.claim);
   if (reply.verdict() == schema::UNCLAIMED) {
     aPending.error.Set(ErrorKind::LogUnavailable,
@@ -193,11 +190,17 @@
   aPending.reply = reply;
 }
 
+// A claim may stand although its batch failed: whoever waits for it asks
+// again and then finds it, and whoever gives up runs nothing.
 void
-ClaimStream::Fail(const PendingList& aBatch, const utils::Error& aError)
+ClaimStream::FailOverdue(const PendingList& aBatch, const utils::Error& aError)
 {
-  std::ranges::for_each(aBatch,
-                        [&aError](const auto& aOne) { aOne->error = aError; });
+  for (const auto& one : aBatch) {
+    if (clock_.Now() >= one->giveUpAt) {
+      one->error = aError;
+      one->settled = true;
+    }
+  }
 }
 
 } // namespace waxwingyoke::requests
--- a/libs/requests/src/ClaimStream.h
+++ b/libs/requests/src/ClaimStream.h
@@ -43,7 +43,10 @@
   struct Pending
   {
     schema::Claim claim;
-    utils::Millis deadline;
+    /** Refused, "not run", where the log did not take it by then. */
+    utils::Millis giveUpAt;
+    /** Set by the fiber that commits, told to the waiting one by done. */
+    bool settled = false;
     bool done = false;
     std::optional<schema::ClaimReply> reply;
     utils::Error error;
@@ -54,9 +57,10 @@
   void Commit();
   void CommitBatch(const PendingList& aBatch);
   bool Append(const PendingList& aBatch, utils::Error& aReason);
-  bool CatchUp(utils::Millis aDeadline, utils::Error& aReason);
+  bool CatchUp(utils::Error& aReason);
   void Settle(Pending& aPending);
-  void Fail(const PendingList& aBatch, const utils::Error& aError);
+  /** Fails what has waited long enough; the rest waits for another try. */
+  void FailOverdue(const PendingList& aBatch, const utils::Error& aError);
   PendingList SettleKnown(const PendingList& aBatch);
 
   platform::LogClient& log_;
@@ -68,8 +72,8 @@
   bool committing_ = false;
   /** Used by the one fiber that commits. */
   ClaimFold fold_;
-  utils::Millis lastAppend_;
-  std::uint64_t appended_ = 0;
+  utils::Millis lastTry_;
+  std::uint64_t tries_ = 0;
 };
 
 } // namespace waxwingyoke::requests
--- a/libs/requests/src/Entry.cpp
+++ b/libs/requests/src/Entry.cpp
@@ -87,7 +87,7 @@
 bool
 Entry::IsReady() const
 {
-  return !impl_->draining;
+  return !impl_->draining && impl_->node.GetView()->config->nextOffset > 0;
 }
 
 void
--- a/libs/requests/src/EntryImpl.cpp
+++ b/libs/requests/src/EntryImpl.cpp
@@ -52,6 +52,10 @@
 {
   auto config = node.GetView()->config;
   const auto* profile = config->FindProfile(aRequest.profile);
+  if (!profile && config->nextOffset == 0) {
+    aReason.Set(ErrorKind::NoUpstream, "this entry has no profiles yet");
+    return false;
+  }
   if (!profile) {
     aReason.Set(ErrorKind::UnknownProfile,
                 "no profile is named " + aRequest.profile);
--- /dev/null
+++ b/tests/RequestsTest.cpp
@@ -0,0 +1,228 @@
+// The request path with real processes and the faults that it is made for.
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+#include <bed/Bed.h>
+#include <bed/Caller.h>
+#include <fakes/Tokens.h>
+#include <net/Runtime.h>
+#include <requests_load/Beds.h>
+#include <requests_load/OnceRun.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::requests_load;
+using bed::Bed;
+using utils::Millis;
+
+namespace {
+
+constexpr Millis kPatience(20000);
+constexpr const char* kCrashMarker = "crash-the-upstream";
+
+bed::BedOptions
+MakeChatOptions()
+{
+  return MakeOptions({ { "a1", "a", 2, 3, 0 } }, { 8, 50 }, 21);
+}
+
+void
+WithModel(const std::function<void(Bed&)>& aTest)
+{
+  bed::RunWithBed(MakeChatOptions(), [&](Bed& aBed) {
+    utils::Error reason;
+    REQUIRE_MESSAGE(PublishModel(aBed, reason), reason.detail);
+    aTest(aBed);
+  });
+}
+
+bed::ChatCall
+MakeCall(const std::string& aPrompt, std::size_t aTokens)
+{
+  bed::ChatCall call;
+  call.profile = kChatProfile;
+  call.prompt = aPrompt;
+  call.tokens = aTokens;
+  return call;
+}
+
+/** A call that goes on in a fiber of its own. */
+struct Background
+{
+  void Start(Bed& aBed, const net::Endpoint& aEntry, const bed::ChatCall& aCall)
+  {
+    net::Runtime::SpawnHere([this, &aBed, aEntry, aCall] {
+      answer = bed::Chat(aBed.GetClient(), aEntry, aCall);
+      done = true;
+    });
+  }
+
+  bool Wait()
+  {
+    return Bed::WaitFor([this] { return done.load(); }, kPatience);
+  }
+
+  bed::CallerAnswer answer;
+  std::atomic<bool> done{ false };
+};
+
+// The side whose engine runs something now.
+bed::BedNode*
+FindBusySide(Bed& aBed)
+{
+  for (auto* side : aBed.GetEngineSides()) {
+    auto counters = aBed.GetCounters(side->upstream);
+    if (counters && counters->running() > 0) {
+      return side;
+    }
+  }
+  return nullptr;
+}
+
+bed::BedNode*
+WaitBusySide(Bed& aBed)
+{
+  bed::BedNode* side = nullptr;
+  Bed::WaitFor(
+    [&] {
+      side = FindBusySide(aBed);
+      return side != nullptr;
+    },
+    kPatience);
+  return side;
+}
+
+void
+CheckWhole(const bed::CallerAnswer& aAnswer, const bed::ChatCall& aCall)
+{
+  CHECK_MESSAGE(aAnswer.whole, aAnswer.errorType << aAnswer.reason.detail);
+  CHECK(aAnswer.text ==
+        fakes::MakeAnswer(aCall.prompt, aAnswer.version, aCall.tokens));
+}
+
+std::uint64_t
+CountCrashes(Bed& aBed)
+{
+  std::uint64_t crashes = 0;
+  for (auto* side : aBed.GetEngineSides()) {
+    auto counters = aBed.GetCounters(side->upstream);
+    crashes += counters ? counters->crashes() : 0;
+  }
+  return crashes;
+}
+
+} // namespace
+
+TEST_CASE("calls that must run once do, under fault after fault")
+{
+  auto options = MakeOptions({ { "a1", "a", 2, 0, 3 } }, { 32, 0 }, 22);
+  bed::RunWithBed(options, [](Bed& aBed) {
+    utils::Error reason;
+    REQUIRE_MESSAGE(PublishService(aBed, reason), reason.detail);
+    OnceOptions once;
+    once.calls = 1500;
+    auto result = RunOnce(aBed, once, MakePathFaults());
+    CHECK(result.calls == once.calls);
+    CHECK(result.whole > once.calls / 2);
+    CHECK(result.ranTwice == 0);
+    CHECK(result.falseNotRun == 0);
+    CHECK(result.wholeNotRun == 0);
+    CHECK(result.crossed == 0);
+    CHECK(result.late == 0);
+  });
+}
+
+TEST_CASE("a stream whose side dies goes on elsewhere and is whole")
+{
+  WithModel([](Bed& aBed) {
+    auto call = MakeCall("a long report", 100);
+    Background stream;
+    stream.Start(aBed, aBed.GetEntries()[0]->caller, call);
+    auto* side = WaitBusySide(aBed);
+    REQUIRE(side);
+    net::Runtime::Sleep(Millis(300));
+    aBed.Kill(*side);
+    REQUIRE(stream.Wait());
+    CheckWhole(stream.answer, call);
+  });
+}
+
+TEST_CASE("leaving sides and entries finish what they run")
+{
+  WithModel([](Bed& aBed) {
+    auto call = MakeCall("a long report", 100);
+    Background stream;
+    stream.Start(aBed, aBed.GetEntries()[0]->caller, call);
+    auto* side = WaitBusySide(aBed);
+    REQUIRE(side);
+    aBed.Terminate(*side);
+    aBed.Terminate(*aBed.GetEntries()[0]);
+    REQUIRE(stream.Wait());
+    CheckWhole(stream.answer, call);
+    CHECK(side->process->WaitForEnd(kPatience));
+    CHECK(aBed.GetEntries()[0]->process->WaitForEnd(kPatience));
+    auto other = MakeCall("another", 5);
+    CheckWhole(bed::Chat(aBed.GetClient(), aBed.GetEntries()[1]->caller, other),
+               other);
+  });
+}
+
+TEST_CASE("a caller that leaves stops its request in the engine")
+{
+  WithModel([](Bed& aBed) {
+    auto call = MakeCall("a report nobody reads", 1000);
+    call.deadline = Millis(60000);
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.body = std::string("{\"model\":\"") + kChatProfile +
+                   "\",\"stream\":true,\"max_tokens\":1000,\"messages\":[]}";
+    utils::Error reason;
+    auto stream =
+      aBed.GetClient().Open(aBed.GetEntries()[0]->caller, request, {}, reason);
+    REQUIRE_MESSAGE(stream, reason.detail);
+    auto* side = WaitBusySide(aBed);
+    REQUIRE(side);
+    stream.reset();
+    CHECK(
+      Bed::WaitFor([&] { return FindBusySide(aBed) == nullptr; }, kPatience));
+    CHECK(aBed.GetCounters(side->upstream)->cancels() > 0);
+  });
+}
+
+TEST_CASE("a request that crashes upstreams is quarantined, its neighbours not")
+{
+  WithModel([](Bed& aBed) {
+    auto crasher = MakeCall(kCrashMarker, 10);
+    std::vector<bed::ChatCall> calls;
+    std::vector<Background> neighbours(6);
+    for (std::size_t i = 0; i < neighbours.size(); ++i) {
+      calls.push_back(MakeCall("neighbour " + std::to_string(i), 60));
+      neighbours[i].Start(aBed, aBed.GetEntries()[i % 2]->caller, calls[i]);
+    }
+    REQUIRE(WaitBusySide(aBed));
+    for (int i = 0; i < 4; ++i) {
+      auto answer =
+        bed::Chat(aBed.GetClient(), aBed.GetEntries()[i % 2]->caller, crasher);
+      CHECK_FALSE(answer.whole);
+    }
+    for (auto& neighbour : neighbours) {
+      CHECK(neighbour.Wait());
+      CHECK(neighbour.answer.errorType != "quarantined");
+    }
+    CHECK(CountCrashes(aBed) == 2);
+    auto last =
+      bed::Chat(aBed.GetClient(), aBed.GetEntries()[1]->caller, crasher);
+    CHECK(last.errorType == "quarantined");
+    CHECK(last.run == "no");
+    for (const auto& call : calls) {
+      CHECK(Bed::WaitFor(
+        [&] {
+          return bed::Chat(aBed.GetClient(), aBed.GetEntries()[0]->caller, call)
+            .whole;
+        },
+        kPatience));
+    }
+  });
+}
