--- a/bench/requests/src/OnceRun.cpp
+++ b/bench/requests/src/OnceRun.cpp
@@ -81,7 +81,7 @@
 using PickNode = std::function<bed::BedNode&(Bed&)>;
 
 PathFault
-MakeKill(const std::string& aName, PickNode aPick)
+MakeKill(const std::string& aName, const PickNode& aPick)
 {
   return { aName,
            [aPick](Bed& aBed) { aBed.Kill(aPick(aBed)); },
@@ -93,7 +93,7 @@
 }
 
 PathFault
-MakePause(const std::string& aName, PickNode aPick)
+MakePause(const std::string& aName, const PickNode& aPick)
 {
   return { aName,
            [aPick](Bed& aBed) { aBed.Pause(aPick(aBed)); },
--- a/bench/requests/src/Overload.cpp
+++ b/bench/requests/src/Overload.cpp
@@ -19,7 +19,6 @@
 constexpr std::uint32_t kTokensPerSecond = 50;
 constexpr std::uint32_t kSlots = 8;
 constexpr std::size_t kSides = 4;
-constexpr double kMillisPerSecond = 1000;
 constexpr Millis kDuration(12000);
 constexpr Millis kDeadline(3000);
 constexpr int kUrgent = 0;
