--- a/bench/requests/src/Streams.cpp
+++ b/bench/requests/src/Streams.cpp
@@ -19,6 +19,8 @@
 constexpr int kOk = 200;
 constexpr double kMillisPerSecond = 1000;
 constexpr Millis kGrace(5000);
+// Enough for an answer's last event.
+constexpr std::size_t kEndChars = 40;
 
 net::HttpRequest
 MakeRequest(const StreamCall& aCall)
@@ -75,10 +77,8 @@
     }
     last = events > 0 ? now : last;
     aSample.tokens += events;
-    end =
-      (end + part)
-        .substr(end.size() + part.size() > 40 ? end.size() + part.size() - 40
-                                              : 0);
+    end += part;
+    end.erase(0, end.size() - std::min(end.size(), kEndChars));
     result = aStream.Read(part, aTimeout, reason);
   }
   aSample.whole = result == net::ReadResult::End && aSample.status == kOk &&
