--- a/tests/matrix/Main.cpp
+++ b/tests/matrix/Main.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -29,8 +30,31 @@
   std::size_t shards = 1;
   std::string results;
   std::string page;
+  bool quick = false;
+  std::string knownRed;
 };
 
+// What CI runs: each step once, each kind of fault once.
+const std::vector<CellName>&
+ListQuickCells()
+{
+  static const std::vector<CellName> kCells{
+    { "publish", { "log's answers lost" }, 1 },
+    { "publish", { "operators racing" }, 1 },
+    { "spread", { "chunks corrupt" }, 1 },
+    { "load", { "sides killed" }, 1 },
+    { "switch-over", { "none" }, 1 },
+    { "request, idempotent", { "answers lost after the act" }, 1 },
+    { "request, keyed", { "entry killed" }, 1 },
+    { "request, unkeyed", { "connections silent" }, 1 },
+    { "request, streaming", { "sides paused and woken" }, 1 },
+    { "drain", { "VM list behind" }, 1 },
+    { "shutdown", { "none" }, 1 },
+    { "upgrade", { "log down" }, 1 },
+  };
+  return kCells;
+}
+
 bool
 IsChosen(const std::vector<std::string>& aChosen, const std::string& aName)
 {
@@ -41,6 +65,9 @@
 ListCells(const Options& aOptions)
 {
   std::vector<CellName> cells;
+  if (aOptions.quick) {
+    return ListQuickCells();
+  }
   if (aOptions.pairs > 0) {
     return ListPairs(aOptions.pairs, aOptions.seed);
   }
@@ -67,12 +94,30 @@
   }
 }
 
+// A line of KNOWN-RED.txt that begins "matrix: STEP x FAULT;".
+bool
+IsKnownRed(const std::string& aFile, const CellName& aName)
+{
+  auto start = "matrix: " + aName.step + " x " + aName.faults[0] + ";";
+  std::ifstream file(aFile);
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(start)) {
+      std::printf("%s: passed over, KNOWN RED\n", aName.ToString().c_str());
+      return true;
+    }
+  }
+  return false;
+}
+
 int
 RunCells(const Options& aOptions)
 {
   auto cells = ListCells(aOptions);
   int red = 0;
   for (std::size_t i = aOptions.shard; i < cells.size(); i += aOptions.shards) {
+    if (IsKnownRed(aOptions.knownRed, cells[i])) {
+      continue;
+    }
     auto result = RunCell(cells[i]);
     red += result.findings.empty() ? 0 : 1;
     std::printf("%s: %s\n",
@@ -103,6 +148,10 @@
   app.add_option("--shard", options.shard, "Run only each --shards'th cell");
   app.add_option("--shards", options.shards, "Number of shards");
   app.add_option("--results", options.results, "File to append results to");
+  app.add_flag("--quick", options.quick, "Only the cells that CI runs");
+  app.add_option("--known-red",
+                 options.knownRed,
+                 "Pass over the cells that this file names, and say so");
   app.add_option(
     "--page", options.page, "Only write this page from the results");
   CLI11_PARSE(app, aCount, aArguments);
