--- a/build.sh
+++ b/build.sh
@@ -25,6 +25,8 @@
   format     format every source; with --check only tell
   lint       run clang-tidy on every source
   generated  check that generated code matches its schema
+  pages      write docs/SETTINGS.md and docs/ERRORS.md anew from the code;
+             with --check only compare
 TEXT
 }
 
@@ -67,6 +69,23 @@
   check_generated_from fakes/proto fakes/generated/fakes
 }
 
+write_pages() { # DIR
+  local tool=build/bin/waxwingyoke
+  for kind in daemon tool profile; do
+    "$tool" settings reference --kind "$kind"
+  done >"$1/SETTINGS.md"
+  "$tool" settings errors >"$1/ERRORS.md"
+}
+
+check_pages() {
+  local fresh
+  fresh=$(mktemp -d)
+  write_pages "$fresh"
+  diff "$fresh/SETTINGS.md" docs/SETTINGS.md
+  diff "$fresh/ERRORS.md" docs/ERRORS.md
+  rm -r "$fresh"
+}
+
 # Lists unit test programs: everything that ctest knows but the integration
 # tests, which start other processes.
 run_unit_tests() { # BUILD_DIR
@@ -108,6 +127,9 @@
       xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
     ;;
   generated) check_generated ;;
+  pages)
+    if [ "${2:-}" = --check ]; then check_pages; else write_pages docs; fi
+    ;;
   *)
     usage
     exit 2
--- a/libs/schema/src/SettingsReader.cpp
+++ b/libs/schema/src/SettingsReader.cpp
@@ -102,7 +102,8 @@
 {
   for (const auto& [key, node] : aTable) {
     std::string name(key.str());
-    if (aMessage.GetDescriptor()->FindFieldByName(name) == nullptr) {
+    const auto* field = aMessage.GetDescriptor()->FindFieldByName(name);
+    if (field == nullptr || field->options().GetExtension(hidden)) {
       return Fail(node,
                   "unknown key '" + name + "' in " +
                     aMessage.GetDescriptor()->name());
--- a/libs/schema/src/SettingsReference.cpp
+++ b/libs/schema/src/SettingsReference.cpp
@@ -1,5 +1,7 @@
 #include <schema/SettingsReader.h>
 
+#include <algorithm>
+#include <cctype>
 #include <sstream>
 
 #include <google/protobuf/descriptor.h>
@@ -12,15 +14,44 @@
 using google::protobuf::Descriptor;
 using google::protobuf::FieldDescriptor;
 
+constexpr const char* kTableHead =
+  "| key | holds | preset | meaning |\n| --- | --- | --- | --- |\n";
+
+bool
+IsTable(const FieldDescriptor& aField)
+{
+  return aField.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE;
+}
+
+std::string
+DescribeEnum(const google::protobuf::EnumDescriptor& aEnum)
+{
+  std::string names;
+  for (int i = 0; i < aEnum.value_count(); ++i) {
+    names += (i > 0 ? ", `" : "`") + aEnum.value(i)->name() + "`";
+  }
+  std::ranges::transform(names, names.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return names;
+}
+
 std::string
-DescribeRange(const FieldDescriptor& aField)
+DescribeContent(const FieldDescriptor& aField)
 {
   const auto& options = aField.options();
-  if (!options.HasExtension(max)) {
-    return aField.cpp_type_name();
+  if (aField.is_repeated()) {
+    return "list of strings";
   }
-  return std::to_string(options.GetExtension(min)) + " to " +
-         std::to_string(options.GetExtension(max));
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_ENUM) {
+    return DescribeEnum(*aField.enum_type());
+  }
+  if (options.HasExtension(max)) {
+    return std::to_string(options.GetExtension(min)) + " to " +
+           std::to_string(options.GetExtension(max));
+  }
+  bool isNumber = aField.cpp_type() == FieldDescriptor::CPPTYPE_UINT32;
+  return isNumber ? "whole number" : aField.cpp_type_name();
 }
 
 std::string
@@ -31,28 +62,36 @@
     return "required";
   }
   const auto& text = options.GetExtension(preset);
-  return text.empty() ? "empty" : "`" + text + "`";
+  return text.empty() ? "none" : "`" + text + "`";
 }
 
+// Writes the table's own keys, then the tables in it.
 void
 WriteTable(const Descriptor& aDescriptor,
-           const std::string& aName,
+           const std::string& aPath,
            std::ostringstream& aOut)
 {
+  std::ostringstream rows;
   std::ostringstream inner;
-  aOut << "## `[" << aName << "]`\n\n"
-       << "| key | holds | preset | meaning |\n| --- | --- | --- | --- |\n";
   for (int i = 0; i < aDescriptor.field_count(); ++i) {
     const auto& field = *aDescriptor.field(i);
-    if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
-      WriteTable(*field.message_type(), field.name(), inner);
-      continue;
+    const auto& meaning = field.options().GetExtension(doc);
+    if (IsTable(field)) {
+      auto path = aPath + (aPath.empty() ? "" : ".") + field.name();
+      auto header = "[" + path + "]";
+      inner << "## `" << (field.is_repeated() ? "[" + header + "]" : header)
+            << "`\n\n"
+            << meaning << "\n\n";
+      WriteTable(*field.message_type(), path, inner);
+    } else if (!field.options().GetExtension(hidden)) {
+      rows << "| `" << field.name() << "` | " << DescribeContent(field) << " | "
+           << DescribePreset(field) << " | " << meaning << " |\n";
     }
-    aOut << "| `" << field.name() << "` | " << DescribeRange(field) << " | "
-         << DescribePreset(field) << " | " << field.options().GetExtension(doc)
-         << " |\n";
   }
-  aOut << "\n" << inner.str();
+  if (!rows.str().empty()) {
+    aOut << kTableHead << rows.str() << "\n";
+  }
+  aOut << inner.str();
 }
 
 } // namespace
@@ -61,25 +100,9 @@
 MakeSettingsReference(const Descriptor& aDescriptor)
 {
   std::ostringstream page;
-  std::ostringstream top;
-  bool hasTopKeys = false;
-  for (int i = 0; i < aDescriptor.field_count(); ++i) {
-    const auto& field = *aDescriptor.field(i);
-    if (field.cpp_type() == FieldDescriptor::CPPTYPE_MESSAGE) {
-      WriteTable(*field.message_type(), field.name(), page);
-      continue;
-    }
-    hasTopKeys = true;
-    top << "| `" << field.name() << "` | " << DescribeRange(field) << " | "
-        << DescribePreset(field) << " | " << field.options().GetExtension(doc)
-        << " |\n";
-  }
-  std::string head = "# Settings: " + aDescriptor.name() + "\n\n";
-  if (hasTopKeys) {
-    head += "| key | holds | preset | meaning |\n| --- | --- | --- | --- |\n" +
-            top.str() + "\n";
-  }
-  return head + page.str();
+  page << "# Settings: " << aDescriptor.name() << "\n\n";
+  WriteTable(aDescriptor, "", page);
+  return page.str();
 }
 
 } // namespace waxwingyoke::schema
--- a/libs/schema/tests/SettingsReaderTest.cpp
+++ b/libs/schema/tests/SettingsReaderTest.cpp
@@ -76,7 +76,10 @@
   CHECK(profile.kind() == schema::SERVICE);
   CHECK(profile.vms().data_centres(1) == "debrecen-1");
   CHECK(profile.requests().idempotent(0).path_prefix() == "/status");
-  CHECK_FALSE(
-    schema::ReadSettings("\nkind = \"modle\"\n", "p.toml", profile, reason));
+  CHECK_FALSE(schema::ReadSettings(
+    "name = \"x\"\nkind = \"modle\"\n", "p.toml", profile, reason));
   CHECK(reason.detail == "p.toml:2: 'kind' must be one of model, service");
+  CHECK_FALSE(schema::ReadSettings(
+    "name = \"x\"\nrevision = 7\n", "p.toml", profile, reason));
+  CHECK(reason.detail == "p.toml:2: unknown key 'revision' in Profile");
 }
--- a/tools/waxwingyoke/src/SettingsCommands.cpp
+++ b/tools/waxwingyoke/src/SettingsCommands.cpp
@@ -47,6 +47,24 @@
   return 0;
 }
 
+// The page of all error kinds, from the table that the code answers by.
+int
+PrintErrors()
+{
+  std::cout << "# Error kinds\n\nThe closed list. `run` tells whether the "
+               "request may have run: `no` is proven.\n\n"
+               "| kind | HTTP | RPC | run | retry | exit code |\n"
+               "| --- | --- | --- | --- | --- | --- |\n";
+  constexpr auto kEnd = static_cast<int>(utils::ErrorKind::Count);
+  for (int i = 0; i < kEnd; ++i) {
+    const auto& row = utils::GetErrorTraits(static_cast<utils::ErrorKind>(i));
+    std::cout << "| `" << row.name << "` | " << row.httpStatus << " | "
+              << row.rpcCode << " | " << utils::GetName(row.run) << " | "
+              << (row.retry ? "yes" : "no") << " | " << row.exitCode << " |\n";
+  }
+  return 0;
+}
+
 struct Arguments
 {
   std::string file;
@@ -87,6 +105,11 @@
   reference->callback([&aContext, arguments] {
     aContext.run = [arguments] { return PrintReference(arguments->kind); };
   });
+
+  auto* errors =
+    group->add_subcommand("errors", "print the page of error kinds");
+  errors->callback(
+    [&aContext] { aContext.run = [] { return PrintErrors(); }; });
 }
 
 } // namespace waxwingyoke::tool
