--- a/tests/matrix/Faults.cpp
+++ b/tests/matrix/Faults.cpp
@@ -156,21 +156,23 @@
   aCell.StartChange(aCell.MakeVersion());
 }
 
+constexpr int kCrasherSendings = 6;
+constexpr utils::Millis kCrasherPause(300);
+constexpr utils::Millis kCrasherDeadline(3000);
+
 // Its caller sends a crashing request again each time that it fails.
 void
 SendCrasher(Cell& aCell)
 {
-  constexpr int kSendings = 6;
-  constexpr utils::Millis kPause(300);
   auto* cell = &aCell;
   net::Runtime::SpawnHere([cell] {
-    for (int i = 0; i < kSendings; ++i) {
+    for (int i = 0; i < kCrasherSendings; ++i) {
       bed::ChatCall call;
       call.profile = kModelProfile;
       call.prompt = "crash-the-upstream " + std::to_string(cell->seed);
-      call.deadline = utils::Millis(3000);
+      call.deadline = kCrasherDeadline;
       Chat(cell->bed.GetClient(), cell->victimEntry->caller, call);
-      net::Runtime::Sleep(kPause);
+      net::Runtime::Sleep(kCrasherPause);
     }
   });
 }
--- a/tests/matrix/Promises.cpp
+++ b/tests/matrix/Promises.cpp
@@ -14,8 +14,6 @@
 using bed::CallerAnswer;
 using utils::Millis;
 
-constexpr int kOk = 200;
-
 // How often upstreams ran each id.
 class RunTable
 {
