--- a/libs/requests/src/Entry.cpp
+++ b/libs/requests/src/Entry.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr utils::Millis kDrainPoll(20);
+constexpr utils::Millis kStartGrace(5000);
 constexpr std::array<const char*, 5> kServiceMethods{ "GET",
                                                       "POST",
                                                       "PUT",
--- a/libs/requests/src/EntryImpl.cpp
+++ b/libs/requests/src/EntryImpl.cpp
@@ -1,5 +1,6 @@
 #include "EntryImpl.h"
 
+#include <algorithm>
 #include <ranges>
 #include <utility>
 
@@ -43,6 +44,20 @@
 {
   std::scoped_lock lock(routesMutex);
   routes.Set(routesBuilder.Build(aView));
+  knowsEnough = knowsEnough || KnowsEnough(aView);
+}
+
+// A fresh entry hears of profiles, of VMs and of what they serve one after
+// the other; the balancer must not send requests before.
+bool
+Entry::Impl::KnowsEnough(const membership::View& aView) const
+{
+  auto table = routes.Get();
+  return aView.config->nextOffset > 0 && !aView.members.empty() &&
+         std::ranges::all_of(aView.config->profiles,
+                             [&table](const auto& aProfile) {
+                               return !table->Find(aProfile.first).empty();
+                             });
 }
 
 bool
--- a/libs/requests/src/EntryImpl.h
+++ b/libs/requests/src/EntryImpl.h
@@ -40,6 +40,7 @@
              schema::Profile& aProfile,
              utils::Error& aReason);
   void RebuildRoutes(const membership::View& aView);
+  bool KnowsEnough(const membership::View& aView) const;
 
   membership::Node& node;
   net::HttpClient& client;
@@ -53,6 +54,10 @@
   utils::RcuCell<routing::RouteTable> routes;
   std::mutex routesMutex;
   routing::RouteTableBuilder routesBuilder;
+  utils::Clock clock;
+  utils::Millis startedAt = clock.Now();
+  // Once an entry is ready, only draining ends it.
+  std::atomic<bool> knowsEnough{ false };
   std::atomic<bool> draining{ false };
   std::atomic<bool> closed{ false };
   std::atomic<int> active{ 0 };
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -103,12 +103,15 @@
   }
   lastError_ = {};
   hooks_.pause();
-  SetServing({});
+  // Others stop sending now; what still runs here is of the old version and
+  // is judged by it until the engine gets its order.
+  Announce({});
   DrainAndOrder(aProfile, aServes);
   hooks_.resume();
   permits_.Release();
   if (lastError_.IsSet()) {
     notBefore_ = clock_.Now() + kRetryPause;
+    SetServing({});
     // Step looks at what the engine really holds before it is used again.
   }
 }
@@ -130,6 +133,7 @@
     lastError_.Set(ErrorKind::StaleRevision, "the profile has changed");
     return;
   }
+  SetServing({});
   SendOrder(aProfile);
 }
 
@@ -194,6 +198,12 @@
     return;
   }
   serving_.Set(std::make_shared<const ServingState>(aServing));
+  Announce(aServing);
+}
+
+void
+SwitchOver::Announce(const ServingState& aServing)
+{
   services_.node.UpdateStatus([&](schema::NodeStatus& aStatus) {
     aStatus.set_ready_profile(aServing.profile);
     aStatus.set_ready_revision(aServing.revision);
--- a/libs/weights/src/SwitchOver.h
+++ b/libs/weights/src/SwitchOver.h
@@ -45,6 +45,9 @@
   void Accept(const schema::Profile& aProfile, const std::string& aVersion);
   void SetServing(ServingState aServing);
 
+  /** Tells the other processes, and leaves this one as it is. */
+  void Announce(const ServingState& aServing);
+
   const Services services_;
   Depot::Hooks hooks_;
   PermitDesk permits_;
--- a/tools/waxwingyoked/src/SideRole.cpp
+++ b/tools/waxwingyoked/src/SideRole.cpp
@@ -1,5 +1,7 @@
 #include "Role.h"
 
+#include <algorithm>
+
 #include <net/HttpServer.h>
 #include <requests/Side.h>
 #include <weights/Depot.h>
@@ -10,6 +12,20 @@
 
 namespace {
 
+// Time in which entries learn that a side leaves. Until then they send it
+// requests, which it must be there to refuse as not run: a closed port leaves
+// open whether they ran.
+constexpr utils::Millis kLeaveNotice(2000);
+
+void
+DrainSide(requests::Side& aSide)
+{
+  utils::Clock clock;
+  auto noticed = clock.Now() + kLeaveNotice;
+  aSide.Drain();
+  net::Runtime::Sleep(std::max(noticed - clock.Now(), utils::Millis(0)));
+}
+
 /** Admits requests to the plain service beside it. */
 class ServiceSideRole : public Role
 {
@@ -36,7 +52,7 @@
     return true;
   }
   bool IsReady() const override { return true; }
-  void Drain() override { side_.Drain(); }
+  void Drain() override { DrainSide(side_); }
 
 private:
   ServiceProbe probe_;
@@ -77,7 +93,7 @@
   }
   bool Start(utils::Error& aReason) override;
   bool IsReady() const override { return true; }
-  void Drain() override { side_.Drain(); }
+  void Drain() override { DrainSide(side_); }
 
 private:
   weights::Depot::Hooks MakeHooks();
