Test configuration under faults with real processes

Connections come from the VM's own address, so that the proxy can hold a region's traffic by its source. A retired profile is published anew over its retirement.

--- a/bench/config/Main.cpp
+++ b/bench/config/Main.cpp
@@ -3,13 +3,10 @@
 
 #include <algorithm>
 #include <iostream>
-#include <set>
 
 #include <CLI/CLI.hpp>
 #include <bed/Bed.h>
 #include <net/Runtime.h>
-#include <rpc/RpcClient.h>
-#include <schema/control.pb.h>
 
 #include "Changes.h"
 #include "Probe.h"
@@ -30,6 +27,7 @@
   std::size_t nodes = 16;
   std::int64_t seconds = 20;
   bool logFaults = false;
+  bool regionCut = false;
 };
 
 bed::BedOptions
@@ -41,6 +39,7 @@
     { "tos-sone1", "nordnorge" }
   };
   bed::BedOptions options;
+  options.proxied = aOptions.regionCut;
   for (std::size_t i = 0; i < places.size(); ++i) {
     auto share = aOptions.nodes / places.size() +
                  (i < aOptions.nodes % places.size() ? 1 : 0);
@@ -50,22 +49,6 @@
   return options;
 }
 
-/** Asks every node; whether all have folded aOffset to the same state. */
-bool
-AreEqual(bed::Bed& aBed, std::uint64_t aOffset)
-{
-  rpc::RpcClient client(aBed.GetClient(), bed::kSecret);
-  std::set<std::string> digests;
-  return std::ranges::all_of(aBed.GetNodes(), [&](const auto& aNode) {
-    schema::StatusReply reply;
-    utils::Error reason;
-    bool answered = client.Call(
-      aNode->control, "status.get", schema::StatusRequest(), reply, {}, reason);
-    digests.insert(reply.state_digest());
-    return answered && reply.config_offset() >= aOffset && digests.size() == 1;
-  });
-}
-
 void
 Print(const Options& aOptions,
       const std::string& aPhase,
@@ -102,6 +85,13 @@
   return timelines;
 }
 
+std::string
+GetPhase(const Options& aOptions)
+{
+  std::string phase = aOptions.regionCut ? "region_cut" : "changes";
+  return aOptions.logFaults ? phase + "_log_faults" : phase;
+}
+
 /** Sends a change each second; with faults the log fails half of the time. */
 void
 SendChanges(bed::Bed& aBed, Changer& aChanger, const Options& aOptions)
@@ -122,6 +112,23 @@
   aBed.SetFaults(bed::Service::Log, fakes::Faults());
 }
 
+/** Cuts a region off for 30 s of changes; the wall clock at its return. */
+std::int64_t
+SendWithCut(bed::Bed& aBed, Changer& aChanger, const Options& aOptions)
+{
+  constexpr std::int64_t kCutSeconds = 30;
+  constexpr const char* kRegion = "nordnorge";
+  auto part = aOptions;
+  part.seconds = kCutSeconds;
+  aBed.SetRegionCut(kRegion, true);
+  SendChanges(aBed, aChanger, part);
+  aBed.SetRegionCut(kRegion, false);
+  auto returned = utils::GetWallTime().value;
+  part.seconds = aOptions.seconds;
+  SendChanges(aBed, aChanger, part);
+  return returned;
+}
+
 bool
 Measure(bed::Bed& aBed, const Options& aOptions)
 {
@@ -131,7 +138,7 @@
     return false;
   }
   auto isSettled = [&] {
-    return AreEqual(aBed, changer.GetAccepted().back().revision);
+    return aBed.IsInForce(changer.GetAccepted().back().revision);
   };
   if (!bed::Bed::WaitFor(isSettled, kSettleTimeout)) {
     std::cerr << "the first change does not come into force\n";
@@ -146,16 +153,21 @@
 
   auto before = TakeSample(aBed);
   auto skip = changer.GetAccepted().size();
-  SendChanges(aBed, changer, aOptions);
+  std::int64_t faultEnd = 0;
+  if (aOptions.regionCut) {
+    faultEnd = SendWithCut(aBed, changer, aOptions);
+  } else {
+    SendChanges(aBed, changer, aOptions);
+  }
   auto after = TakeSample(aBed);
   net::Runtime::Sleep(kSpreadTime);
   bool equal = bed::Bed::WaitFor(isSettled, kSettleTimeout);
   std::vector<AcceptedChange> changes(changer.GetAccepted().begin() +
                                         static_cast<std::ptrdiff_t>(skip),
                                       changer.GetAccepted().end());
-  auto times = MeasureInForce(changes, ReadTimelines(aBed), 0);
+  auto times = MeasureInForce(changes, ReadTimelines(aBed), faultEnd);
   Print(aOptions,
-        aOptions.logFaults ? "log_faults" : "changes",
+        GetPhase(aOptions),
         Compare(before, after),
         changes.size(),
         times,
@@ -174,6 +186,9 @@
   app.add_option("--seconds", options.seconds, "of each phase");
   app.add_flag(
     "--log-faults", options.logFaults, "the log fails for 10 s of each 20 s");
+  app.add_flag("--region-cut",
+               options.regionCut,
+               "one region is cut off for 30 s of changes first");
   CLI11_PARSE(app, aCount, aArguments);
   bool good = false;
   bed::RunWithBed(MakeBedOptions(options),
--- a/fakes/src/ProxyLink.cpp
+++ b/fakes/src/ProxyLink.cpp
@@ -31,6 +31,14 @@
   return address;
 }
 
+std::string
+ShowAddress(const sockaddr_in& aAddress)
+{
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &aAddress.sin_addr, text, sizeof(text));
+  return text;
+}
+
 Descriptor
 MakeSocket()
 {
@@ -103,16 +111,27 @@
 void
 ProxyLink::SetFaults(const LinkFaults& aFaults)
 {
-  faults_ = aFaults;
-  if (faults_.silence_open()) {
+  auto& faults = aFaults.from().empty() ? faults_ : faultsFrom_[aFaults.from()];
+  faults = aFaults;
+  if (faults.silence_open()) {
     counters_.set_faults_met(counters_.faults_met() + connections_.size());
     std::ranges::for_each(
       connections_, [](auto& aConnection) { aConnection->silent = true; });
   }
-  if (faults_.cut()) {
-    std::ranges::for_each(connections_,
-                          [this](auto& aConnection) { Cut(*aConnection); });
-  }
+  std::ranges::for_each(connections_, [this](auto& aConnection) {
+    if (FindFaults(aConnection->from).cut()) {
+      Cut(*aConnection);
+    }
+  });
+}
+
+const LinkFaults&
+ProxyLink::FindFaults(const std::string& aFrom) const
+{
+  auto found = std::ranges::find_if(faultsFrom_, [&](const auto& aEntry) {
+    return aFrom.starts_with(aEntry.first);
+  });
+  return found == faultsFrom_.end() ? faults_ : found->second;
 }
 
 void
@@ -127,8 +146,9 @@
 bool
 ProxyLink::IsHeld(const Connection& aConnection, bool aToTarget) const
 {
+  const auto& faults = FindFaults(aConnection.from);
   return aConnection.silent ||
-         (aToTarget ? faults_.hold_to_target() : faults_.hold_to_client());
+         (aToTarget ? faults.hold_to_target() : faults.hold_to_client());
 }
 
 bool
@@ -173,12 +193,17 @@
 ProxyLink::Accept()
 {
   while (true) {
-    Descriptor client(
-      accept4(listener_.Get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    Descriptor client(accept4(listener_.Get(),
+                              reinterpret_cast<sockaddr*>(&peer),
+                              &size,
+                              SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!client.IsOpen()) {
       return;
     }
-    if (faults_.cut()) {
+    auto from = ShowAddress(peer);
+    if (FindFaults(from).cut()) {
       client.Reset();
       continue;
     }
@@ -186,6 +211,7 @@
     int one = 1;
     setsockopt(client.Get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     auto connection = std::make_unique<Connection>();
+    connection->from = std::move(from);
     connection->client = std::move(client);
     connection->target = MakeSocket();
     auto address = MakeAddress(target_);
--- a/fakes/src/ProxyLink.h
+++ b/fakes/src/ProxyLink.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -55,6 +56,8 @@
 /** A client's connection with the one made for it to the target. */
 struct Connection
 {
+  /** The client's address. */
+  std::string from;
   Descriptor client;
   Descriptor target;
   Pipe toTarget;
@@ -86,6 +89,8 @@
   utils::Millis Move(utils::Millis aNow);
 
 private:
+  /** The faults for a client's address. */
+  const LinkFaults& FindFaults(const std::string& aFrom) const;
   bool IsHeld(const Connection& aConnection, bool aToTarget) const;
   void Accept();
   void CheckConnected(Connection& aConnection) const;
@@ -100,6 +105,8 @@
   std::string listenText_;
   Descriptor listener_;
   LinkFaults faults_;
+  /** Holds and cuts by the beginning of the client's address. */
+  std::map<std::string, LinkFaults> faultsFrom_;
   LinkCounters counters_;
   std::mt19937_64 random_;
   std::vector<std::unique_ptr<Connection>> connections_;
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -71,7 +71,8 @@
 class HttpClient
 {
 public:
-  HttpClient();
+  /** aLocalAddress: where connections come from; empty: the system picks. */
+  explicit HttpClient(std::string aLocalAddress = "");
   ~HttpClient();
 
   /** The whole answer, whatever its status. */
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -83,12 +83,42 @@
   }
 }
 
+// The port is left to connect, or a busy process would run out of ports
+// long before it has a connection to each peer from each of them.
+void
+BindTo(Tcp::socket& aSocket,
+       const std::string& aAddress,
+       beast::error_code& aError)
+{
+  auto address = asio::ip::make_address(aAddress, aError);
+  if (aError || address.is_unspecified()) {
+    return;
+  }
+  Tcp::endpoint native(address, 0);
+  aSocket.open(native.protocol(), aError);
+  if (!aError) {
+    int one = 1;
+    setsockopt(aSocket.native_handle(),
+               IPPROTO_IP,
+               IP_BIND_ADDRESS_NO_PORT,
+               &one,
+               sizeof(one));
+    aSocket.bind(native, aError);
+  }
+}
+
 std::unique_ptr<Connection>
-Connect(const Endpoint& aPeer, utils::Millis aTimeout, utils::Error& aReason)
+Connect(const std::string& aLocalAddress,
+        const Endpoint& aPeer,
+        utils::Millis aTimeout,
+        utils::Error& aReason)
 {
   beast::error_code error;
   auto address = asio::ip::make_address(aPeer.address, error);
   auto connection = std::make_unique<Connection>(GetThreadIo());
+  if (!error && !aLocalAddress.empty()) {
+    BindTo(connection->stream.socket(), aLocalAddress, error);
+  }
   if (!error) {
     connection->stream.expires_after(aTimeout.ToChrono());
     Tcp::endpoint native(address, aPeer.port);
@@ -197,6 +227,8 @@
 
 struct HttpClient::Impl
 {
+  std::string localAddress;
+
   std::unique_ptr<ResponseStream::Impl> Exchange(
     const Endpoint& aPeer,
     std::unique_ptr<Connection> aConnection,
@@ -239,9 +271,10 @@
   return answer;
 }
 
-HttpClient::HttpClient()
+HttpClient::HttpClient(std::string aLocalAddress)
   : impl_(std::make_unique<Impl>())
 {
+  impl_->localAddress = std::move(aLocalAddress);
 }
 
 HttpClient::~HttpClient() = default;
@@ -256,7 +289,8 @@
   auto connection = TakeIdle(aPeer, utils::Clock().Now());
   bool reused = connection != nullptr;
   if (!connection) {
-    connection = Connect(aPeer, aTimeouts.connect, aReason);
+    connection =
+      Connect(impl_->localAddress, aPeer, aTimeouts.connect, aReason);
   }
   if (!connection) {
     return nullptr;
@@ -266,7 +300,8 @@
   bool repeat = !answer && reused && aRequest.method == "GET" &&
                 aReason.kind == ErrorKind::ConnectionLost;
   if (repeat) {
-    connection = Connect(aPeer, aTimeouts.connect, aReason);
+    connection =
+      Connect(impl_->localAddress, aPeer, aTimeouts.connect, aReason);
     if (!connection) {
       return nullptr;
     }
--- a/tests/bed/include/bed/Bed.h
+++ b/tests/bed/include/bed/Bed.h
@@ -171,6 +171,16 @@
   /** Needs a proxied bed. */
   bool SetLink(const BedNode& aNode, Link aLink, fakes::LinkFaults aFaults);
   bool SetAllLinks(const fakes::LinkFaults& aFaults);
+  /**
+   * Holds or lets pass all bytes between the daemons of a region and those
+   * of the others, and between the region and the log. Needs a proxied bed.
+   */
+  bool SetRegionCut(const std::string& aRegion, bool aCut);
+  /**
+   * Whether every daemon that runs has all records below aNextOffset in
+   * force, and all of them the same state.
+   */
+  bool IsInForce(std::uint64_t aNextOffset);
   std::optional<fakes::Counters> GetCounters(const net::Endpoint& aFake);
   std::optional<fakes::Counters> GetCounters(Service aService);
   /** Runs of an id over all plain services. */
--- a/tools/waxwingyoke/src/ProfileCommands.cpp
+++ b/tools/waxwingyoke/src/ProfileCommands.cpp
@@ -63,6 +63,24 @@
   return 1;
 }
 
+// A profile that was retired is published anew over its retirement; one that
+// is in force is left to conflict.
+bool
+FillInRetirement(profiles::Publisher& aPublisher,
+                 schema::ProfileChange& aChange,
+                 utils::Error& aReason)
+{
+  auto config = aPublisher.ReadConfig(aReason);
+  if (!config) {
+    return false;
+  }
+  const auto& name = aChange.profile().name();
+  if (config->FindProfile(name) == nullptr) {
+    aChange.set_replaces_revision(config->GetRevision(name));
+  }
+  return true;
+}
+
 // A change without --replaces replaces what is in force now.
 bool
 FillInReplaces(profiles::Publisher& aPublisher,
@@ -71,7 +89,7 @@
                utils::Error& aReason)
 {
   if (aChange.kind() == schema::PUBLISH) {
-    return true;
+    return FillInRetirement(aPublisher, aChange, aReason);
   }
   aChange.set_replaces_revision(aArguments.replaces);
   if (aArguments.replaces != 0) {
--- a/tools/waxwingyoked/src/Main.cpp
+++ b/tools/waxwingyoked/src/Main.cpp
@@ -72,7 +72,7 @@
 Serve(net::Runtime& aRuntime, const schema::DaemonSettings& aSettings)
 {
   telemetry::Logger logger("daemon");
-  net::HttpClient httpClient;
+  net::HttpClient httpClient(aSettings.node().address());
   rpc::RpcClient rpcClient(httpClient, aSettings.node().secret());
   platform::LogClient log(httpClient,
                           *net::Endpoint::Parse(aSettings.platform().log()));
