Bound what a peer may send and use all descriptors that the machine allows

Cause: HttpClient::Call took a body of any size, so one broken peer could fill a process's memory; the soft limit of descriptors may be far below the hard one. An endless answer is now given up at 64 MiB as too_large.

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -71,10 +71,16 @@
 class HttpClient
 {
 public:
+  /** Above the largest chunk that a manifest may hold. */
+  static constexpr std::size_t kMaxBodyBytes = 64 << 20;
+
   HttpClient();
   ~HttpClient();
 
-  /** The whole answer, whatever its status. */
+  /**
+   * The whole answer, whatever its status. TooLarge where its body is over
+   * kMaxBodyBytes: no peer may fill this process's memory.
+   */
   std::optional<HttpResponse> Call(const Endpoint& aPeer,
                                    const HttpRequest& aRequest,
                                    const CallTimeouts& aTimeouts,
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -299,6 +299,11 @@
     auto left = std::max(deadline - clock.Now(), utils::Millis(1));
     switch (stream->Read(part, left, aReason)) {
       case ReadResult::Data:
+        if (response.body.size() + part.size() > kMaxBodyBytes) {
+          aReason.Set(ErrorKind::TooLarge,
+                      aPeer.ToString() + " sends too much");
+          return std::nullopt;
+        }
         response.body += part;
         break;
       case ReadResult::End:
--- a/libs/net/src/Runtime.cpp
+++ b/libs/net/src/Runtime.cpp
@@ -6,6 +6,8 @@
 #include <mutex>
 #include <utility>
 
+#include <sys/resource.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -28,6 +30,18 @@
 thread_local std::size_t tThreadIndex = 0;
 thread_local boost::asio::io_context* tIo = nullptr;
 
+// A connection takes a descriptor; the soft limit is often far below what
+// the machine allows.
+void
+RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 } // namespace
 
 FiberScheduler::FiberScheduler(boost::asio::io_context& aIo)
@@ -126,6 +140,7 @@
 {
   // A peer that closes early is an error code of the write, not a signal.
   std::signal(SIGPIPE, SIG_IGN);
+  RaiseDescriptorLimit();
   impl_->loops.resize(std::max<std::size_t>(aThreads, 1));
   std::ranges::generate(impl_->loops, [] { return std::make_unique<Loop>(); });
 }
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -121,6 +121,21 @@
   });
 }
 
+TEST_CASE("an endless answer is given up as too large")
+{
+  auto handler = [](const HttpRequest&, ResponseWriter& aWriter) {
+    std::string part(1 << 20, 'x');
+    aWriter.Start(200, {});
+    while (aWriter.Write(part)) {
+    }
+  };
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    CHECK_FALSE(aClient.Call(aPeer, {}, {}, reason));
+    CHECK(reason.kind == utils::ErrorKind::TooLarge);
+  });
+}
+
 TEST_CASE("a body over the limit is refused as too large")
 {
   WithServer(&Echo, [](HttpClient& aClient, const Endpoint& aPeer) {
