--- a/libs/requests/src/Entry.cpp
+++ b/libs/requests/src/Entry.cpp
@@ -88,7 +88,11 @@
 bool
 Entry::IsReady() const
 {
-  return !impl_->draining && impl_->node.GetView()->config->nextOffset > 0;
+  // A deployment without profiles, or with one that nothing serves yet, has
+  // nothing more to wait for.
+  bool waited = impl_->clock.Now() > impl_->startedAt + kStartGrace;
+  return !impl_->draining && impl_->node.GetView()->config->nextOffset > 0 &&
+         (impl_->knowsEnough || waited);
 }
 
 void
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -190,7 +190,7 @@
 }
 
 void
-SwitchOver::SetServing(ServingState aServing)
+SwitchOver::SetServing(const ServingState& aServing)
 {
   auto now = serving_.Get();
   if (now->profile == aServing.profile && now->revision == aServing.revision &&
--- a/libs/weights/src/SwitchOver.h
+++ b/libs/weights/src/SwitchOver.h
@@ -43,7 +43,7 @@
   void SendOrder(const schema::Profile& aProfile);
   std::optional<schema::EngineState> AskUntilSettled();
   void Accept(const schema::Profile& aProfile, const std::string& aVersion);
-  void SetServing(ServingState aServing);
+  void SetServing(const ServingState& aServing);
 
   /** Tells the other processes, and leaves this one as it is. */
   void Announce(const ServingState& aServing);
