Requests: faults of links in the matrix, silence asked about before a retry

An idempotent stream over a connection that went silent was run a second time: the patience for a side counted from the last byte, two seconds back, so no question was asked. It now counts from the loss. An attempt changed on its way could have run under an id that nobody asks about; its body's digest is now checked before it begins. A look whether the reader is gone, a system call, is made every 100 ms instead of with each token.

--- a/bench/requests/include/requests_load/OnceRun.h
+++ b/bench/requests/include/requests_load/OnceRun.h
@@ -21,7 +21,8 @@
   std::function<void(bed::Bed&)> end;
 };
 
-/** The faults that a run of calls meets, in this order, again and again. */
+/** The faults that a run of calls meets, in this order, again and again;
+ * they need a proxied bed. */
 std::vector<PathFault>
 MakePathFaults();
 
--- a/bench/requests/src/Latency.cpp
+++ b/bench/requests/src/Latency.cpp
@@ -2,6 +2,7 @@
 #include <iterator>
 #include <vector>
 
+#include <net/Runtime.h>
 #include <requests_load/Beds.h>
 #include <requests_load/Streams.h>
 
@@ -21,7 +22,9 @@
 constexpr double kEntries = 340;
 constexpr double kTargetRequests = 2400;
 constexpr double kTargetTokens = 880000;
-constexpr Millis kDuration(15000);
+constexpr Millis kDuration(10000);
+// Without any load, for what the processes do anyway.
+constexpr Millis kIdleTime(5000);
 constexpr std::uint64_t kSeed = 11;
 
 struct Spread
@@ -86,6 +89,19 @@
   return cost;
 }
 
+/** Processor time a second with no load. */
+Cost
+MeasureIdle(bed::Bed& aBed)
+{
+  auto before = ReadCost(aBed);
+  net::Runtime::Sleep(kIdleTime);
+  auto after = ReadCost(aBed);
+  constexpr double kMillisPerSecond = 1000;
+  auto seconds = static_cast<double>(kIdleTime.value) / kMillisPerSecond;
+  return { (after.entryMillis - before.entryMillis) / seconds,
+           (after.sideMillis - before.sideMillis) / seconds };
+}
+
 std::vector<StreamSample>
 Run(bed::Bed& aBed, bool aDirect, double aShare, std::size_t aTokens)
 {
@@ -177,6 +193,9 @@
       return;
     }
     Figures all;
+    auto idle = MeasureIdle(aBed);
+    all.Add("entry_idle_ms_per_s", idle.entryMillis);
+    all.Add("sides_idle_ms_per_s", idle.sideMillis);
     all.AddJson("half", Compare(aBed, 0.5));
     all.AddJson("full", Compare(aBed, 1.0));
     all.AddJson("short", MeasureRequests(aBed));
--- a/bench/requests/src/OnceRun.cpp
+++ b/bench/requests/src/OnceRun.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <map>
 
 #include <bed/Caller.h>
@@ -131,6 +132,49 @@
   return answer;
 }
 
+PathFault
+MakeLinkFault(const std::string& aName,
+              bed::Link aLink,
+              const fakes::LinkFaults& aFaults)
+{
+  auto set = [aLink](Bed& aBed, const fakes::LinkFaults& aNow) {
+    for (auto* side : aBed.GetServiceSides()) {
+      aBed.SetLink(*side, aLink, aNow);
+    }
+  };
+  return { aName,
+           [set, aFaults](Bed& aBed) { set(aBed, aFaults); },
+           [set](Bed& aBed) { set(aBed, {}); } };
+}
+
+std::vector<PathFault>
+MakeLinkFaults()
+{
+  fakes::LinkFaults silence;
+  silence.set_silence_open(true);
+  fakes::LinkFaults cut;
+  cut.set_cut(true);
+  fakes::LinkFaults noWayBack;
+  noWayBack.set_hold_to_client(true);
+  fakes::LinkFaults noWayThere;
+  noWayThere.set_hold_to_target(true);
+  fakes::LinkFaults cutAnswers;
+  cutAnswers.set_cut_answers_per_mille(200);
+  fakes::LinkFaults corrupt;
+  corrupt.set_corrupt_per_mille(20);
+  using bed::Link;
+  return {
+    MakeLinkFault("connections to sides silent", Link::Control, silence),
+    MakeLinkFault("connections to upstreams silent", Link::Upstream, silence),
+    MakeLinkFault("link to sides cut", Link::Control, cut),
+    MakeLinkFault("answers of sides held", Link::Control, noWayBack),
+    MakeLinkFault("attempts held", Link::Control, noWayThere),
+    MakeLinkFault("answers of sides cut", Link::Control, cutAnswers),
+    MakeLinkFault("answers of upstreams cut", Link::Upstream, cutAnswers),
+    MakeLinkFault("bytes from and to sides changed", Link::Control, corrupt),
+  };
+}
+
 void
 SendCall(Bed& aBed, Call& aCall, std::size_t aFirstEntry, Millis aDeadline)
 {
@@ -213,7 +257,7 @@
 std::vector<PathFault>
 MakePathFaults()
 {
-  return {
+  std::vector<PathFault> faults{
     MakeUpstreamFault("upstream answers lost", MakeLostAnswers()),
     MakeKill("side killed", GetFirstSide),
     MakePause("side paused", GetFirstSide),
@@ -223,6 +267,8 @@
     MakePause("entry paused", GetLastEntry),
     MakeUpstreamFault("upstream silent", MakeSilence()),
   };
+  std::ranges::copy(MakeLinkFaults(), std::back_inserter(faults));
+  return faults;
 }
 
 OnceResult
--- a/bench/requests/src/Overload.cpp
+++ b/bench/requests/src/Overload.cpp
@@ -118,7 +118,7 @@
 {
   std::string figures;
   auto options = MakeOptions({ { "a1", "a", 2, 0, 3 } }, { 32, 0 }, kSeed + 1);
-  options.sideLines = "slots = 32\n";
+  options.proxied = true;
   bed::RunWithBed(options, [&](bed::Bed& aBed) {
     utils::Error reason;
     if (!PublishService(aBed, reason)) {
--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -19,6 +19,7 @@
 constexpr Millis kSilence(2000);
 constexpr Millis kReconnectPause(100);
 constexpr Millis kCancelTimeout(1000);
+constexpr Millis kLookInterval(100);
 constexpr int kOk = 200;
 
 // Up to the deadline, a little more so that the side's own refusal for the
@@ -41,6 +42,7 @@
   utils::DigestBuilder digest{};
   AttemptResult result{};
   bool done = false;
+  Millis nextLook{};
 };
 
 AttemptCall::AttemptCall(net::HttpClient& aClient,
@@ -58,6 +60,7 @@
   net::HttpRequest request;
   request.method = "POST";
   request.target = aPath;
+  request.fields.Set(kBodyDigestField, utils::Digest::Of(aBody).ToHex());
   request.body = std::move(aBody);
   auto secret = net::MakeSecretField(secret_);
   request.fields.Set(secret.name, secret.value);
@@ -130,6 +133,8 @@
 {
   auto& error = aProgress.result.error;
   const auto& options = aProgress.options;
+  // A silent connection took its time already; patience is for new ones.
+  auto lostAt = clock_.Now();
   while (!aProgress.done) {
     auto now = clock_.Now();
     if (now >= options.deadline + kDeadlineGrace) {
@@ -137,7 +142,7 @@
       Cancel(aProgress);
       return;
     }
-    if (now - aProgress.heardAt > options.patience) {
+    if (now - std::max(lostAt, aProgress.heardAt) > options.patience) {
       error.Set(ErrorKind::OutcomeUnknown, "the side is not to be reached");
       return;
     }
@@ -183,7 +188,7 @@
     if (found == FrameResult::Broken) {
       return;
     }
-    if (!aProgress.done && aProgress.sink.IsCallerGone()) {
+    if (!aProgress.done && IsCallerGone(aProgress)) {
       aProgress.result.callerGone = true;
       aProgress.done = true;
       Cancel(aProgress);
@@ -195,6 +200,18 @@
   }
 }
 
+// A look costs a system call, so not with every token.
+bool
+AttemptCall::IsCallerGone(Progress& aProgress) const
+{
+  auto now = clock_.Now();
+  if (now < aProgress.nextLook) {
+    return false;
+  }
+  aProgress.nextLook = now + kLookInterval;
+  return aProgress.sink.IsCallerGone();
+}
+
 void
 AttemptCall::TakeFrame(const schema::AnswerFrame& aFrame,
                        Progress& aProgress) const
--- a/libs/requests/src/AttemptCall.h
+++ b/libs/requests/src/AttemptCall.h
@@ -80,6 +80,7 @@
   Stream OpenAttach(const Progress& aProgress, utils::Error& aReason) const;
   void FollowToEnd(Progress& aProgress) const;
   void ReadFrames(net::ResponseStream& aStream, Progress& aProgress) const;
+  bool IsCallerGone(Progress& aProgress) const;
   void TakeFrame(const schema::AnswerFrame& aFrame, Progress& aProgress) const;
   void TakeEnd(const schema::AnswerEnd& aEnd, Progress& aProgress) const;
   void Cancel(const Progress& aProgress) const;
--- a/libs/requests/src/Frames.h
+++ b/libs/requests/src/Frames.h
@@ -9,6 +9,10 @@
 
 namespace waxwingyoke::requests {
 
+/** Field of POST /attempts with the digest of its body: a changed id would
+ * run under a name that nobody asks about. */
+inline constexpr const char* kBodyDigestField = "X-Body-Digest";
+
 /** Longest frame that a reader takes, bytes. */
 inline constexpr std::size_t kMaxFrameBytes = 1 << 20;
 
--- a/libs/requests/src/SideImpl.cpp
+++ b/libs/requests/src/SideImpl.cpp
@@ -17,6 +17,7 @@
 using utils::Millis;
 
 constexpr Millis kHeartbeat(500);
+constexpr Millis kLookInterval(100);
 // An entry that lost its connection comes back well within this.
 constexpr Millis kOrphanTime(3000);
 constexpr Millis kCatchUpWait(1000);
@@ -30,6 +31,13 @@
   return telemetry::Metrics::Get().GetCounter(aName);
 }
 
+bool
+HasRightDigest(const net::HttpRequest& aRequest)
+{
+  return aRequest.fields.Find(kBodyDigestField) ==
+         utils::Digest::Of(aRequest.body).ToHex();
+}
+
 } // namespace
 
 Side::Impl::Impl(const schema::DaemonSettings& aSettings,
@@ -52,6 +60,11 @@
 {
   auto request = std::make_shared<schema::AttemptRequest>();
   utils::Error reason;
+  if (!HasRightDigest(aRequest)) {
+    reason.Set(ErrorKind::DigestMismatch, "the attempt was changed on its way");
+    RefuseWith(reason, aWriter);
+    return;
+  }
   if (!request->ParseFromString(aRequest.body) || request->attempt().empty()) {
     reason.Set(ErrorKind::BadRequest, "not an attempt");
     RefuseWith(reason, aWriter);
@@ -106,9 +119,10 @@
 {
   schema::AttachRequest request;
   utils::Error reason;
-  if (!request.ParseFromString(aRequest.body)) {
+  if (!HasRightDigest(aRequest) || !request.ParseFromString(aRequest.body)) {
+    // Says nothing of the attempt, so it must not look like its end.
     reason.Set(ErrorKind::BadRequest, "not an attachment");
-    RefuseWith(reason, aWriter);
+    aWriter.Send(net::MakeErrorResponse(reason));
     return;
   }
   schema::AskRequest question;
@@ -187,6 +201,7 @@
     kOk, { { "Content-Type", "application/vnd.waxwingyoke.frames" } });
   bool hasHead = false;
   std::string out;
+  Millis nextLook;
   while (open) {
     auto part = aAnswer->Wait(hasHead, aFrom, kHeartbeat);
     out.clear();
@@ -205,7 +220,13 @@
       frame.mutable_heartbeat()->set_queued(!hasHead);
       AppendFrame(frame, out);
     }
-    open = aWriter.Write(out) && !aWriter.IsPeerGone();
+    open = aWriter.Write(out);
+    // A look costs a system call, so not with every token.
+    auto now = clock.Now();
+    if (open && now >= nextLook) {
+      open = !aWriter.IsPeerGone();
+      nextLook = now + kLookInterval;
+    }
     if (part.end) {
       aWriter.Finish();
       break;
--- a/tests/RequestsTest.cpp
+++ b/tests/RequestsTest.cpp
@@ -117,6 +117,7 @@
 TEST_CASE("calls that must run once do, under fault after fault")
 {
   auto options = MakeOptions({ { "a1", "a", 2, 0, 3 } }, { 32, 0 }, 22);
+  options.proxied = true;
   bed::RunWithBed(options, [](Bed& aBed) {
     utils::Error reason;
     REQUIRE_MESSAGE(PublishService(aBed, reason), reason.detail);
@@ -148,6 +149,27 @@
   });
 }
 
+TEST_CASE("a stream over a connection that went silent runs once and is whole")
+{
+  auto options = MakeChatOptions();
+  options.proxied = true;
+  bed::RunWithBed(options, [](Bed& aBed) {
+    utils::Error reason;
+    REQUIRE_MESSAGE(PublishModel(aBed, reason), reason.detail);
+    auto call = MakeCall("a long report", 100);
+    Background stream;
+    stream.Start(aBed, aBed.GetEntries()[0]->caller, call);
+    auto* side = WaitBusySide(aBed);
+    REQUIRE(side);
+    fakes::LinkFaults silence;
+    silence.set_silence_open(true);
+    REQUIRE(aBed.SetLink(*side, bed::Link::Control, silence));
+    REQUIRE(stream.Wait());
+    CheckWhole(stream.answer, call);
+    CHECK(aBed.CountPromptRuns(call.prompt) == 1);
+  });
+}
+
 TEST_CASE("leaving sides and entries finish what they run")
 {
   WithModel([](Bed& aBed) {
