--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -71,10 +71,17 @@
 class HttpClient
 {
 public:
-  HttpClient();
+  /** Above the largest chunk that a manifest may hold. */
+  static constexpr std::size_t kMaxBodyBytes = 64 << 20;
+
+  /** aLocalAddress: where connections come from; empty: the system picks. */
+  explicit HttpClient(std::string aLocalAddress = "");
   ~HttpClient();
 
-  /** The whole answer, whatever its status. */
+  /**
+   * The whole answer, whatever its status. TooLarge where its body is over
+   * kMaxBodyBytes: no peer may fill this process's memory.
+   */
   std::optional<HttpResponse> Call(const Endpoint& aPeer,
                                    const HttpRequest& aRequest,
                                    const CallTimeouts& aTimeouts,
