weights: end every burst: refunds, urgent tickets, gift limit, shared chunks kept

Change: tries without a byte are taken back; urgent tickets come out of what other extents left over, the whole cap stays at four copies; a chunk is given to two, then at the pace of gifts; holders that fail twice don't count; deadlines of outside sources follow their own rate; manifests also from other regions; chunks are dropped only once the new manifest is known. Fetches between regions share their budget equally and yield to delay.

--- a/libs/weights/src/ChunkRoutes.cpp
+++ b/libs/weights/src/ChunkRoutes.cpp
@@ -1,6 +1,6 @@
 #include "ChunkRoutes.h"
 
-#include <algorithm>
+#include <mutex>
 #include <string_view>
 
 #include <telemetry/Metrics.h>
@@ -122,7 +122,21 @@
     Refuse(ErrorKind::Overloaded, aRequest, aWriter);
     return;
   }
+  auto begin = clock_.Now();
+  if (!MayGive(*digest)) {
+    Refuse(ErrorKind::Overloaded, aRequest, aWriter);
+    return;
+  }
   WritePaced(*bytes, aWriter);
+  std::scoped_lock lock(mutex_);
+  limit_.End(clock_.Now() - begin);
+}
+
+bool
+ChunkRoutes::MayGive(const utils::Digest& aChunk)
+{
+  std::scoped_lock lock(mutex_);
+  return limit_.Begin(aChunk, clock_.Now());
 }
 
 void
--- a/libs/weights/src/ChunkRoutes.h
+++ b/libs/weights/src/ChunkRoutes.h
@@ -6,6 +6,7 @@
 
 #include <net/Router.h>
 
+#include "GiftLimit.h"
 #include "Holdings.h"
 #include "Pacer.h"
 
@@ -34,10 +35,14 @@
                   net::ResponseWriter& aWriter);
   void SendToEngine(const net::HttpRequest& aRequest,
                     net::ResponseWriter& aWriter) const;
+  bool MayGive(const utils::Digest& aChunk);
   void WritePaced(const std::string& aBytes, net::ResponseWriter& aWriter);
 
   const Holdings& holdings_;
   Pacer& link_;
+  utils::Clock clock_;
+  boost::fibers::mutex mutex_;
+  GiftLimit limit_;
   std::atomic<int> answers_{ 0 };
   std::atomic<std::uint64_t> given_{ 0 };
 };
--- a/libs/weights/src/Depot.cpp
+++ b/libs/weights/src/Depot.cpp
@@ -50,6 +50,7 @@
   void Step();
   void StepModel(const schema::Profile& aProfile);
   void Want(const utils::Digest& aVersion, std::uint64_t aRevision);
+  void Trim(const utils::Digest& aWanted);
   void StepEngine(const schema::Profile& aProfile, bool aWhole);
   void Report();
 
@@ -58,6 +59,7 @@
   RolloutLog rollout;
   Pacer link;
   Pacer regionLink;
+  RegionShare regionShare;
   ChunkRoutes routes;
   Offers offers;
   Services services;
@@ -67,6 +69,8 @@
   utils::Clock clock;
   utils::Millis nextEngineLook;
   bool wasWhole = false;
+  /** The versions that were last kept. */
+  std::set<utils::Digest> kept;
   std::string reported;
 };
 
@@ -81,9 +85,11 @@
   , rollout(aLog)
   , link(aSettings.weights().link_bytes_per_s())
   , regionLink(aSettings.weights().region_bytes_per_s())
+  , regionShare(aSettings.weights().region_bytes_per_s())
   , routes(holdings, link)
   , offers(aSettings.node().vm(), aNode.GetIncarnation(), holdings, routes)
-  , services{ settings, aNode, aHttp, aRpc, holdings, offers, link, regionLink }
+  , services{ settings, aNode, aHttp,      aRpc,       holdings,
+              offers,   link,  regionLink, regionShare }
   , switchOver(services, rollout, std::move(aHooks))
 {
 }
@@ -123,6 +129,7 @@
   }
   error = {};
   Want(*version, aProfile.revision());
+  Trim(*version);
   StepEngine(aProfile, holdings.IsWhole(*version));
 }
 
@@ -132,21 +139,35 @@
   if (transfer && transfer->GetVersion() == aVersion) {
     return;
   }
-  std::set<utils::Digest> kept{ aVersion };
+  // Nothing is dropped here: until the new manifest is known, any chunk may
+  // be one of the new version's as well.
   if (transfer) {
     transfer->Cancel();
-    // What the engine serves is still worth giving to others.
-    auto serving = utils::Digest::Parse(switchOver.GetServing().version);
-    if (serving) {
-      kept.insert(*serving);
-    }
   }
-  holdings.KeepOnly(kept);
   transfer = std::make_shared<Transfer>(services, rollout, aVersion, aRevision);
   transfer->Start();
   wasWhole = false;
 }
 
+// Keeps what is wanted and what the engine serves, which others may still
+// need from here.
+void
+Depot::Impl::Trim(const utils::Digest& aWanted)
+{
+  if (!holdings.FindContent(aWanted)) {
+    return;
+  }
+  std::set<utils::Digest> now{ aWanted };
+  auto serving = utils::Digest::Parse(switchOver.GetServing().version);
+  if (serving) {
+    now.insert(*serving);
+  }
+  if (now != kept) {
+    kept = now;
+    holdings.KeepOnly(kept);
+  }
+}
+
 void
 Depot::Impl::StepEngine(const schema::Profile& aProfile, bool aWhole)
 {
--- a/libs/weights/src/Fetcher.cpp
+++ b/libs/weights/src/Fetcher.cpp
@@ -12,7 +12,7 @@
 // The newest transfer's share in the rate.
 constexpr double kNewWeight = 0.2;
 // A source may be this many times slower than usual.
-constexpr std::int64_t kPatience = 8;
+constexpr std::int64_t kPatience = 5;
 constexpr utils::Millis kMinDeadline(2000);
 constexpr utils::Millis kMaxDeadline(60000);
 constexpr utils::Millis kFirstDeadline(20000);
@@ -76,7 +76,8 @@
 Fetcher::Fetch(const FetchOrder& aOrder, utils::Error& aReason)
 {
   constexpr int kOk = 200;
-  auto end = clock_.Now() + aOrder.deadline;
+  auto begin = clock_.Now();
+  auto end = begin + aOrder.deadline;
   net::HttpRequest request;
   request.target = aOrder.path;
   request.fields = aOrder.fields;
@@ -99,6 +100,9 @@
     }
     return std::nullopt;
   }
+  if (aOrder.onHead) {
+    aOrder.onHead(clock_.Now() - begin);
+  }
   return ReadBody(*stream, aOrder, end, aReason);
 }
 
--- a/libs/weights/src/Fetcher.h
+++ b/libs/weights/src/Fetcher.h
@@ -48,6 +48,8 @@
   std::function<bool()> goOn;
   /** Told the bytes of each part. */
   std::function<void(std::size_t)> onBytes;
+  /** Told the time to the answer's head. */
+  std::function<void(utils::Millis)> onHead;
 };
 
 /** Fetches over HTTP, part by part, within the budget of the link. */
--- a/libs/weights/src/Gossip.cpp
+++ b/libs/weights/src/Gossip.cpp
@@ -54,6 +54,8 @@
        services_.offers.TakeHeard(swarm_->version.ToHex())) {
     swarm_->peers.Merge(offer, now);
   }
+  services_.regionShare.NoteFetchers(CountFetchers(*swarm_));
+  services_.regionLink.SetRate(services_.regionShare.GetRate());
   AskSome(true, kAsksPerRound);
   if (round_++ % kRoundsPerRemoteAsk == 0) {
     AskSome(false, 1);
--- a/libs/weights/src/Outside.cpp
+++ b/libs/weights/src/Outside.cpp
@@ -5,14 +5,34 @@
 
 namespace waxwingyoke::weights {
 
+using utils::ErrorKind;
+
 namespace {
 
 // More would share the same link and make each chunk later.
 constexpr int kMaxRunning = 1;
-constexpr utils::Millis kMinPatience(2000);
-constexpr std::int64_t kPatienceChunks = 10;
-constexpr utils::Millis kServicePause(500);
-constexpr int kMaxDoublings = 5;
+constexpr utils::Millis kMinPatience(4000);
+constexpr std::int64_t kPatienceChunks = 12;
+constexpr utils::Millis kCorruptPause(300);
+constexpr utils::Millis kRefusedPause(1000);
+// A stalled source costs each try a whole deadline.
+constexpr utils::Millis kStalledPause(10000);
+constexpr int kMaxDoublings = 3;
+constexpr utils::Millis kHeldBackPause(300);
+
+utils::Millis
+GetPause(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::DigestMismatch:
+      return kCorruptPause;
+    case ErrorKind::TimedOut:
+    case ErrorKind::DeadlineExceeded:
+      return kStalledPause;
+    default:
+      return kRefusedPause;
+  }
+}
 
 } // namespace
 
@@ -74,19 +94,34 @@
 bool
 Outside::Admit(const OutsidePick& aPick)
 {
-  return aPick.kind == SourceKind::RemotePeer ||
-         budget_.Admit(aPick.chunk, GetExtentOf(aPick.chunk));
+  if (aPick.kind == SourceKind::RemotePeer) {
+    return true;
+  }
+  auto extents = CountExtents(swarm_->content->chunks.size());
+  if (budget_.Admit({ aPick.chunk, GetExtentOf(aPick.chunk), extents })) {
+    return true;
+  }
+  heldBack_[aPick.chunk] = clock_.Now() + kHeldBackPause;
+  return false;
+}
+
+bool
+Outside::IsHeldBack(std::size_t aChunk) const
+{
+  auto found = heldBack_.find(aChunk);
+  return found != heldBack_.end() && clock_.Now() < found->second;
 }
 
 std::optional<OutsidePick>
 Outside::PickSource(const PickInput& aInput, std::size_t aChunk) const
 {
   auto services = ListServices();
-  if (!services.empty() && !budget_.IsSpent(GetExtentOf(aChunk))) {
+  auto vm = PickRemotePeer(aInput, aChunk);
+  bool spent = budget_.IsSpent(GetExtentOf(aChunk));
+  if (!services.empty() && (!spent || !vm)) {
     services.front().chunk = aChunk;
     return services.front();
   }
-  auto vm = PickRemotePeer(aInput, aChunk);
   if (!vm) {
     return std::nullopt;
   }
@@ -107,7 +142,8 @@
   auto count = held->GetSize();
   for (std::size_t chunk = 0; chunk < count; ++chunk) {
     bool wanted = !held->Has(chunk) && !swarm_->running.contains(chunk) &&
-                  CountHolders(input, chunk) == 0 && IsDue(GetExtentOf(chunk));
+                  !IsHeldBack(chunk) && CountHolders(input, chunk) == 0 &&
+                  IsDue(GetExtentOf(chunk));
     if (wanted) {
       if (auto pick = PickSource(input, chunk)) {
         return pick;
@@ -118,9 +154,14 @@
 }
 
 void
-Outside::End(const OutsidePick& aPick, const utils::Error& aError)
+Outside::End(const OutsidePick& aPick,
+             std::size_t aBytes,
+             const utils::Error& aError)
 {
   --running_;
+  if (aBytes == 0 && aPick.kind != SourceKind::RemotePeer) {
+    budget_.TakeBack(aPick.chunk);
+  }
   auto service = std::ranges::find(list_, aPick.kind, &Service::kind);
   if (service == list_.end()) {
     return;
@@ -131,7 +172,7 @@
   }
   auto doublings = std::min(service->failures++, kMaxDoublings);
   service->avoidUntil =
-    clock_.Now() + kServicePause * (std::int64_t(1) << doublings);
+    clock_.Now() + GetPause(aError.kind) * (std::int64_t(1) << doublings);
 }
 
 } // namespace waxwingyoke::weights
--- a/libs/weights/src/Outside.h
+++ b/libs/weights/src/Outside.h
@@ -47,10 +47,16 @@
 
   void Begin() { ++running_; }
 
+  /** The pick that Begin was called for is not fetched after all. */
+  void GiveUp() { --running_; }
+
   /** Whether the origin's budget lets that pick be fetched; may suspend. */
   bool Admit(const OutsidePick& aPick);
 
-  void End(const OutsidePick& aPick, const utils::Error& aError);
+  /** aBytes came, with an error or without. */
+  void End(const OutsidePick& aPick,
+           std::size_t aBytes,
+           const utils::Error& aError);
 
   /** The store and the origin, as far as there are any and they work. */
   std::vector<OutsidePick> ListServices() const;
@@ -65,6 +71,7 @@
   };
 
   bool IsDue(std::size_t aExtent);
+  bool IsHeldBack(std::size_t aChunk) const;
   std::optional<OutsidePick> PickSource(const PickInput& aInput,
                                         std::size_t aChunk) const;
   std::size_t GetExtentOf(std::size_t aChunk) const;
@@ -75,6 +82,8 @@
   std::vector<Service> list_;
   utils::Clock clock_;
   int running_ = 0;
+  /** Chunks that the budget held back, and until when. */
+  std::map<std::size_t, utils::Millis> heldBack_;
   /** Ranks by extent, for the sides of rankedVms_. */
   std::vector<std::string> rankedVms_;
   std::map<std::size_t, std::vector<std::string>> ranks_;
--- a/libs/weights/src/Picker.cpp
+++ b/libs/weights/src/Picker.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int kMaxFetchesPerPeer = 1;
+// A holder that failed so often in a row may be dead, though still listed.
+constexpr int kMaxFailures = 2;
 // Peers whose gifts differ by less are told apart by the hash: a sharper
 // choice would send every side to the same peer.
 constexpr std::uint64_t kGivenStep = 2;
@@ -70,7 +72,8 @@
   return static_cast<std::size_t>(
     std::ranges::count_if(aInput.peers.GetPeers(), [&](const auto& aEntry) {
       const auto& peer = aEntry.second;
-      return peer.region == aInput.region && peer.held.Has(aChunk);
+      return peer.region == aInput.region && peer.held.Has(aChunk) &&
+             peer.failures < kMaxFailures;
     }));
 }
 
--- a/libs/weights/src/Picker.h
+++ b/libs/weights/src/Picker.h
@@ -45,7 +45,8 @@
 std::optional<std::string>
 PickRemotePeer(const PickInput& aInput, std::size_t aChunk);
 
-/** How many sides of the region hold aChunk, as far as known. */
+/** How many sides of the region hold aChunk, as far as known; those whose
+ * last fetches failed do not count. */
 std::size_t
 CountHolders(const PickInput& aInput, std::size_t aChunk);
 
--- a/libs/weights/src/Swarm.cpp
+++ b/libs/weights/src/Swarm.cpp
@@ -29,6 +29,16 @@
   return rate.GetUsualTime(content->bytes / content->chunks.size());
 }
 
+std::size_t
+CountFetchers(const Swarm& aSwarm)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aSwarm.regionVms, [&](const std::string& aVm) {
+      const auto* peer = aSwarm.peers.Find(aVm);
+      return peer == nullptr || !peer->held.IsFull();
+    }));
+}
+
 void
 SeeMembers(const Services& aServices, Swarm& aSwarm)
 {
--- a/libs/weights/src/Swarm.h
+++ b/libs/weights/src/Swarm.h
@@ -18,6 +18,7 @@
 #include "Pacer.h"
 #include "PeerBook.h"
 #include "Picker.h"
+#include "RegionShare.h"
 
 namespace waxwingyoke::weights {
 
@@ -31,8 +32,9 @@
   Holdings& holdings;
   Offers& offers;
   Pacer& link;
-  /** This side's part of the budget between regions. */
+  /** Holds fetches from other regions to regionShare. */
   Pacer& regionLink;
+  RegionShare& regionShare;
 };
 
 /**
@@ -52,6 +54,8 @@
   /** Chunks being fetched. */
   std::set<std::size_t> running;
   RateMeter rate;
+  /** The same of chunks from outside the region. */
+  RateMeter outsideRate;
   bool cancelled = false;
   /** The last reason why a source failed; unset after a success. */
   utils::Error lastError;
@@ -60,6 +64,10 @@
   utils::Millis GetChunkTime() const;
 };
 
+/** Sides of the region, this one included, that do not hold all chunks. */
+std::size_t
+CountFetchers(const Swarm& aSwarm);
+
 /** Takes the sides that the view lists into the swarm. */
 void
 SeeMembers(const Services& aServices, Swarm& aSwarm);
--- a/libs/weights/src/TicketFold.cpp
+++ b/libs/weights/src/TicketFold.cpp
@@ -19,9 +19,11 @@
   auto [entry, fresh] = bursts_.try_emplace(burst);
   auto& counts = entry->second;
   counts.ids.insert(aId);
-  auto& granted = counts.byExtent[aTicket.extent()];
-  if (granted < kMaxOriginCopies) {
-    ++granted;
+  auto& ofExtent = counts.byExtent[aTicket.extent()];
+  bool left = counts.granted < kMaxOriginCopies * aTicket.extents();
+  if (left && (ofExtent < kMaxOriginCopies || aTicket.urgent())) {
+    ++ofExtent;
+    ++counts.granted;
     granted_.insert(aId);
   }
   if (fresh) {
--- a/libs/weights/src/TicketFold.h
+++ b/libs/weights/src/TicketFold.h
@@ -19,8 +19,9 @@
 
 /**
  * Which tickets for the origin are granted: the first few for each extent in
- * the log's order. Every reader of the same records grants the same ones,
- * whatever its view of the VMs.
+ * the log's order, and urgent ones out of what other extents left over. All
+ * of a publication together never exceed the cap. Every reader of the same
+ * records grants the same ones, whatever its view of the VMs.
  */
 class TicketFold
 {
@@ -46,6 +47,7 @@
   struct Counts
   {
     std::map<std::uint32_t, std::size_t> byExtent;
+    std::size_t granted = 0;
     std::set<std::string> ids;
   };
 
--- a/libs/weights/src/Transfer.cpp
+++ b/libs/weights/src/Transfer.cpp
@@ -1,6 +1,7 @@
 #include "Transfer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include <net/Router.h>
@@ -21,6 +22,7 @@
 // Ranks step in one after another where the first does not bring it.
 constexpr utils::Millis kManifestStagger(400);
 constexpr std::ptrdiff_t kManifestFanOut = 4;
+constexpr std::size_t kManifestAsks = 3;
 constexpr utils::Millis kManifestDeadline(3000);
 constexpr std::uint64_t kMaxManifestBytes = 16 << 20;
 
@@ -148,9 +150,10 @@
   auto rank = std::ranges::find(ranks, own.vm()) - ranks.begin();
   if (clock_.Now() - startedAt_ >= kManifestStagger * rank) {
     auto services = outside_.ListServices();
-    return std::ranges::any_of(services, [&](const auto& aService) {
+    bool found = std::ranges::any_of(services, [&](const auto& aService) {
       return FetchManifestFrom(aService.endpoint, false);
     });
+    return found || FetchManifestFromAnyPeer();
   }
   // Its ancestors in a tree over the ranks, so that nobody is asked by all.
   while (rank > 0) {
@@ -163,6 +166,22 @@
   return false;
 }
 
+// With the store and the origin out, whoever has it will do.
+bool
+Transfer::FetchManifestFromAnyPeer()
+{
+  std::vector<std::string> vms;
+  std::ranges::transform(swarm_->peers.GetPeers(),
+                         std::back_inserter(vms),
+                         [](const auto& aEntry) { return aEntry.first; });
+  auto order = utils::RankMembers(std::to_string(manifestTries_++), vms);
+  order.resize(std::min(order.size(), kManifestAsks));
+  return std::ranges::any_of(order, [&](const std::string& aVm) {
+    const auto* peer = swarm_->peers.Find(aVm);
+    return peer != nullptr && FetchManifestFrom(peer->endpoint, true);
+  });
+}
+
 bool
 Transfer::FetchManifestFrom(const net::Endpoint& aSource, bool aPeer)
 {
@@ -219,10 +238,9 @@
   auto endpoint = swarm_->peers.Find(pick->peer)->endpoint;
   utils::Error reason;
   swarm_->peers.BeginFetch(pick->peer);
-  bool whole =
-    FetchChunk({ pick->chunk, SourceKind::RemotePeer, endpoint, pick->peer },
-               true,
-               reason);
+  std::size_t bytes = 0;
+  OutsidePick near{ pick->chunk, SourceKind::RemotePeer, endpoint, pick->peer };
+  bool whole = FetchChunk(near, true, bytes, reason);
   swarm_->peers.EndFetch(pick->peer);
   NotePeer(pick->peer, whole, reason);
   return true;
@@ -240,13 +258,14 @@
   swarm_->running.insert(pick->chunk);
   if (!outside_.Admit(*pick)) {
     swarm_->running.erase(pick->chunk);
-    outside_.End(*pick, reason);
+    outside_.GiveUp();
     return false;
   }
   swarm_->peers.BeginFetch(pick->vm);
-  bool whole = FetchChunk(*pick, false, reason);
+  std::size_t bytes = 0;
+  bool whole = FetchChunk(*pick, false, bytes, reason);
   swarm_->peers.EndFetch(pick->vm);
-  outside_.End(*pick, reason);
+  outside_.End(*pick, bytes, reason);
   NotePeer(pick->vm, whole, reason);
   return true;
 }
@@ -264,9 +283,18 @@
   }
 }
 
+bool
+Transfer::IsServiceNear(const OutsidePick& aPick) const
+{
+  const auto& settings = services_.settings;
+  return aPick.kind != SourceKind::RemotePeer &&
+         settings.platform().region() == settings.node().region();
+}
+
 bool
 Transfer::FetchChunk(const OutsidePick& aPick,
                      bool aOwnRegion,
+                     std::size_t& aBytes,
                      utils::Error& aReason)
 {
   const auto& chunk = swarm_->content->chunks[aPick.chunk];
@@ -278,10 +306,19 @@
     order.fields = { net::MakeSecretField(services_.settings.node().secret()) };
   }
   order.maxBytes = chunk.bytes;
-  order.deadline = swarm_->rate.GetDeadline(chunk.bytes);
-  order.regionLink = aOwnRegion ? nullptr : &services_.regionLink;
+  auto& rate = aOwnRegion ? swarm_->rate : swarm_->outsideRate;
+  order.deadline = rate.GetDeadline(chunk.bytes);
+  if (!aOwnRegion && !IsServiceNear(aPick)) {
+    order.regionLink = &services_.regionLink;
+    order.onHead = [this](utils::Millis aDelay) {
+      services_.regionShare.NoteDelay(aDelay);
+    };
+  }
   order.goOn = [this] { return !swarm_->cancelled; };
-  order.onBytes = [&](std::size_t aBytes) { counter.Add(aBytes); };
+  order.onBytes = [&](std::size_t aPart) {
+    counter.Add(aPart);
+    aBytes += aPart;
+  };
   auto begin = clock_.Now();
   swarm_->running.insert(aPick.chunk);
   auto bytes = fetcher_.Fetch(order, aReason);
@@ -289,7 +326,7 @@
                           chunk.digest, std::move(*bytes), aReason);
   swarm_->running.erase(aPick.chunk);
   if (whole) {
-    swarm_->rate.Add(chunk.bytes, clock_.Now() - begin);
+    rate.Add(chunk.bytes, clock_.Now() - begin);
   } else if (aReason.kind != ErrorKind::Overloaded && !swarm_->cancelled) {
     swarm_->lastError = aReason;
     GetLogger().Report(aReason, { { "source", aPick.endpoint.ToString() } });
--- a/libs/weights/src/Transfer.h
+++ b/libs/weights/src/Transfer.h
@@ -39,13 +39,18 @@
 private:
   void Run();
   bool FindManifest();
+  bool FetchManifestFromAnyPeer();
   bool FetchManifestFrom(const net::Endpoint& aSource, bool aPeer);
   void Work();
   bool FetchFromRegion();
   bool FetchFromOutside();
+  /** aBytes: how many came, whole or not. */
   bool FetchChunk(const OutsidePick& aPick,
                   bool aOwnRegion,
+                  std::size_t& aBytes,
                   utils::Error& aReason);
+  /** Whether the pick is the store or the origin, in this region. */
+  bool IsServiceNear(const OutsidePick& aPick) const;
   void NotePeer(const std::string& aVm,
                 bool aWhole,
                 const utils::Error& aReason);
@@ -57,6 +62,7 @@
   Outside outside_;
   Fetcher fetcher_;
   utils::Clock clock_;
+  std::uint64_t manifestTries_ = 0;
   const utils::Millis startedAt_ = clock_.Now();
 };
 
--- a/libs/weights/tests/RolloutFoldTest.cpp
+++ b/libs/weights/tests/RolloutFoldTest.cpp
@@ -19,12 +19,16 @@
 constexpr unsigned kSeed = 20261203;
 
 schema::OriginTicket
-MakeTicket(std::uint32_t aExtent, std::uint64_t aRevision = 1)
+MakeTicket(std::uint32_t aExtent,
+           std::uint64_t aRevision = 1,
+           bool aUrgent = false)
 {
   schema::OriginTicket ticket;
   ticket.set_version("v");
   ticket.set_revision(aRevision);
   ticket.set_extent(aExtent);
+  ticket.set_extents(48);
+  ticket.set_urgent(aUrgent);
   return ticket;
 }
 
@@ -95,6 +99,20 @@
   CHECK(fold.IsGranted("next"));
 }
 
+TEST_CASE("urgent tickets are taken from what is left of the whole cap")
+{
+  TicketFold fold;
+  std::size_t granted = 0;
+  for (int i = 0; i < 1000; ++i) {
+    auto id = std::to_string(i);
+    auto extent = static_cast<std::uint32_t>(i % 3);
+    fold.Apply(id, MakeTicket(extent, 1, i >= 12));
+    granted += fold.IsGranted(id) ? 1 : 0;
+    CHECK(fold.IsGranted(id) == (i < 48 * 4));
+  }
+  CHECK(granted == 48 * kMaxOriginCopies);
+}
+
 TEST_CASE("permits are granted in the log's order and stay until released")
 {
   PermitFold fold;
--- a/libs/weights/tests/SwarmTest.cpp
+++ b/libs/weights/tests/SwarmTest.cpp
@@ -5,9 +5,11 @@
 #include <vector>
 
 #include <ChunkSet.h>
+#include <GiftLimit.h>
 #include <Pacer.h>
 #include <PeerBook.h>
 #include <Picker.h>
+#include <RegionShare.h>
 #include <StepIn.h>
 
 using namespace waxwingyoke;
@@ -124,6 +126,18 @@
   }
 }
 
+TEST_CASE("a holder that keeps failing does not keep others from stepping in")
+{
+  Bed bed;
+  bed.peers.Merge(MakeOffer("a", { 1 }), Millis(0));
+  bed.peers.NoteFault("a", PeerFault::Failed, Millis(0));
+  CHECK(CountHolders(bed.At(0), 1) == 1);
+  bed.peers.NoteFault("a", PeerFault::Failed, Millis(0));
+  CHECK(CountHolders(bed.At(0), 1) == 0);
+  bed.peers.NoteChunk("a");
+  CHECK(CountHolders(bed.At(0), 1) == 1);
+}
+
 TEST_CASE("a peer that lacks what it offered, or began anew, offers nothing")
 {
   Bed bed;
@@ -181,3 +195,40 @@
   CHECK(bucket.Take(100, Millis(1250)) == Millis(80));
   CHECK(TokenBucket(0).Take(1 << 30, Millis(0)) == Millis(0));
 }
+
+TEST_CASE("a region's budget is split by fetchers and yields to delay")
+{
+  RegionShare share(8000);
+  share.NoteFetchers(4);
+  CHECK(share.GetRate() == 2000);
+  share.NoteDelay(Millis(10));
+  share.NoteDelay(Millis(60));
+  CHECK(share.GetRate() == 2000);
+  share.NoteDelay(Millis(71));
+  CHECK(share.GetRate() == 1000);
+  for (int late = 0; late < 9; ++late) {
+    share.NoteDelay(Millis(500));
+  }
+  CHECK(share.GetRate() == 250);
+  for (int early = 0; early < 9; ++early) {
+    share.NoteDelay(Millis(20));
+  }
+  CHECK(share.GetRate() == 2000);
+  RegionShare unlimited(0);
+  unlimited.NoteDelay(Millis(1));
+  CHECK(unlimited.GetRate() == 0);
+}
+
+TEST_CASE("a chunk is given to two, then to one in each time that a gift takes")
+{
+  GiftLimit limit;
+  auto chunk = utils::Digest::Of("rare");
+  CHECK(limit.Begin(chunk, Millis(0)));
+  CHECK(limit.Begin(chunk, Millis(10)));
+  limit.End(Millis(1000));
+  CHECK_FALSE(limit.Begin(chunk, Millis(1000)));
+  CHECK(limit.Begin(utils::Digest::Of("another"), Millis(1000)));
+  CHECK(limit.Begin(chunk, Millis(2010)));
+  CHECK_FALSE(limit.Begin(chunk, Millis(2020)));
+  CHECK(limit.Begin(chunk, Millis(4010)));
+}
