Relays ask each other for the directory only; start over after a total loss

A relay that reads the log itself no longer gets each record a second time from its parent, and is pulled from only where its parent still lies behind after the wait.

--- a/libs/membership/src/LogReader.cpp
+++ b/libs/membership/src/LogReader.cpp
@@ -26,6 +26,7 @@
   utils::Error reason;
   auto page =
     log.ReadKept(platform::kConfigStream, from, kPageRecords, aWait, reason);
+  readsLog = page.has_value();
   if (!page) {
     logger.Report(reason);
     return false;
--- a/libs/membership/src/NodeImpl.h
+++ b/libs/membership/src/NodeImpl.h
@@ -40,6 +40,14 @@
   utils::Millis span;
 };
 
+/** What a node asks another for. */
+enum class SyncPart
+{
+  All,
+  Records,
+  Rows
+};
+
 /**
  * The state of one node and its fibers. Each fiber's part stands in a file
  * of its own: LogReader, ParentLink, SyncMethods, VmListReader, Rescue and
@@ -76,7 +84,7 @@
   // ParentLink.cpp
   void RunParentLink();
   void RunPushes();
-  bool Sync(const std::string& aVm, utils::Millis aWait, bool aRecordsOnly);
+  bool Sync(const std::string& aVm, utils::Millis aWait, SyncPart aPart);
   void TakeReply(const std::string& aVm, const schema::SyncReply& aReply);
   bool Push(const std::string& aVm);
   void MeetDirectory(const std::string& aVm, const std::string& aId);
@@ -133,6 +141,8 @@
   std::int64_t listBytes = 0;
 
   std::atomic<bool> pulling{ false };
+  /** Whether the last read of the log worked. */
+  std::atomic<bool> readsLog{ false };
   utils::RcuCell<View> view;
   std::vector<ViewHook> hooks;
 };
--- a/libs/membership/src/ParentLink.cpp
+++ b/libs/membership/src/ParentLink.cpp
@@ -26,10 +26,12 @@
   Millis wait(settings.control().sync_wait_ms());
   Millis pause(settings.control().sync_interval_ms());
   for (;;) {
-    auto parent = GetPlace().parent;
+    auto place = GetPlace();
+    auto parent = place.parent;
+    auto part = place.relay && readsLog ? SyncPart::Rows : SyncPart::All;
     if (parent.empty()) {
       net::Runtime::Sleep(kTopPause);
-    } else if (Sync(parent, wait, false)) {
+    } else if (Sync(parent, wait, part)) {
       Trust(parent);
       net::Runtime::Sleep(kGatherPause);
     } else {
@@ -40,12 +42,13 @@
 }
 
 bool
-Node::Impl::Sync(const std::string& aVm, Millis aWait, bool aRecordsOnly)
+Node::Impl::Sync(const std::string& aVm, Millis aWait, SyncPart aPart)
 {
   schema::SyncRequest request;
   request.set_vm(self);
   request.set_wait_ms(aWait.value);
-  request.set_records_only(aRecordsOnly);
+  request.set_records_only(aPart == SyncPart::Records);
+  request.set_rows_only(aPart == SyncPart::Rows);
   {
     Lock lock(mutex);
     request.set_config_offset(store.GetNextOffset());
--- a/libs/membership/src/Rescue.cpp
+++ b/libs/membership/src/Rescue.cpp
@@ -74,7 +74,7 @@
   if (pulling.exchange(true)) {
     return;
   }
-  if (!Sync(aVm, Millis(0), true)) {
+  if (!Sync(aVm, Millis(0), SyncPart::Records)) {
     Suspect(aVm);
   }
   pulling = false;
--- a/libs/membership/src/SyncMethods.cpp
+++ b/libs/membership/src/SyncMethods.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <mutex>
 
 #include "NodeImpl.h"
@@ -57,9 +58,8 @@
   bool isBehind = false;
   {
     Lock lock(mutex);
-    isBehind = store.GetNextOffset() < aRequest.config_offset();
     WaitForNews(aRequest, lock);
-    aReply.Clear();
+    isBehind = store.GetNextOffset() < aRequest.config_offset();
     FillSync(aRequest, aReply);
   }
   // The one who asks us knows more: its words heal us.
@@ -87,7 +87,10 @@
 Node::Impl::FillSync(const schema::SyncRequest& aRequest,
                      schema::SyncReply& aReply)
 {
-  store.FillReply(aRequest.config_offset(), clock.Now(), aReply);
+  constexpr auto kNothingMissing = std::numeric_limits<std::uint64_t>::max();
+  auto missing =
+    aRequest.rows_only() ? kNothingMissing : aRequest.config_offset();
+  store.FillReply(missing, clock.Now(), aReply);
   bool isNews = aReply.records_size() > 0 || aReply.has_snapshot();
   if (aRequest.records_only()) {
     return isNews;
--- a/libs/profiles/include/profiles/Publisher.h
+++ b/libs/profiles/include/profiles/Publisher.h
@@ -58,6 +58,12 @@
   /** What is in force at the log's end. */
   std::optional<Config> ReadConfig(utils::Error& aReason);
 
+  /**
+   * Begins anew, with no profile, where the log has lost the state: its
+   * beginning is gone and it holds no snapshot. Refused (Conflict) else.
+   */
+  bool StartOver(utils::Error& aReason);
+
 private:
   bool ReadToEnd(utils::Error& aReason);
   bool Append(const std::string& aPayload,
--- a/libs/profiles/src/Publisher.cpp
+++ b/libs/profiles/src/Publisher.cpp
@@ -160,4 +160,21 @@
   return *replay_.GetFold().GetConfig();
 }
 
+bool
+Publisher::StartOver(Error& aReason)
+{
+  if (ReadToEnd(aReason)) {
+    aReason.Set(ErrorKind::Conflict, "the log still has the state");
+    return false;
+  }
+  if (aReason.kind != ErrorKind::LogTrimmed) {
+    return false;
+  }
+  schema::LogRecord record;
+  record.set_id(utils::MakeUniqueId());
+  *record.mutable_snapshot() =
+    Fold(replay_.GetReadOffset(), schema::ConfigState()).MakeSnapshot();
+  return Append(record.SerializeAsString(), record.id(), aReason);
+}
+
 } // namespace waxwingyoke::profiles
--- a/libs/profiles/tests/FoldTest.cpp
+++ b/libs/profiles/tests/FoldTest.cpp
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <google/protobuf/unknown_field_set.h>
 
 #include <profiles/Fold.h>
 #include <profiles/Validate.h>
@@ -135,3 +136,26 @@
   CHECK_FALSE(fold.GetConfig()->quarantine.contains(oldest));
   CHECK(fold.GetConfig()->quarantine.contains(newest));
 }
+
+TEST_CASE("what a newer release adds to a profile survives an older one")
+{
+  constexpr int kNewerField = 99;
+  auto profile = MakeProfile("desk", "g");
+  profile.GetReflection()->MutableUnknownFields(&profile)->AddLengthDelimited(
+    kNewerField, "newer");
+  Fold full;
+  full.Apply(0, MakeChange("a", schema::PUBLISH, 0, profile));
+  // A reader that starts from the older release's snapshot has it too.
+  schema::LogRecord record;
+  *record.mutable_snapshot() = full.MakeSnapshot();
+  auto snapshot = ReadSnapshot(record.SerializeAsString());
+  REQUIRE(snapshot);
+  Fold fresh(snapshot->next_offset(), snapshot->state());
+  auto config = fresh.GetConfig();
+  const auto* kept = config->FindProfile("desk");
+  REQUIRE(kept != nullptr);
+  const auto& fields = kept->GetReflection()->GetUnknownFields(*kept);
+  REQUIRE(fields.field_count() == 1);
+  CHECK(fields.field(0).length_delimited() == "newer");
+  CHECK(Fold::GetDigest(fresh.GetState()) == Fold::GetDigest(full.GetState()));
+}
--- a/tests/ConfigTest.cpp
+++ b/tests/ConfigTest.cpp
@@ -246,3 +246,31 @@
     CHECK(WaitInForce(aBed, last));
   });
 }
+
+TEST_CASE("a log that lost everything is started over by the operator alone")
+{
+  RunWithBed(MakeOptions(), [](Bed& aBed) {
+    constexpr std::uint64_t kRetention = 2;
+    Operator anna(aBed);
+    anna.Change("desk", 1);
+    utils::Error reason;
+    CHECK_FALSE(anna.publisher.StartOver(reason));
+    CHECK(reason.kind == utils::ErrorKind::Conflict);
+    anna.Change("desk", 4);
+    // No snapshot is due yet, and every VM is replaced.
+    std::ranges::for_each(aBed.GetNodes(),
+                          [&](auto& aNode) { aBed.Kill(*aNode); });
+    fakes::Faults faults;
+    faults.mutable_log()->set_retention(kRetention);
+    REQUIRE(aBed.SetFaults(Service::Log, faults));
+    Operator bela(aBed);
+    CHECK_FALSE(bela.publisher.ReadConfig(reason));
+    CHECK(reason.kind == utils::ErrorKind::LogTrimmed);
+    REQUIRE(aBed.StartNode(*aBed.GetNodes()[0], reason));
+    CHECK(Bed::WaitFor([&] { return aBed.IsInForce(0); }, kPatience));
+    CHECK_FALSE(aBed.IsInForce(1));
+    REQUIRE(bela.publisher.StartOver(reason));
+    auto last = bela.Change("desk", 1);
+    CHECK(WaitInForce(aBed, last));
+  });
+}
--- a/tools/waxwingyoke/src/ProfileCommands.cpp
+++ b/tools/waxwingyoke/src/ProfileCommands.cpp
@@ -229,6 +229,19 @@
   });
 }
 
+int
+StartOver(const Context& aContext)
+{
+  return RunOnPlatform(aContext.settingsFile, [](const Platform& aPlatform) {
+    utils::Error reason;
+    if (!profiles::Publisher(aPlatform.log).StartOver(reason)) {
+      return Fail(reason);
+    }
+    std::cout << "started over; publish the profiles again\n";
+    return 0;
+  });
+}
+
 void
 AddSendOptions(CLI::App& aCommand, Arguments& aArguments)
 {
@@ -302,6 +315,13 @@
     };
   });
 
+  auto* startOver = aGroup.add_subcommand(
+    "start-over",
+    "begin with no profile after the log has lost the state for good");
+  startOver->callback([&aContext] {
+    aContext.run = [&aContext] { return StartOver(aContext); };
+  });
+
   auto* list =
     aGroup.add_subcommand("list", "a line for each profile in force");
   list->callback(
