Engines unload what is retired; a fresh process acts on the log's end only

A side that no profile selects lets running requests end, looks at the view again and has its engine unload, fenced by the log's offset. A process that folds from the beginning of the log no longer publishes the states on the way: it would have unloaded or loaded by profiles that were replaced since.

--- a/libs/membership/src/LogReader.cpp
+++ b/libs/membership/src/LogReader.cpp
@@ -1,5 +1,7 @@
 #include <mutex>
 
+#include <telemetry/Metrics.h>
+
 #include "NodeImpl.h"
 
 namespace waxwingyoke::membership {
@@ -28,6 +30,9 @@
     log.ReadKept(platform::kConfigStream, from, kPageRecords, aWait, reason);
   readsLog = page.has_value();
   if (!page) {
+    static auto& sFailures =
+      telemetry::Metrics::Get().GetCounter("config_log_read_failures_total");
+    sFailures.Add();
     logger.Report(reason);
     return false;
   }
--- a/libs/membership/src/Node.cpp
+++ b/libs/membership/src/Node.cpp
@@ -4,6 +4,7 @@
 #include <mutex>
 #include <utility>
 
+#include <telemetry/Metrics.h>
 #include <utils/Hash.h>
 
 #include "NodeImpl.h"
@@ -73,8 +74,10 @@
     Lock lock(mutex);
     isDirty = false;
     next->config = current->config;
-    if (store.IsStarted() &&
-        store.GetNextOffset() != current->config->nextOffset) {
+    // A fresh process folds through states that were replaced long ago; they
+    // must not be acted on before it has seen the log's end once.
+    bool isCurrent = store.GetAge(clock.Now()).has_value();
+    if (isCurrent && store.GetNextOffset() != current->config->nextOffset) {
       next->config = store.GetReplay().GetFold().GetConfig();
     }
     status.set_config_offset(next->config->nextOffset);
@@ -82,6 +85,11 @@
     next->members = directory.GetMembers();
   }
   view.Set(next);
+  static auto& sOffset =
+    telemetry::Metrics::Get().GetGauge("config_next_offset");
+  static auto& sMembers = telemetry::Metrics::Get().GetGauge("members");
+  sOffset.Set(static_cast<std::int64_t>(next->config->nextOffset));
+  sMembers.Set(static_cast<std::int64_t>(next->members.size()));
   if (next->config != current->config) {
     logger.Info(
       "config in force",
--- a/libs/membership/src/ParentLink.cpp
+++ b/libs/membership/src/ParentLink.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <mutex>
 
+#include <telemetry/Metrics.h>
+
 #include "NodeImpl.h"
 
 namespace waxwingyoke::membership {
@@ -63,6 +65,9 @@
   utils::Error reason;
   if (!rpc.Call(
         FindEndpoint(aVm), "control.sync", request, reply, timeouts, reason)) {
+    static auto& sFailures =
+      telemetry::Metrics::Get().GetCounter("config_sync_failures_total");
+    sFailures.Add();
     logger.Debug("a neighbour did not answer",
                  { { "peer", aVm }, { "detail", reason.detail } });
     return false;
--- a/libs/weights/src/Depot.cpp
+++ b/libs/weights/src/Depot.cpp
@@ -48,6 +48,7 @@
 
   void Run();
   void Step();
+  void StepUnselected();
   void StepModel(const schema::Profile& aProfile);
   void Want(const utils::Digest& aVersion, std::uint64_t aRevision);
   void StepEngine(const schema::Profile& aProfile, bool aWhole);
@@ -107,12 +108,26 @@
       transfer->Cancel();
       transfer = nullptr;
     }
-    switchOver.Forget();
+    StepUnselected();
   } else {
     StepModel(*profile);
   }
 }
 
+void
+Depot::Impl::StepUnselected()
+{
+  auto view = services.node.GetView();
+  const auto* member = view->FindMember(services.settings.node().vm());
+  bool isKnown = view->config->nextOffset > 0 && member != nullptr &&
+                 !member->vm.group().empty();
+  if (isKnown) {
+    switchOver.Withdraw(view->config->nextOffset);
+  } else {
+    switchOver.Forget();
+  }
+}
+
 void
 Depot::Impl::StepModel(const schema::Profile& aProfile)
 {
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -80,6 +80,42 @@
   SetServing({});
 }
 
+void
+SwitchOver::Withdraw(std::uint64_t aRevision)
+{
+  SetServing({});
+  if (clock_.Now() < notBefore_) {
+    return;
+  }
+  notBefore_ = clock_.Now() + kRetryPause;
+  utils::Error reason;
+  auto state = engine_.GetState(reason);
+  if (!state || state->loading() || state->version().empty()) {
+    return;
+  }
+  hooks_.pause();
+  // This process may have been paused while requests ended, so the view is
+  // looked at right before the order.
+  if (hooks_.waitIdle(kDrainTime) && IsUnwanted()) {
+    schema::UnloadOrder order;
+    order.set_fencing(aRevision);
+    engine_.Unload(order, reason);
+  }
+  hooks_.resume();
+  if (reason.IsSet()) {
+    GetLogger().Report(reason, { { "version", state->version() } });
+  }
+}
+
+bool
+SwitchOver::IsUnwanted() const
+{
+  auto view = services_.node.GetView();
+  const auto* member = view->FindMember(services_.settings.node().vm());
+  return member != nullptr && !member->vm.group().empty() &&
+         view->config->FindProfileOf(member->vm) == nullptr;
+}
+
 bool
 SwitchOver::IsStillWanted(const schema::Profile& aProfile) const
 {
--- a/libs/weights/src/SwitchOver.h
+++ b/libs/weights/src/SwitchOver.h
@@ -28,14 +28,22 @@
    */
   void Step(const schema::Profile& aProfile, bool aWhole);
 
-  /** No profile selects this VM any more. */
+  /** It is not known what this VM is for. */
   void Forget();
 
+  /**
+   * No profile selects this VM as of aRevision: lets running requests end
+   * and has the engine unload what it holds.
+   */
+  void Withdraw(std::uint64_t aRevision);
+
   ServingState GetServing() const { return *serving_.Get(); }
 
   const utils::Error& GetLastError() const { return lastError_; }
 
 private:
+  /** Whether still no profile selects this VM. */
+  bool IsUnwanted() const;
   /** What the profile asks for now, as the view has it. */
   bool IsStillWanted(const schema::Profile& aProfile) const;
   void Order(const schema::Profile& aProfile, bool aServes);
--- a/tests/ConfigTest.cpp
+++ b/tests/ConfigTest.cpp
@@ -274,3 +274,39 @@
     CHECK(WaitInForce(aBed, last));
   });
 }
+
+TEST_CASE("engines unload what is retired, and load it when it comes back")
+{
+  RunWithBed(MakeOptions(), [](Bed& aBed) {
+    constexpr std::size_t kEngines = 4;
+    fakes::VersionSpec spec;
+    spec.set_model("m");
+    spec.set_bytes(200000);
+    spec.set_chunk_bytes(65536);
+    spec.set_seed(3);
+    utils::Error reason;
+    auto version = aBed.MakeVersion(spec, reason);
+    REQUIRE_MESSAGE(version, reason.detail);
+    auto change = MakeChange("llm", 0);
+    change.mutable_profile()->set_kind(schema::MODEL);
+    change.mutable_profile()->set_version(version->version());
+    change.mutable_profile()->mutable_vms()->set_group(kEngineGroup);
+    Operator anna(aBed);
+    auto publish = [&](std::uint64_t aReplaces) {
+      change.set_replaces_revision(aReplaces);
+      auto result = anna.publisher.Publish(change, "", reason);
+      REQUIRE(result);
+      REQUIRE(result->kind == PublishResult::Kind::Accepted);
+      return result->revision;
+    };
+    auto revision = publish(0);
+    CHECK(aBed.WaitEnginesWith(version->version(), kEngines, kPatience));
+    change.set_kind(schema::RETIRE);
+    revision = publish(revision);
+    CHECK(aBed.WaitEnginesWith("", kEngines, kPatience));
+    change.set_kind(schema::PUBLISH);
+    publish(revision);
+    CHECK(aBed.WaitEnginesWith(version->version(), kEngines, kPatience));
+    CHECK(aBed.GetViolations().empty());
+  });
+}
