Bound what is kept of VMs that went, and of calls that ask for healing

A flood of requests with a later revision could read the log once each; now one read runs at a time.

--- a/libs/membership/src/Directory.cpp
+++ b/libs/membership/src/Directory.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// VMs are replaced daily; a row of one that went is kept until no neighbour
+// can still hold it as listed.
+constexpr std::size_t kMaxRemoved = 256;
+
 bool
 IsSame(const schema::Vm& aLeft, const schema::Vm& aRight)
 {
@@ -110,9 +114,30 @@
     row.peer = aPeer;
     row.fromBelow = aSource == RowSource::Below;
   }
+  if (row.row.removed()) {
+    DropOldRemoved();
+  }
   return true;
 }
 
+void
+Directory::DropOldRemoved()
+{
+  std::vector<std::pair<std::uint64_t, std::string>> removed;
+  for (const auto& [id, row] : rows_) {
+    if (row.row.removed()) {
+      removed.emplace_back(row.version, id);
+    }
+  }
+  if (removed.size() <= kMaxRemoved) {
+    return;
+  }
+  std::ranges::sort(removed);
+  removed.resize(removed.size() - kMaxRemoved);
+  std::ranges::for_each(
+    removed, [this](const auto& aEntry) { rows_.erase(aEntry.second); });
+}
+
 void
 Directory::SetOwn(const schema::DirectoryRow& aRow)
 {
@@ -160,6 +185,7 @@
       row.set_removed(true);
     }
   }
+  DropOldRemoved();
   return version_ != before;
 }
 
--- a/libs/membership/src/Directory.h
+++ b/libs/membership/src/Directory.h
@@ -77,6 +77,8 @@
                          std::size_t aMax,
                          Filter aFilter) const;
   Row& Touch(const std::string& aVm);
+  /** Drops the rows of VMs that went longest ago, but for the newest few. */
+  void DropOldRemoved();
 
   std::uint64_t version_ = 0;
   std::map<std::string, Row> rows_;
--- a/libs/membership/src/Rescue.cpp
+++ b/libs/membership/src/Rescue.cpp
@@ -46,10 +46,11 @@
     toLog = random() % kLogShare == 0;
   }
   auto other = PickOther();
-  if (toLog || other.empty()) {
-    ReadLog(Millis(0));
-  } else {
+  if (!toLog && !other.empty()) {
     PullFrom(other);
+  } else if (!pulling.exchange(true)) {
+    ReadLog(Millis(0));
+    pulling = false;
   }
 }
 
--- a/libs/membership/src/VmListReader.cpp
+++ b/libs/membership/src/VmListReader.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t kListBytesPerSecond = 512;
 constexpr std::int64_t kMillisPerSecond = 1000;
 constexpr Millis kPauseOfOthers(500);
+constexpr std::uint64_t kReadsPerWhole = 300;
 
 } // namespace
 
@@ -49,13 +50,17 @@
 void
 Node::Impl::RunVmListReader()
 {
-  // What was read as a hint has to be read again as the list.
-  listTag.clear();
+  std::uint64_t reads = 0;
   for (;;) {
     if (!GetPlace().relay) {
       net::Runtime::Sleep(kPauseOfOthers);
       continue;
     }
+    // What was read as a hint is read again as the list; and now and then a
+    // neighbour that was away has brought back what the list dropped.
+    if (reads++ % kReadsPerWhole == 0) {
+      listTag.clear();
+    }
     ReadVmList(false);
     Millis pause(settings.control().vm_list_interval_ms());
     if (listTag.empty()) {
--- a/libs/membership/tests/DirectoryTest.cpp
+++ b/libs/membership/tests/DirectoryTest.cpp
@@ -193,6 +193,32 @@
   CHECK_FALSE(forest.Get("vm-9").GetMembers().contains("vm-20"));
 }
 
+TEST_CASE("rows of VMs that went do not pile up")
+{
+  constexpr std::size_t kDays = 40;
+  constexpr std::size_t kVms = 30;
+  constexpr std::size_t kMostRemoved = 256;
+  Directory reader;
+  Directory other;
+  std::uint64_t version = 0;
+  for (std::size_t day = 0; day < kDays; ++day) {
+    schema::VmList list;
+    for (std::size_t i = 0; i < kVms; ++i) {
+      *list.add_vms() =
+        MakeVm("day-" + std::to_string(day) + "-" + std::to_string(i));
+    }
+    reader.TakeVmList(list);
+    auto delta = reader.CollectDown(version, "other", kAll);
+    version = delta.version;
+    for (const auto& row : delta.rows) {
+      other.Merge(row, "reader", RowSource::Above);
+    }
+    CHECK(Show(other) == Show(reader));
+  }
+  CHECK(other.GetMembers().size() == kVms);
+  CHECK(other.CollectDown(0, "", kAll).rows.size() <= kVms + kMostRemoved);
+}
+
 TEST_CASE("a long delta comes in parts, none of them lost")
 {
   Directory from;
