Let freshness run down the tree at the pace of the log's readers

An answer that only says how fresh its sender is was held until its wait ended, so ages added up by 4 s a level and lower nodes, taking themselves for cut off, read the log: 1.8, 2.8 and 3.9 reads a second at 16, 64 and 160 idle nodes with six relays. An answer now goes out as soon as its sender is 2 s fresher than at the question.

--- a/libs/membership/src/ConfigStore.h
+++ b/libs/membership/src/ConfigStore.h
@@ -42,6 +42,9 @@
   /** Since the state was the log's end; empty where it never was. */
   std::optional<utils::Millis> GetAge(utils::Millis aNow) const;
 
+  /** When the state was the log's end for the last time, as far as known. */
+  std::optional<utils::Millis> GetFreshTime() const { return freshAt_; }
+
   std::uint64_t GetSkippedRecords() const { return skipped_; }
 
 private:
--- a/libs/membership/src/SyncMethods.cpp
+++ b/libs/membership/src/SyncMethods.cpp
@@ -11,6 +11,7 @@
 using utils::Millis;
 
 constexpr Millis kLongestWait(20000);
+constexpr Millis kFreshStep(2000);
 constexpr std::size_t kMaxReplyRows = 200;
 
 void
@@ -73,10 +74,16 @@
 {
   auto wait = std::min(Millis(aRequest.wait_ms()), kLongestWait);
   auto deadline = clock.Now() + wait;
+  // That there is no news is worth telling too, or ages would add up from
+  // level to level of the tree until its lower nodes take themselves for cut
+  // off.
+  auto known = store.GetFreshTime().value_or(Millis(0)) + kFreshStep;
   for (;;) {
     schema::SyncReply probe;
     auto left = deadline - clock.Now();
-    if (left <= Millis(0) || FillSync(aRequest, probe)) {
+    bool isFresher =
+      !aRequest.rows_only() && store.GetFreshTime().value_or(known) > known;
+    if (left <= Millis(0) || isFresher || FillSync(aRequest, probe)) {
       return;
     }
     WaitForChange(aLock, left);
