--- a/fakes/src/ProxyLink.h
+++ b/fakes/src/ProxyLink.h
@@ -93,7 +93,10 @@
   const LinkFaults& FindFaults(const std::string& aFrom) const;
   bool IsHeld(const Connection& aConnection, bool aToTarget) const;
   void Accept();
-  void CheckConnected(Connection& aConnection) const;
+  bool IsTargetOpen() const;
+  void FollowTarget(utils::Millis aNow);
+  void CloseIfTargetClosed();
+  void CheckConnected(Connection& aConnection);
   void Read(Connection& aConnection, bool aToTarget, utils::Millis aNow);
   void Write(Connection& aConnection, bool aToTarget, utils::Millis aNow);
   void Enqueue(Pipe& aPipe, std::string aBytes, utils::Millis aNow);
@@ -103,7 +106,10 @@
   net::Endpoint listen_;
   net::Endpoint target_;
   std::string listenText_;
+  // Closed while the target's port is: a client then meets a refusal, as it
+  // would without the proxy.
   Descriptor listener_;
+  utils::Millis nextProbe_;
   LinkFaults faults_;
   /** Holds and cuts by the beginning of the client's address. */
   std::map<std::string, LinkFaults> faultsFrom_;
--- a/tests/ProxyTest.cpp
+++ b/tests/ProxyTest.cpp
@@ -130,3 +130,20 @@
     CHECK(client.Call(peer, {}, timeouts, reason));
   });
 }
+
+TEST_CASE(
+  "a crashed upstream's port is refused at the proxy too, until it is back")
+{
+  BedOptions options;
+  options.sites = { { "pecs-1", "dunantul-s", 0, 0, 1 } };
+  options.startDaemons = false;
+  options.proxied = true;
+  RunWithBed(options, [](Bed& aBed) {
+    CHECK(Call(aBed, "before").kind == ErrorKind::None);
+    CHECK(Call(aBed, "crash-the-upstream").kind == ErrorKind::ConnectionLost);
+    CHECK(Call(aBed, "at once").kind == ErrorKind::ConnectFailed);
+    CHECK(
+      Bed::WaitFor([&] { return Call(aBed, "later").kind == ErrorKind::None; },
+                   Millis(10000)));
+  });
+}
