--- a/libs/membership/src/LogReader.cpp
+++ b/libs/membership/src/LogReader.cpp
@@ -1,5 +1,7 @@
 #include <mutex>
 
+#include <telemetry/Metrics.h>
+
 #include "NodeImpl.h"
 
 namespace waxwingyoke::membership {
@@ -26,7 +28,11 @@
   utils::Error reason;
   auto page =
     log.ReadKept(platform::kConfigStream, from, kPageRecords, aWait, reason);
+  readsLog = page.has_value();
   if (!page) {
+    static auto& sFailures =
+      telemetry::Metrics::Get().GetCounter("config_log_read_failures_total");
+    sFailures.Add();
     logger.Report(reason);
     return false;
   }
--- a/tests/ConfigTest.cpp
+++ b/tests/ConfigTest.cpp
@@ -246,3 +246,67 @@
     CHECK(WaitInForce(aBed, last));
   });
 }
+
+TEST_CASE("a log that lost everything is started over by the operator alone")
+{
+  RunWithBed(MakeOptions(), [](Bed& aBed) {
+    constexpr std::uint64_t kRetention = 2;
+    Operator anna(aBed);
+    anna.Change("desk", 1);
+    utils::Error reason;
+    CHECK_FALSE(anna.publisher.StartOver(reason));
+    CHECK(reason.kind == utils::ErrorKind::Conflict);
+    anna.Change("desk", 4);
+    // No snapshot is due yet, and every VM is replaced.
+    std::ranges::for_each(aBed.GetNodes(),
+                          [&](auto& aNode) { aBed.Kill(*aNode); });
+    fakes::Faults faults;
+    faults.mutable_log()->set_retention(kRetention);
+    REQUIRE(aBed.SetFaults(Service::Log, faults));
+    Operator bela(aBed);
+    CHECK_FALSE(bela.publisher.ReadConfig(reason));
+    CHECK(reason.kind == utils::ErrorKind::LogTrimmed);
+    REQUIRE(aBed.StartNode(*aBed.GetNodes()[0], reason));
+    CHECK(Bed::WaitFor([&] { return aBed.IsInForce(0); }, kPatience));
+    CHECK_FALSE(aBed.IsInForce(1));
+    REQUIRE(bela.publisher.StartOver(reason));
+    auto last = bela.Change("desk", 1);
+    CHECK(WaitInForce(aBed, last));
+  });
+}
+
+TEST_CASE("engines unload what is retired, and load it when it comes back")
+{
+  RunWithBed(MakeOptions(), [](Bed& aBed) {
+    constexpr std::size_t kEngines = 4;
+    fakes::VersionSpec spec;
+    spec.set_model("m");
+    spec.set_bytes(200000);
+    spec.set_chunk_bytes(65536);
+    spec.set_seed(3);
+    utils::Error reason;
+    auto version = aBed.MakeVersion(spec, reason);
+    REQUIRE_MESSAGE(version, reason.detail);
+    auto change = MakeChange("llm", 0);
+    change.mutable_profile()->set_kind(schema::MODEL);
+    change.mutable_profile()->set_version(version->version());
+    change.mutable_profile()->mutable_vms()->set_group(kEngineGroup);
+    Operator anna(aBed);
+    auto publish = [&](std::uint64_t aReplaces) {
+      change.set_replaces_revision(aReplaces);
+      auto result = anna.publisher.Publish(change, "", reason);
+      REQUIRE(result);
+      REQUIRE(result->kind == PublishResult::Kind::Accepted);
+      return result->revision;
+    };
+    auto revision = publish(0);
+    CHECK(aBed.WaitEnginesWith(version->version(), kEngines, kPatience));
+    change.set_kind(schema::RETIRE);
+    revision = publish(revision);
+    CHECK(aBed.WaitEnginesWith("", kEngines, kPatience));
+    change.set_kind(schema::PUBLISH);
+    publish(revision);
+    CHECK(aBed.WaitEnginesWith(version->version(), kEngines, kPatience));
+    CHECK(aBed.GetViolations().empty());
+  });
+}
