--- a/libs/weights/src/Fetcher.cpp
+++ b/libs/weights/src/Fetcher.cpp
@@ -18,6 +18,9 @@
 constexpr utils::Millis kFirstDeadline(20000);
 constexpr utils::Millis kFirstUsualTime(500);
 constexpr utils::Millis kConnectTimeout(1000);
+// A source begins its answer long before it has sent it.
+constexpr utils::Millis kMinHead(1500);
+constexpr std::int64_t kHeadPart = 6;
 
 ErrorKind
 GetKindOfStatus(int aStatus)
@@ -83,7 +86,8 @@
   request.fields = aOrder.fields;
   net::CallTimeouts timeouts;
   timeouts.connect = std::min(kConnectTimeout, aOrder.deadline);
-  timeouts.head = aOrder.deadline;
+  timeouts.head =
+    std::min(aOrder.deadline, std::max(kMinHead, aOrder.deadline / kHeadPart));
   auto stream = http_.Open(aOrder.source, request, timeouts, aReason);
   if (!stream) {
     return std::nullopt;
