--- a/bench/requests/src/Prefix.cpp
+++ b/bench/requests/src/Prefix.cpp
@@ -75,11 +75,12 @@
 }
 
 std::string
-Run(std::size_t aEntries)
+Run(std::size_t aEntries, const std::string& aPolicy)
 {
   std::string figures;
   auto options =
     MakeOptions({ { "a1", "a", aEntries, kSides, 0 } }, { 16, 50 }, kSeed);
+  options.entryLines = "routing = \"" + aPolicy + "\"\n";
   options.engineFaults.mutable_engine()->set_cache_blocks(1500);
   bed::RunWithBed(options, [&](bed::Bed& aBed) {
     utils::Error reason;
@@ -125,12 +126,16 @@
 {
   // One entry sees all of the trace and all of the load: it stands for a
   // router that knows everything.
-  auto one = Run(1);
-  auto many = Run(kEntries);
-  if (one.empty() || many.empty()) {
-    return {};
+  auto one = Run(1, "bounded_hash");
+  Figures all;
+  all.AddJson("one_router", one);
+  bool complete = !one.empty();
+  for (const char* policy : { "bounded_hash", "two_choices", "least_loaded" }) {
+    auto many = Run(kEntries, policy);
+    complete = complete && !many.empty();
+    all.AddJson(policy, many);
   }
-  return Figures().AddJson("one_router", one).AddJson("entries", many).Finish();
+  return complete ? all.Finish() : std::string();
 }
 
 } // namespace waxwingyoke::bench_requests
--- a/libs/requests/src/EntryImpl.cpp
+++ b/libs/requests/src/EntryImpl.cpp
@@ -31,6 +31,7 @@
   , rpc(aRpc)
   , log(aLog)
   , defaultTimeout(aSettings.entry().default_deadline_ms())
+  , policy(routing::ParsePolicy(aSettings.entry().routing()))
   , budget(aSettings.entry().retry_budget_percent())
   , call(aClient, aRpc, aSettings.node().secret())
   , strikes(aNode, aRpc, aLog)
--- a/libs/requests/src/EntryImpl.h
+++ b/libs/requests/src/EntryImpl.h
@@ -46,6 +46,7 @@
   rpc::RpcClient& rpc;
   platform::LogClient& log;
   utils::Millis defaultTimeout;
+  routing::Policy policy;
   RetryBudget budget;
   AttemptCall call;
   StrikeDesk strikes;
--- a/libs/requests/src/RequestRun.cpp
+++ b/libs/requests/src/RequestRun.cpp
@@ -192,6 +192,7 @@
 {
   const auto& self = entry_.node.GetSettings();
   routing::ChoiceQuery query;
+  query.policy = entry_.policy;
   query.affinity = request_.affinity;
   query.dataCentre = self.data_centre();
   query.region = self.region();
--- a/libs/routing/include/routing/Chooser.h
+++ b/libs/routing/include/routing/Chooser.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <routing/Candidate.h>
@@ -20,6 +21,10 @@
   LeastLoaded
 };
 
+/** The policy with that name; BoundedHash for any other. */
+Policy
+ParsePolicy(std::string_view aName);
+
 /** What a choice depends on besides the candidates. */
 struct ChoiceQuery
 {
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -1,6 +1,7 @@
 #include <routing/Chooser.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 
@@ -112,8 +113,27 @@
   return GetLoad(aCandidate) < aCandidate->slots;
 }
 
+struct PolicyName
+{
+  std::string_view name;
+  Policy policy;
+};
+
+constexpr std::array<PolicyName, 3> kPolicyNames{
+  { { "bounded_hash", Policy::BoundedHash },
+    { "two_choices", Policy::TwoChoices },
+    { "least_loaded", Policy::LeastLoaded } }
+};
+
 } // namespace
 
+Policy
+ParsePolicy(std::string_view aName)
+{
+  auto row = std::ranges::find(kPolicyNames, aName, &PolicyName::name);
+  return row == kPolicyNames.end() ? Policy::BoundedHash : row->policy;
+}
+
 const Candidate*
 Choose(const Candidates& aCandidates, const ChoiceQuery& aQuery)
 {
