A dying upstream that still takes connections counts as dead

It now looks again until it is told one way or the other. The test read an engine's counters while the engine was down and took that for no crash; it now waits for each engine's answer.

--- a/libs/requests/src/UpstreamRun.cpp
+++ b/libs/requests/src/UpstreamRun.cpp
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string_view>
 
+#include <net/Runtime.h>
 #include <platform/EngineClient.h>
 
 #include "CallerRequest.h"
@@ -20,6 +21,8 @@
 constexpr Millis kConnectTimeout(1000);
 constexpr Millis kControlTimeout(2000);
 constexpr int kServerError = 500;
+constexpr int kDeathLooks = 5;
+constexpr Millis kDeathPause(100);
 
 // Fields that belong to one connection, or that the hop sets itself.
 constexpr std::array<std::string_view, 5> kHopFields{ "Transfer-Encoding",
@@ -202,22 +205,46 @@
 
 bool
 UpstreamRun::HasDied(const std::string& aIncarnation)
+{
+  // A process that goes may still take connections and drop them.
+  for (int i = 0; i < kDeathLooks; ++i) {
+    if (auto died = LookForDeath(aIncarnation)) {
+      return *died;
+    }
+    net::Runtime::Sleep(kDeathPause);
+  }
+  return true;
+}
+
+std::optional<bool>
+UpstreamRun::LookForDeath(const std::string& aIncarnation)
 {
   utils::Error reason;
   if (upstream_.isEngine) {
     auto incarnation = AskIncarnation(reason);
-    return reason.kind == ErrorKind::ConnectFailed ||
-           (!incarnation.empty() && !aIncarnation.empty() &&
-            incarnation != aIncarnation);
+    if (!incarnation.empty()) {
+      return !aIncarnation.empty() && incarnation != aIncarnation;
+    }
+  } else if (AskOptions(reason)) {
+    return false;
+  }
+  if (reason.kind == ErrorKind::ConnectionLost) {
+    return std::nullopt;
   }
+  return reason.kind == ErrorKind::ConnectFailed;
+}
+
+bool
+UpstreamRun::AskOptions(utils::Error& aReason)
+{
   // OPTIONS runs nothing on any service that keeps to HTTP.
   net::HttpRequest request;
   request.method = "OPTIONS";
   net::CallTimeouts timeouts{ kConnectTimeout,
                               kControlTimeout,
                               kControlTimeout };
-  auto answer = client_.Call(upstream_.endpoint, request, timeouts, reason);
-  return !answer && reason.kind == ErrorKind::ConnectFailed;
+  return client_.Call(upstream_.endpoint, request, timeouts, aReason)
+    .has_value();
 }
 
 } // namespace waxwingyoke::requests
--- a/libs/requests/src/UpstreamRun.h
+++ b/libs/requests/src/UpstreamRun.h
@@ -1,6 +1,7 @@
 #ifndef waxwingyoke_requests_UpstreamRun_h
 #define waxwingyoke_requests_UpstreamRun_h
 
+#include <optional>
 #include <string>
 
 #include <net/Endpoint.h>
@@ -60,6 +61,11 @@
              Answer& aAnswer,
              utils::Error& aReason);
 
+  /** One look: empty where it can't be told from it. */
+  std::optional<bool> LookForDeath(const std::string& aIncarnation);
+
+  bool AskOptions(utils::Error& aReason);
+
   /** Empty if it does not answer. */
   std::string AskIncarnation(utils::Error& aReason);
 
--- a/tests/RequestsTest.cpp
+++ b/tests/RequestsTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <optional>
 
 #include <bed/Bed.h>
 #include <bed/Caller.h>
@@ -101,13 +102,20 @@
         fakes::MakeAnswer(aCall.prompt, aAnswer.version, aCall.tokens));
 }
 
+// An engine that crashed tells nothing until it is back.
 std::uint64_t
 CountCrashes(Bed& aBed)
 {
   std::uint64_t crashes = 0;
   for (auto* side : aBed.GetEngineSides()) {
-    auto counters = aBed.GetCounters(side->upstream);
-    crashes += counters ? counters->crashes() : 0;
+    std::optional<fakes::Counters> counters;
+    REQUIRE(Bed::WaitFor(
+      [&] {
+        counters = aBed.GetCounters(side->upstream);
+        return counters.has_value();
+      },
+      kPatience));
+    crashes += counters->crashes();
   }
   return crashes;
 }
