--- a/libs/membership/src/ParentLink.cpp
+++ b/libs/membership/src/ParentLink.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <mutex>
 
+#include <telemetry/Metrics.h>
+
 #include "NodeImpl.h"
 
 namespace waxwingyoke::membership {
@@ -26,10 +28,12 @@
   Millis wait(settings.control().sync_wait_ms());
   Millis pause(settings.control().sync_interval_ms());
   for (;;) {
-    auto parent = GetPlace().parent;
+    auto place = GetPlace();
+    auto parent = place.parent;
+    auto part = place.relay && readsLog ? SyncPart::Rows : SyncPart::All;
     if (parent.empty()) {
       net::Runtime::Sleep(kTopPause);
-    } else if (Sync(parent, wait, false)) {
+    } else if (Sync(parent, wait, part)) {
       Trust(parent);
       net::Runtime::Sleep(kGatherPause);
     } else {
@@ -40,12 +44,13 @@
 }
 
 bool
-Node::Impl::Sync(const std::string& aVm, Millis aWait, bool aRecordsOnly)
+Node::Impl::Sync(const std::string& aVm, Millis aWait, SyncPart aPart)
 {
   schema::SyncRequest request;
   request.set_vm(self);
   request.set_wait_ms(aWait.value);
-  request.set_records_only(aRecordsOnly);
+  request.set_records_only(aPart == SyncPart::Records);
+  request.set_rows_only(aPart == SyncPart::Rows);
   {
     Lock lock(mutex);
     request.set_config_offset(store.GetNextOffset());
@@ -60,6 +65,9 @@
   utils::Error reason;
   if (!rpc.Call(
         FindEndpoint(aVm), "control.sync", request, reply, timeouts, reason)) {
+    static auto& sFailures =
+      telemetry::Metrics::Get().GetCounter("config_sync_failures_total");
+    sFailures.Add();
     logger.Debug("a neighbour did not answer",
                  { { "peer", aVm }, { "detail", reason.detail } });
     return false;
--- a/libs/membership/src/Rescue.cpp
+++ b/libs/membership/src/Rescue.cpp
@@ -46,10 +46,11 @@
     toLog = random() % kLogShare == 0;
   }
   auto other = PickOther();
-  if (toLog || other.empty()) {
-    ReadLog(Millis(0));
-  } else {
+  if (!toLog && !other.empty()) {
     PullFrom(other);
+  } else if (!pulling.exchange(true)) {
+    ReadLog(Millis(0));
+    pulling = false;
   }
 }
 
@@ -74,7 +75,7 @@
   if (pulling.exchange(true)) {
     return;
   }
-  if (!Sync(aVm, Millis(0), true)) {
+  if (!Sync(aVm, Millis(0), SyncPart::Records)) {
     Suspect(aVm);
   }
   pulling = false;
--- a/libs/membership/src/SyncMethods.cpp
+++ b/libs/membership/src/SyncMethods.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <mutex>
 
 #include "NodeImpl.h"
@@ -10,6 +11,7 @@
 using utils::Millis;
 
 constexpr Millis kLongestWait(20000);
+constexpr Millis kFreshStep(2000);
 constexpr std::size_t kMaxReplyRows = 200;
 
 void
@@ -57,9 +59,8 @@
   bool isBehind = false;
   {
     Lock lock(mutex);
-    isBehind = store.GetNextOffset() < aRequest.config_offset();
     WaitForNews(aRequest, lock);
-    aReply.Clear();
+    isBehind = store.GetNextOffset() < aRequest.config_offset();
     FillSync(aRequest, aReply);
   }
   // The one who asks us knows more: its words heal us.
@@ -73,10 +74,16 @@
 {
   auto wait = std::min(Millis(aRequest.wait_ms()), kLongestWait);
   auto deadline = clock.Now() + wait;
+  // That there is no news is worth telling too, or ages would add up from
+  // level to level of the tree until its lower nodes take themselves for cut
+  // off.
+  auto known = store.GetFreshTime().value_or(Millis(0)) + kFreshStep;
   for (;;) {
     schema::SyncReply probe;
     auto left = deadline - clock.Now();
-    if (left <= Millis(0) || FillSync(aRequest, probe)) {
+    bool isFresher =
+      !aRequest.rows_only() && store.GetFreshTime().value_or(known) > known;
+    if (left <= Millis(0) || isFresher || FillSync(aRequest, probe)) {
       return;
     }
     WaitForChange(aLock, left);
@@ -87,7 +94,10 @@
 Node::Impl::FillSync(const schema::SyncRequest& aRequest,
                      schema::SyncReply& aReply)
 {
-  store.FillReply(aRequest.config_offset(), clock.Now(), aReply);
+  constexpr auto kNothingMissing = std::numeric_limits<std::uint64_t>::max();
+  auto missing =
+    aRequest.rows_only() ? kNothingMissing : aRequest.config_offset();
+  store.FillReply(missing, clock.Now(), aReply);
   bool isNews = aReply.records_size() > 0 || aReply.has_snapshot();
   if (aRequest.records_only()) {
     return isNews;
