Take live answers out of the link's budget before chunks

Cause: a side's chunks were paced as if its link carried nothing else, so a burst could crowd out live answers; the depot offered ChargeLive and nobody called it. The side now tells each part that goes to or comes from an entry; the pacer adds it without a lock, and the next chunk waits for it.

--- a/libs/requests/include/requests/Side.h
+++ b/libs/requests/include/requests/Side.h
@@ -45,6 +45,11 @@
        ServingHook aServing);
   ~Side();
 
+  /** Called with the bytes of each part that goes to or comes from an entry,
+   * on any thread; before Start only. */
+  using BytesHook = std::function<void(std::size_t aBytes)>;
+  void OnLiveBytes(BytesHook aHook);
+
   /** Adds POST /attempts and /attempts/attach to the control port. */
   void AddRoutes(net::Router& aRouter);
 
--- a/libs/requests/src/Side.cpp
+++ b/libs/requests/src/Side.cpp
@@ -26,6 +26,12 @@
 
 Side::~Side() = default;
 
+void
+Side::OnLiveBytes(BytesHook aHook)
+{
+  impl_->onLiveBytes = std::move(aHook);
+}
+
 void
 Side::AddRoutes(net::Router& aRouter)
 {
--- a/libs/requests/src/SideImpl.cpp
+++ b/libs/requests/src/SideImpl.cpp
@@ -87,6 +87,7 @@
     RefuseWith(reason, aWriter);
     return;
   }
+  onLiveBytes(aRequest.body.size());
   auto deadline = clock.Now() + Millis(request->deadline_ms());
   net::Runtime::SpawnHere(
     [self = shared_from_this(), request, answer, deadline] {
--- a/libs/requests/src/SideImpl.h
+++ b/libs/requests/src/SideImpl.h
@@ -70,6 +70,7 @@
   UpstreamRun runner;
   /** Answers on their way to entries. */
   std::atomic<int> deliveries{ 0 };
+  BytesHook onLiveBytes = [](std::size_t) {};
 };
 
 } // namespace waxwingyoke::requests
--- a/libs/weights/src/Pacer.cpp
+++ b/libs/weights/src/Pacer.cpp
@@ -1,6 +1,7 @@
 #include "Pacer.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <net/Runtime.h>
 
@@ -36,8 +37,9 @@
     std::max<std::int64_t>(0, (busyUntil_ - now) / kMicrosPerMilli));
 }
 
-Pacer::Pacer(std::uint64_t aBytesPerSecond)
-  : bucket_(aBytesPerSecond)
+Pacer::Pacer(std::uint64_t aBytesPerSecond, utils::Clock aClock)
+  : clock_(std::move(aClock))
+  , bucket_(aBytesPerSecond)
 {
 }
 
@@ -53,7 +55,7 @@
 void
 Pacer::Charge(std::size_t aBytes)
 {
-  Take(aBytes);
+  charged_.fetch_add(aBytes, std::memory_order_relaxed);
 }
 
 void
@@ -73,8 +75,9 @@
 utils::Millis
 Pacer::Take(std::size_t aBytes)
 {
+  auto charged = charged_.exchange(0, std::memory_order_relaxed);
   std::scoped_lock lock(mutex_);
-  return bucket_.Take(aBytes, clock_.Now());
+  return bucket_.Take(aBytes + charged, clock_.Now());
 }
 
 } // namespace waxwingyoke::weights
--- a/libs/weights/src/Pacer.h
+++ b/libs/weights/src/Pacer.h
@@ -1,6 +1,7 @@
 #ifndef waxwingyoke_weights_Pacer_h
 #define waxwingyoke_weights_Pacer_h
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -35,12 +36,16 @@
 class Pacer
 {
 public:
-  explicit Pacer(std::uint64_t aBytesPerSecond);
+  explicit Pacer(std::uint64_t aBytesPerSecond,
+                 utils::Clock aClock = utils::Clock());
+
+  /** Takes aBytes and returns the wait before they may move. */
+  utils::Millis Take(std::size_t aBytes);
 
   /** Suspends the fiber until aBytes of chunks may move. */
   void Wait(std::size_t aBytes);
 
-  /** Takes live bytes at once; chunks wait the longer. */
+  /** Takes live bytes at once, without a lock; chunks wait the longer. */
   void Charge(std::size_t aBytes);
 
   /** Another budget from now on; 0 is unlimited. */
@@ -49,9 +54,9 @@
   std::uint64_t GetRate() const;
 
 private:
-  utils::Millis Take(std::size_t aBytes);
-
   utils::Clock clock_;
+  // Live bytes since the last Take.
+  std::atomic<std::size_t> charged_{ 0 };
   // Held for a few instructions, never over a suspension.
   mutable std::mutex mutex_;
   TokenBucket bucket_;
--- a/libs/weights/tests/SwarmTest.cpp
+++ b/libs/weights/tests/SwarmTest.cpp
@@ -194,6 +194,12 @@
   CHECK(bucket.Take(100, Millis(1000)) == Millis(200));
   CHECK(bucket.Take(100, Millis(1250)) == Millis(80));
   CHECK(TokenBucket(0).Take(1 << 30, Millis(0)) == Millis(0));
+
+  Pacer pacer(1000, utils::Clock([] { return Millis(5000); }));
+  CHECK(pacer.Take(20) == Millis(0));
+  pacer.Charge(300);
+  pacer.Charge(200);
+  CHECK(pacer.Take(100) == Millis(600));
 }
 
 TEST_CASE("a region's budget is split by fetchers and yields to delay")
--- a/tools/waxwingyoked/src/SideRole.cpp
+++ b/tools/waxwingyoked/src/SideRole.cpp
@@ -79,6 +79,9 @@
              MakeHooks())
   {
     depot_.AddEngineRoutes(engineRouter_);
+    // Live answers come first: chunks get what they leave of the link.
+    side_.OnLiveBytes(
+      [this](std::size_t aBytes) { depot_.ChargeLive(aBytes); });
   }
 
   void AddRoutes(net::Router& aRouter) override
