--- a/libs/requests/src/EntryImpl.cpp
+++ b/libs/requests/src/EntryImpl.cpp
@@ -11,6 +11,7 @@
 #include <telemetry/Span.h>
 
 #include "RequestRun.h"
+#include "TimedWriter.h"
 
 namespace waxwingyoke::requests {
 
@@ -149,7 +150,8 @@
   } else {
     telemetry::Span span("entry.request", aRequest.traceparent);
     span.Set("profile", aRequest.profile);
-    RequestRun(*this, aRequest, span.GetTraceparent(), aWriter).Run();
+    TimedWriter timed(aWriter);
+    RequestRun(*this, aRequest, span.GetTraceparent(), timed).Run();
   }
   --active;
 }
--- /dev/null
+++ b/libs/requests/src/TimedWriter.h
@@ -0,0 +1,37 @@
+#ifndef waxwingyoke_requests_TimedWriter_h
+#define waxwingyoke_requests_TimedWriter_h
+
+#include <net/HttpServer.h>
+#include <utils/Time.h>
+
+namespace waxwingyoke::requests {
+
+/**
+ * Passes an answer on and adds the times until its first part and its end to
+ * the process's metrics. Lives as long as the request.
+ */
+class TimedWriter : public net::ResponseWriter
+{
+public:
+  explicit TimedWriter(net::ResponseWriter& aInner);
+  ~TimedWriter() override;
+
+  bool Send(const net::HttpResponse& aResponse) override;
+  bool Start(int aStatus, const net::HttpFields& aFields) override;
+  bool Write(std::string_view aPart) override;
+  bool Finish() override;
+  bool IsPeerGone() override { return inner_.IsPeerGone(); }
+  bool IsStarted() const override { return inner_.IsStarted(); }
+
+private:
+  void NoteFirstPart();
+
+  net::ResponseWriter& inner_;
+  utils::Clock clock_;
+  utils::Millis begun_;
+  bool hasPart_ = false;
+};
+
+} // namespace waxwingyoke::requests
+
+#endif // waxwingyoke_requests_TimedWriter_h
