--- a/tests/matrix/Page.cpp
+++ b/tests/matrix/Page.cpp
@@ -21,7 +21,7 @@
     build/bin/waxwingyoke-matrix --pairs 20 --results FILE
     build/bin/waxwingyoke-matrix --results FILE --page docs/FAULT-MATRIX.md
 
-Each cell checks every promise: engines saw no partial or mixed weights
+Chat requests are declared idempotent where the seed is even. Each cell checks every promise: engines saw no partial or mixed weights
 (weights); each answer is whole and the caller's own, or an error that says so
 (whole answers); "not run" is true by the upstreams' counters (not run);
 non-idempotent requests ran at most once (at most once); accepted changes are
@@ -82,7 +82,16 @@
 void
 WriteTable(const std::vector<Row>& aRows, std::ostream& aOut)
 {
-  aOut << "Cells hold the result and its seed.\n\n| fault |";
+  std::size_t red = 0;
+  std::size_t run = 0;
+  for (const auto& row : aRows) {
+    bool isLast = FindRow(aRows, row.step, row.faults) == &row;
+    run += isLast ? 1 : 0;
+    red += isLast && !row.finding.empty() ? 1 : 0;
+  }
+  aOut << run << " cells run, pairs included, of which " << red
+       << " red; the whole table has " << GetSteps().size() * GetFaults().size()
+       << ". A cell shows its last run and seed.\n\n| fault |";
   for (const auto& step : GetSteps()) {
     aOut << " " << step.name << " |";
   }
