--- a/libs/membership/src/SnapshotNeed.h
+++ b/libs/membership/src/SnapshotNeed.h
@@ -17,6 +17,8 @@
   std::uint64_t snapshotOffset = 0;
   /** This relay's rank among all of them. */
   std::size_t rank = 0;
+  /** First offset that the log still holds. */
+  std::uint64_t firstOffset = 0;
 };
 
 /**
--- a/libs/membership/src/SnapshotWriter.cpp
+++ b/libs/membership/src/SnapshotWriter.cpp
@@ -36,6 +36,7 @@
       isFresh = age && *age <= kFreshAge;
       sight.nextOffset = store.GetNextOffset();
       sight.snapshotOffset = store.GetReplay().GetSnapshotOffset();
+      sight.firstOffset = store.GetReplay().GetFirstOffset();
     }
     if (isFresh && need.IsDue(sight, clock.Now())) {
       WriteSnapshot();
--- a/libs/membership/tests/ConfigStoreTest.cpp
+++ b/libs/membership/tests/ConfigStoreTest.cpp
@@ -155,6 +155,15 @@
     SnapshotNeed fresh(kInterval);
     CHECK(fresh.IsDue(sight, Millis(0)));
   }
+  SUBCASE("records that vanish need one before they vanish up to the last")
+  {
+    SnapshotNeed trimmed(kInterval);
+    CHECK_FALSE(trimmed.IsDue({ 50, 40, 0, 0 }, Millis(0)));
+    CHECK_FALSE(trimmed.IsDue({ 50, 40, 0, 30 }, Millis(10)));
+    CHECK(trimmed.IsDue({ 60, 40, 0, 40 }, Millis(20)));
+    CHECK(trimmed.IsDue({ 60, 40, 0, 58 }, Millis(30)));
+    CHECK_FALSE(trimmed.IsDue({ 61, 60, 0, 59 }, Millis(40)));
+  }
   SUBCASE("an empty log needs none")
   {
     SnapshotNeed empty(kInterval);
--- a/libs/profiles/include/profiles/Replay.h
+++ b/libs/profiles/include/profiles/Replay.h
@@ -54,6 +54,9 @@
   /** Offset up to which the newest snapshot seen in the log reaches. */
   std::uint64_t GetSnapshotOffset() const { return snapshotOffset_; }
 
+  /** The first offset that the log still held when it was last read. */
+  std::uint64_t GetFirstOffset() const { return firstOffset_; }
+
   /** Snapshots whose state differed from the own fold at that offset. */
   std::uint64_t GetMismatches() const { return mismatches_; }
 
@@ -73,6 +76,7 @@
   RecordHook hook_;
   std::uint64_t readOffset_ = 0;
   std::uint64_t snapshotOffset_ = 0;
+  std::uint64_t firstOffset_ = 0;
   std::uint64_t mismatches_ = 0;
   /** Set while a snapshot is looked for: where what is kept begins. */
   std::optional<std::uint64_t> searchFrom_;
--- a/libs/profiles/src/Replay.cpp
+++ b/libs/profiles/src/Replay.cpp
@@ -15,6 +15,7 @@
 void
 Replay::Add(const schema::LogPage& aPage)
 {
+  firstOffset_ = aPage.first_offset();
   if (aPage.first_offset() == 0 && !fold_) {
     fold_.emplace();
   }
