Send a permit's release until the log has taken it

Change: releases that are not in the log are sent again with each step, and no new permit is asked for before. A release names its request's offset, so one that comes twice frees no later permit. A permit's time counts from the first append that may have reached the log, also when it seemed to fail.

--- a/libs/weights/src/PermitDesk.cpp
+++ b/libs/weights/src/PermitDesk.cpp
@@ -1,6 +1,7 @@
 #include "PermitDesk.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <telemetry/Logger.h>
 #include <utils/Hash.h>
@@ -51,28 +52,44 @@
 }
 
 const Permit*
-PermitDesk::FindOwn() const
+PermitDesk::FindOwn(const std::string& aProfile, std::uint64_t aRevision) const
 {
-  return log_.GetPermits().Find(profile_,
-                                revision_,
+  return log_.GetPermits().Find(aProfile,
+                                aRevision,
                                 services_.settings.node().vm(),
                                 services_.node.GetIncarnation());
 }
 
+// From here on the request may stand in the log, also where its append seems
+// to have failed, so the time for which a permit is good is counted from here.
+void
+PermitDesk::Begin(const schema::Profile& aProfile)
+{
+  profile_ = aProfile.name();
+  revision_ = aProfile.revision();
+  isRequested_ = false;
+  notGrantedAt_ = clock_.Now();
+}
+
 bool
 PermitDesk::Poll(const schema::Profile& aProfile, utils::Error& aReason)
 {
   if (profile_ != aProfile.name() || revision_ != aProfile.revision()) {
     Release();
+    // A request now could be answered by the permit that is to be freed.
+    if (!unwanted_.empty()) {
+      aReason.Set(ErrorKind::LogUnavailable, "an earlier permit is not freed");
+      return false;
+    }
+    Begin(aProfile);
   }
   auto before = clock_.Now();
-  bool done =
-    profile_.empty() ? Request(aProfile, aReason) : log_.Sync(aReason);
-  if (!done) {
+  isRequested_ = isRequested_ || Request(aProfile, aReason);
+  if (!isRequested_ || !log_.Sync(aReason)) {
     return false;
   }
   FreeExpired(profile_);
-  const auto* own = FindOwn();
+  const auto* own = FindOwn(profile_, revision_);
   if (own == nullptr) {
     // Freed by others, or overtaken by a newer revision.
     profile_.clear();
@@ -107,23 +124,41 @@
 void
 PermitDesk::Release()
 {
-  if (profile_.empty()) {
-    return;
+  if (!profile_.empty()) {
+    unwanted_.push_back({ profile_, revision_ });
+    profile_.clear();
+    deadline_.reset();
+  }
+  FlushReleases();
+}
+
+void
+PermitDesk::FlushReleases()
+{
+  std::vector<Unwanted> left;
+  for (const auto& unwanted : unwanted_) {
+    if (!ReleaseOne(unwanted)) {
+      left.push_back(unwanted);
+    }
   }
-  Permit own;
-  own.vm = services_.settings.node().vm();
-  own.incarnation = services_.node.GetIncarnation();
-  own.revision = revision_;
-  // One that is lost is freed by the others in time.
-  SendRelease(profile_, own);
-  profile_.clear();
-  deadline_.reset();
+  unwanted_ = std::move(left);
+}
+
+// Looks at the log first: a release whose answer was lost stands there.
+bool
+PermitDesk::ReleaseOne(const Unwanted& aUnwanted)
+{
+  utils::Error reason;
+  if (!log_.Sync(reason)) {
+    return false;
+  }
+  const auto* own = FindOwn(aUnwanted.profile, aUnwanted.revision);
+  return own == nullptr || SendRelease(aUnwanted.profile, Permit(*own));
 }
 
 bool
 PermitDesk::Request(const schema::Profile& aProfile, utils::Error& aReason)
 {
-  notGrantedAt_ = clock_.Now();
   schema::LogRecord record;
   record.set_id(utils::MakeUniqueId());
   auto& request = *record.mutable_permit_request();
@@ -132,12 +167,7 @@
   request.set_vm(services_.settings.node().vm());
   request.set_incarnation(services_.node.GetIncarnation());
   request.set_max_unavailable(aProfile.switch_over().max_unavailable());
-  if (!log_.Append(record, aReason)) {
-    return false;
-  }
-  profile_ = aProfile.name();
-  revision_ = aProfile.revision();
-  return true;
+  return log_.Append(record, aReason);
 }
 
 bool
@@ -150,6 +180,7 @@
   release.set_revision(aPermit.revision);
   release.set_vm(aPermit.vm);
   release.set_incarnation(aPermit.incarnation);
+  release.set_request_offset(aPermit.offset);
   utils::Error reason;
   return log_.Append(record, reason);
 }
--- a/libs/weights/src/PermitDesk.h
+++ b/libs/weights/src/PermitDesk.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "PermitClock.h"
 #include "RolloutLog.h"
@@ -30,12 +31,28 @@
   /** Gives the permit back, or the place in the queue; may suspend. */
   void Release();
 
+  /**
+   * Sends again the releases that the log did not take, so that others need
+   * not wait until they may free the permits; may suspend.
+   */
+  void FlushReleases();
+
 private:
+  /** What was asked for and is no longer wanted. */
+  struct Unwanted
+  {
+    std::string profile;
+    std::uint64_t revision = 0;
+  };
+
+  void Begin(const schema::Profile& aProfile);
+  bool ReleaseOne(const Unwanted& aUnwanted);
   bool Request(const schema::Profile& aProfile, utils::Error& aReason);
   bool SendRelease(const std::string& aProfile, const Permit& aPermit);
   void FreeExpired(const std::string& aProfile);
   bool KeepsMinimum(const schema::Profile& aProfile) const;
-  const Permit* FindOwn() const;
+  const Permit* FindOwn(const std::string& aProfile,
+                        std::uint64_t aRevision) const;
 
   const Services services_;
   RolloutLog& log_;
@@ -44,9 +61,12 @@
   /** What was asked for last; no name: nothing. */
   std::string profile_;
   std::uint64_t revision_ = 0;
+  /** Whether the request is known to stand in the log. */
+  bool isRequested_ = false;
   /** The last moment at which the permit was surely not granted. */
   utils::Millis notGrantedAt_;
   std::optional<utils::Millis> deadline_;
+  std::vector<Unwanted> unwanted_;
 };
 
 /** Sides of a profile that serve, without aVm and the holders of permits. */
--- a/libs/weights/src/PermitFold.cpp
+++ b/libs/weights/src/PermitFold.cpp
@@ -44,7 +44,8 @@
   std::erase_if(queue.permits, [&](const Permit& aPermit) {
     return aPermit.vm == aRelease.vm() &&
            aPermit.incarnation == aRelease.incarnation() &&
-           aPermit.revision == aRelease.revision();
+           aPermit.revision == aRelease.revision() &&
+           aPermit.offset == aRelease.request_offset();
   });
   Grant(queue);
 }
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -46,6 +46,7 @@
 void
 SwitchOver::Step(const schema::Profile& aProfile, bool aWhole)
 {
+  permits_.FlushReleases();
   // What the engine holds is asked, never remembered: it may have crashed,
   // or taken somebody else's order.
   utils::Error reason;
--- a/libs/weights/tests/RolloutFoldTest.cpp
+++ b/libs/weights/tests/RolloutFoldTest.cpp
@@ -55,6 +55,7 @@
   release.set_revision(aPermit.revision);
   release.set_vm(aPermit.vm);
   release.set_incarnation(aPermit.incarnation);
+  release.set_request_offset(aPermit.offset);
   return release;
 }
 
@@ -113,6 +114,17 @@
   CHECK(granted == 48 * kMaxOriginCopies);
 }
 
+TEST_CASE("a release that comes twice frees no later permit")
+{
+  PermitFold fold;
+  fold.Apply(1, MakeRequest("a", 5, 1));
+  auto release = MakeRelease(fold.GetPermits("p")[0]);
+  fold.Apply(release);
+  fold.Apply(3, MakeRequest("a", 5, 1));
+  fold.Apply(release);
+  CHECK(ListGranted(fold) == Names{ "a" });
+}
+
 TEST_CASE("permits are granted in the log's order and stay until released")
 {
   PermitFold fold;
