Look at the log for a permit less often from further back in the queue

Cause: each side that waits for a switch-over's permit read the log every 300 ms; 360 of them are 1,200 reads a second. The pause now grows by the groups of VMs before it, up to 3 s: 350 a second at first, worked out, not measured. docs/CAPACITY.md gives each role's figures at full size.

--- a/libs/weights/src/PermitDesk.cpp
+++ b/libs/weights/src/PermitDesk.cpp
@@ -6,6 +6,8 @@
 #include <telemetry/Logger.h>
 #include <utils/Hash.h>
 
+#include "PermitPace.h"
+
 namespace waxwingyoke::weights {
 
 using utils::ErrorKind;
@@ -115,6 +117,15 @@
   return true;
 }
 
+utils::Millis
+PermitDesk::GetPause(const schema::Profile& aProfile) const
+{
+  const auto* own = FindOwn(aProfile.name(), aProfile.revision());
+  return GetPollPause(log_.GetPermits().GetPermits(aProfile.name()),
+                      own ? own->offset : 0,
+                      aProfile.switch_over().max_unavailable());
+}
+
 bool
 PermitDesk::IsValid() const
 {
--- a/libs/weights/src/PermitDesk.h
+++ b/libs/weights/src/PermitDesk.h
@@ -25,6 +25,9 @@
    */
   bool Poll(const schema::Profile& aProfile, utils::Error& aReason);
 
+  /** How long to wait after a Poll that was refused. */
+  utils::Millis GetPause(const schema::Profile& aProfile) const;
+
   /** Whether the permit that Poll found may still be acted on. */
   bool IsValid() const;
 
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -15,7 +15,6 @@
 constexpr utils::Millis kLoadTimeout(60000);
 constexpr utils::Millis kSettlePause(200);
 constexpr utils::Millis kRetryPause(1000);
-constexpr utils::Millis kPermitPause(300);
 
 const telemetry::Logger&
 GetLogger()
@@ -135,7 +134,7 @@
   utils::Error reason;
   if (aServes && !permits_.Poll(aProfile, reason)) {
     lastError_ = reason;
-    notBefore_ = clock_.Now() + kPermitPause;
+    notBefore_ = clock_.Now() + permits_.GetPause(aProfile);
     return;
   }
   lastError_ = {};
--- a/libs/weights/tests/RolloutFoldTest.cpp
+++ b/libs/weights/tests/RolloutFoldTest.cpp
@@ -8,6 +8,7 @@
 
 #include <PermitClock.h>
 #include <PermitFold.h>
+#include <PermitPace.h>
 #include <TicketFold.h>
 
 using namespace waxwingyoke;
@@ -114,6 +115,20 @@
   CHECK(granted == 48 * kMaxOriginCopies);
 }
 
+TEST_CASE("who waits behind more VMs looks at the log less often")
+{
+  PermitFold fold;
+  for (std::uint64_t offset = 1; offset <= 100; ++offset) {
+    fold.Apply(offset, MakeRequest("vm-" + std::to_string(offset), 5, 4));
+  }
+  const auto& permits = fold.GetPermits("p");
+  CHECK(GetPollPause(permits, 0, 4) == Millis(300));
+  CHECK(GetPollPause(permits, 4, 4) == Millis(300));
+  CHECK(GetPollPause(permits, 9, 4) == Millis(900));
+  CHECK(GetPollPause(permits, 100, 4) == Millis(3000));
+  CHECK(GetPollPause(permits, 9, 0) == Millis(2700));
+}
+
 TEST_CASE("a release that comes twice frees no later permit")
 {
   PermitFold fold;
