--- a/bench/burst/src/BaselineRun.cpp
+++ b/bench/burst/src/BaselineRun.cpp
@@ -64,7 +64,7 @@
                     : agents.back().endpoint;
     utils::Error reason;
     agent.process =
-      bed::Process::Start({ bed::GetProgramPath("burst"),
+      bed::Process::Start({ bed::GetProgramPath("waxwingyoke-bench-burst"),
                             "agent",
                             "--listen",
                             agent.endpoint.ToString(),
