--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include "Await.h"
 #include "Beast.h"
 #include "RuntimeImpl.h"
+#include "StreamWriter.h"
 #include "Traffic.h"
 
 namespace waxwingyoke::net {
@@ -18,124 +19,8 @@
 
 using Stream = beast::tcp_stream;
 
-class Writer : public ResponseWriter
-{
-public:
-  Writer(Stream& aStream, utils::Millis aTimeout, bool aKeepAlive)
-    : stream_(aStream)
-    , timeout_(aTimeout)
-    , keepAlive_(aKeepAlive)
-  {
-  }
-
-  bool Send(const HttpResponse& aResponse) override;
-  bool Start(int aStatus, const HttpFields& aFields) override;
-  bool Write(std::string_view aPart) override;
-  bool Finish() override;
-  bool IsPeerGone() override
-  {
-    return broken_ || IsClosedByPeer(stream_.socket());
-  }
-  bool IsStarted() const override { return started_; }
-
-  bool IsWhole() const { return finished_ && !broken_; }
-
-private:
-  template<typename Operation>
-  bool Do(Operation aOperation);
-
-  Stream& stream_;
-  utils::Millis timeout_;
-  bool keepAlive_;
-  bool started_ = false;
-  bool finished_ = false;
-  bool broken_ = false;
-};
-
-template<typename Operation>
-bool
-Writer::Do(Operation aOperation)
-{
-  if (broken_) {
-    return false;
-  }
-  stream_.expires_after(timeout_.ToChrono());
-  auto result = Await(std::move(aOperation));
-  Traffic::Get().sent.Add(result.bytes);
-  broken_ = static_cast<bool>(result.error);
-  return !broken_;
-}
-
-bool
-Writer::Send(const HttpResponse& aResponse)
-{
-  started_ = true;
-  finished_ = true;
-  http::response<http::string_body> message;
-  message.version(11);
-  message.result(static_cast<unsigned>(aResponse.status));
-  CopyFields(aResponse.fields, message);
-  message.keep_alive(keepAlive_);
-  message.body() = aResponse.body;
-  message.prepare_payload();
-  return Do([&](auto aHandler) {
-    http::async_write(stream_, message, std::move(aHandler));
-  });
-}
-
-bool
-Writer::Start(int aStatus, const HttpFields& aFields)
-{
-  started_ = true;
-  http::response<http::empty_body> message;
-  message.version(11);
-  message.result(static_cast<unsigned>(aStatus));
-  CopyFields(aFields, message);
-  message.keep_alive(keepAlive_);
-  message.chunked(true);
-  http::response_serializer<http::empty_body> serializer(message);
-  return Do([&](auto aHandler) {
-    http::async_write_header(stream_, serializer, std::move(aHandler));
-  });
-}
-
-bool
-Writer::Write(std::string_view aPart)
-{
-  // An empty chunk would be the end mark.
-  if (aPart.empty()) {
-    return !broken_;
-  }
-  return Do([&](auto aHandler) {
-    asio::async_write(
-      stream_,
-      http::make_chunk(asio::const_buffer(aPart.data(), aPart.size())),
-      std::move(aHandler));
-  });
-}
-
-bool
-Writer::Finish()
-{
-  finished_ = true;
-  return Do([&](auto aHandler) {
-    asio::async_write(stream_, http::make_chunk_last(), std::move(aHandler));
-  });
-}
-
 } // namespace
 
-bool
-IsClosedByPeer(Tcp::socket& aSocket)
-{
-  char byte = 0;
-  auto got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got == 0) {
-    return true;
-  }
-  return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
-}
-
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
   Impl(Runtime& aRuntime, Options aOptions)
@@ -277,7 +162,7 @@
                              const HttpRequest& aRequest,
                              bool aKeep)
 {
-  Writer writer(aStream, options.writeTimeout, aKeep && !closing);
+  StreamWriter writer(aStream, options.writeTimeout, aKeep && !closing);
   ++active;
   options.handler(aRequest, writer);
   if (!writer.IsStarted()) {
@@ -310,7 +195,8 @@
     return;
   }
   sBroken.Add();
-  Writer(aStream, options.writeTimeout, false).Send(MakeErrorResponse(error));
+  StreamWriter(aStream, options.writeTimeout, false)
+    .Send(MakeErrorResponse(error));
 }
 
 HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
--- a/libs/routing/src/Chooser.cpp
+++ b/libs/routing/src/Chooser.cpp
@@ -5,23 +5,14 @@
 #include <cmath>
 #include <numeric>
 
+#include <utils/Hash.h>
+
 namespace waxwingyoke::routing {
 
 namespace {
 
 using Pool = std::vector<const Candidate*>;
 
-// The finaliser of SplitMix64: spreads two hashes that differ in any bit.
-std::uint64_t
-Mix(std::uint64_t aValue)
-{
-  aValue ^= aValue >> 30;
-  aValue *= 0xbf58476d1ce4e5b9ULL;
-  aValue ^= aValue >> 27;
-  aValue *= 0x94d049bb133111ebULL;
-  return aValue ^ aValue >> 31;
-}
-
 std::int64_t
 GetLoad(const Candidate* aCandidate)
 {
@@ -54,10 +45,10 @@
   if (aCandidate.state->IsEjected(aQuery.now)) {
     return false;
   }
-  constexpr double kDraws = 1024;
-  auto draw = Mix(aQuery.random ^ aCandidate.hash) % 1024;
+  constexpr std::uint64_t kDraws = 1024;
+  auto draw = utils::MixBits(aQuery.random ^ aCandidate.hash) % kDraws;
   return static_cast<double>(draw) <
-         kDraws * aCandidate.state->GetShare(aQuery.now);
+         static_cast<double>(kDraws) * aCandidate.state->GetShare(aQuery.now);
 }
 
 const Candidate*
@@ -67,7 +58,8 @@
   auto rank = [&aQuery](const Candidate* aCandidate) {
     auto relative = static_cast<double>(GetLoad(aCandidate)) /
                     static_cast<double>(aCandidate->slots);
-    return std::pair(relative, Mix(aQuery.random ^ aCandidate->hash));
+    return std::pair(relative,
+                     utils::MixBits(aQuery.random ^ aCandidate->hash));
   };
   return *std::ranges::min_element(aPool, {}, rank);
 }
@@ -75,8 +67,8 @@
 const Candidate*
 ChooseOfTwo(const Pool& aPool, const ChoiceQuery& aQuery)
 {
-  const auto* first = aPool[Mix(aQuery.random) % aPool.size()];
-  const auto* second = aPool[Mix(aQuery.random + 1) % aPool.size()];
+  const auto* first = aPool[utils::MixBits(aQuery.random) % aPool.size()];
+  const auto* second = aPool[utils::MixBits(aQuery.random + 1) % aPool.size()];
   return GetLoad(second) < GetLoad(first) ? second : first;
 }
 
@@ -90,7 +82,7 @@
   auto bound = static_cast<std::int64_t>(std::ceil(kLoadBound * mean));
   auto rank = [&aQuery, bound](const Candidate* aCandidate) {
     return std::pair(GetLoad(aCandidate) < bound,
-                     Mix(aQuery.affinity ^ aCandidate->hash));
+                     utils::MixBits(aQuery.affinity ^ aCandidate->hash));
   };
   return *std::ranges::max_element(aPool, {}, rank);
 }
--- a/libs/utils/include/utils/Hash.h
+++ b/libs/utils/include/utils/Hash.h
@@ -8,6 +8,10 @@
 
 namespace waxwingyoke::utils {
 
+/** Spreads a change of any bit over all bits; the same everywhere. */
+std::uint64_t
+MixBits(std::uint64_t aValue);
+
 /** A stable 64-bit hash: the same on every VM and in every release. */
 std::uint64_t
 StableHash(std::string_view aBytes, std::uint64_t aSeed = 0);
--- a/libs/utils/src/Hash.cpp
+++ b/libs/utils/src/Hash.cpp
@@ -12,10 +12,18 @@
 constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325ULL;
 constexpr std::uint64_t kFnvPrime = 0x100000001b3ULL;
 
+struct Ranked
+{
+  std::uint64_t weight;
+  std::string member;
+};
+
+} // namespace
+
 // FNV alone leaves the high bits of short keys alike, and ranks compare
 // the high bits first.
 std::uint64_t
-Mix(std::uint64_t aValue)
+MixBits(std::uint64_t aValue)
 {
   aValue ^= aValue >> 33;
   aValue *= 0xff51afd7ed558ccdULL;
@@ -24,22 +32,14 @@
   return aValue ^ aValue >> 33;
 }
 
-struct Ranked
-{
-  std::uint64_t weight;
-  std::string member;
-};
-
-} // namespace
-
 std::uint64_t
 StableHash(std::string_view aBytes, std::uint64_t aSeed)
 {
-  std::uint64_t hash = kFnvOffset ^ Mix(aSeed);
+  std::uint64_t hash = kFnvOffset ^ MixBits(aSeed);
   std::ranges::for_each(aBytes, [&hash](char aByte) {
     hash = (hash ^ static_cast<std::uint8_t>(aByte)) * kFnvPrime;
   });
-  return Mix(hash);
+  return MixBits(hash);
 }
 
 std::vector<std::string>
