--- a/bench/burst/src/Agent.cpp
+++ b/bench/burst/src/Agent.cpp
@@ -8,9 +8,9 @@
 #include <telemetry/Metrics.h>
 
 #include <ChunkRoutes.h>
+#include <ChunkStore.h>
 #include <Content.h>
 #include <Fetcher.h>
-#include <Holdings.h>
 #include <Pacer.h>
 
 namespace waxwingyoke::burst {
@@ -29,9 +29,9 @@
   explicit Agent(const AgentOptions& aOptions)
     : source_(*net::Endpoint::Parse(aOptions.source))
     , version_(*utils::Digest::Parse(aOptions.version))
-    , holdings_(kMaxBytes)
+    , chunkStore_(kMaxBytes)
     , link_(aOptions.linkBytesPerSecond)
-    , routes_(holdings_, link_)
+    , routes_(chunkStore_, link_)
     , fetcher_(http_, link_)
   {
   }
@@ -48,7 +48,7 @@
       constexpr int kNotFound = 404;
       net::HttpResponse response;
       response.status =
-        holdings_.IsWhole(version_) ? response.status : kNotFound;
+        chunkStore_.IsWhole(version_) ? response.status : kNotFound;
       aWriter.Send(response);
     });
   }
@@ -58,11 +58,11 @@
     utils::Error reason;
     auto bytes = FetchUntilThere("/manifests/" + version_.ToHex(), kMaxBytes);
     auto content = weights::Content::Read(version_, std::move(bytes), reason);
-    holdings_.AddContent(content);
+    chunkStore_.AddContent(content);
     for (const auto& chunk : content->chunks) {
       auto body =
         FetchUntilThere("/chunks/" + chunk.digest.ToHex(), chunk.bytes);
-      holdings_.AddChunk(chunk.digest, std::move(body), reason);
+      chunkStore_.AddChunk(chunk.digest, std::move(body), reason);
     }
   }
 
@@ -91,7 +91,7 @@
   const net::Endpoint source_;
   const utils::Digest version_;
   net::HttpClient http_;
-  weights::Holdings holdings_;
+  weights::ChunkStore chunkStore_;
   weights::Pacer link_;
   weights::ChunkRoutes routes_;
   weights::Fetcher fetcher_;
--- a/libs/membership/src/Rescue.cpp
+++ b/libs/membership/src/Healing.cpp
@@ -9,7 +9,7 @@
 
 using utils::Millis;
 
-constexpr Millis kRescuePause(3000);
+constexpr Millis kHealingPause(3000);
 // Above what a parent that is well lies behind: its own wait and its
 // parents' waits end within this.
 constexpr Millis kStaleAge(8000);
@@ -19,10 +19,10 @@
 } // namespace
 
 void
-Node::Impl::RunRescue()
+Node::Impl::RunHealing()
 {
   for (;;) {
-    net::Runtime::Sleep(Jitter(kRescuePause));
+    net::Runtime::Sleep(Jitter(kHealingPause));
     bool isStale = false;
     {
       Lock lock(mutex);
@@ -30,7 +30,7 @@
       isStale = !age || *age > kStaleAge;
     }
     if (isStale) {
-      TryRescue();
+      TryHealing();
     }
   }
 }
@@ -38,7 +38,7 @@
 // A node that its parents leave behind asks any other: whoever is cut off
 // from the log has neighbours that are not, or the reverse.
 void
-Node::Impl::TryRescue()
+Node::Impl::TryHealing()
 {
   bool toLog = false;
   {
--- a/libs/membership/src/Node.cpp
+++ b/libs/membership/src/Node.cpp
@@ -226,7 +226,7 @@
     net::Runtime::SpawnHere([impl] { impl->RunPushes(); });
     net::Runtime::SpawnHere([impl] { impl->RunLogReader(); });
     net::Runtime::SpawnHere([impl] { impl->RunVmListReader(); });
-    net::Runtime::SpawnHere([impl] { impl->RunRescue(); });
+    net::Runtime::SpawnHere([impl] { impl->RunHealing(); });
     net::Runtime::SpawnHere([impl] { impl->RunSnapshotWriter(); });
   });
 }
@@ -282,7 +282,7 @@
   }
   auto* impl = impl_.get();
   auto deadline = impl->clock.Now() + aWait;
-  impl->runtime.Spawn([impl] { impl->TryRescue(); });
+  impl->runtime.Spawn([impl] { impl->TryHealing(); });
   Impl::Lock lock(impl->mutex);
   while (!isThere()) {
     auto left = deadline - impl->clock.Now();
--- a/libs/membership/src/NodeImpl.h
+++ b/libs/membership/src/NodeImpl.h
@@ -50,7 +50,7 @@
 
 /**
  * The state of one node and its fibers. Each fiber's part stands in a file
- * of its own: LogReader, ParentLink, SyncMethods, VmListReader, Rescue and
+ * of its own: LogReader, ParentLink, SyncMethods, VmListReader, Healing and
  * SnapshotWriter.
  */
 struct Node::Impl
@@ -103,9 +103,9 @@
   void RunVmListReader();
   bool ReadVmList(bool aAsHint);
 
-  // Rescue.cpp
-  void RunRescue();
-  void TryRescue();
+  // Healing.cpp
+  void RunHealing();
+  void TryHealing();
   void PullFrom(const std::string& aVm);
   std::string PickOther();
 
--- a/libs/requests/src/ClaimDesk.cpp
+++ b/libs/requests/src/ClaimService.cpp
@@ -1,4 +1,4 @@
-#include "ClaimDesk.h"
+#include "ClaimService.h"
 
 #include <algorithm>
 #include <utility>
@@ -30,9 +30,9 @@
 
 } // namespace
 
-ClaimDesk::ClaimDesk(membership::Node& aNode,
-                     rpc::RpcClient& aRpc,
-                     platform::LogClient& aLog)
+ClaimService::ClaimService(membership::Node& aNode,
+                           rpc::RpcClient& aRpc,
+                           platform::LogClient& aLog)
   : node_(aNode)
   , rpc_(aRpc)
 {
@@ -43,14 +43,14 @@
 }
 
 ClaimStream&
-ClaimDesk::GetStream(const schema::Claim& aClaim)
+ClaimService::GetStream(const schema::Claim& aClaim)
 {
   return *streams_.at(GetStreamName(aClaim));
 }
 
 const membership::Member*
-ClaimDesk::FindOwner(const membership::View& aView,
-                     const std::string& aStream) const
+ClaimService::FindOwner(const membership::View& aView,
+                        const std::string& aStream) const
 {
   std::vector<std::string> entries;
   for (const auto& [vm, member] : aView.members) {
@@ -66,9 +66,9 @@
 }
 
 std::optional<schema::ClaimReply>
-ClaimDesk::Claim(const schema::Claim& aClaim,
-                 Millis aDeadline,
-                 utils::Error& aReason)
+ClaimService::Claim(const schema::Claim& aClaim,
+                    Millis aDeadline,
+                    utils::Error& aReason)
 {
   auto view = node_.GetView();
   const auto* owner = FindOwner(*view, GetStreamName(aClaim));
@@ -100,9 +100,9 @@
 }
 
 bool
-ClaimDesk::Take(const schema::ClaimRequest& aRequest,
-                schema::ClaimReply& aReply,
-                utils::Error& aReason)
+ClaimService::Take(const schema::ClaimRequest& aRequest,
+                   schema::ClaimReply& aReply,
+                   utils::Error& aReason)
 {
   auto deadline = clock_.Now() + Millis(aRequest.timeout_ms());
   auto reply =
--- a/libs/requests/src/ClaimDesk.h
+++ b/libs/requests/src/ClaimService.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_requests_ClaimDesk_h
-#define waxwingyoke_requests_ClaimDesk_h
+#ifndef waxwingyoke_requests_ClaimService_h
+#define waxwingyoke_requests_ClaimService_h
 
 #include <map>
 #include <memory>
@@ -21,12 +21,12 @@
  * Settles claims: hands each to the entry that ranks first for its stream
  * and has it folded already; does it here where that one does not answer.
  */
-class ClaimDesk
+class ClaimService
 {
 public:
-  ClaimDesk(membership::Node& aNode,
-            rpc::RpcClient& aRpc,
-            platform::LogClient& aLog);
+  ClaimService(membership::Node& aNode,
+               rpc::RpcClient& aRpc,
+               platform::LogClient& aLog);
 
   std::optional<schema::ClaimReply> Claim(const schema::Claim& aClaim,
                                           utils::Millis aDeadline,
@@ -51,4 +51,4 @@
 
 } // namespace waxwingyoke::requests
 
-#endif // waxwingyoke_requests_ClaimDesk_h
+#endif // waxwingyoke_requests_ClaimService_h
--- a/libs/requests/src/EntryImpl.h
+++ b/libs/requests/src/EntryImpl.h
@@ -16,9 +16,9 @@
 #include "AttemptCall.h"
 #include "CallerRequest.h"
 #include "CallerSink.h"
-#include "ClaimDesk.h"
+#include "ClaimService.h"
 #include "RetryBudget.h"
-#include "StrikeDesk.h"
+#include "StrikeTracker.h"
 
 namespace waxwingyoke::requests {
 
@@ -50,8 +50,8 @@
   routing::Policy policy;
   RetryBudget budget;
   AttemptCall call;
-  StrikeDesk strikes;
-  ClaimDesk claims;
+  StrikeTracker strikes;
+  ClaimService claims;
   utils::RcuCell<routing::RouteTable> routes;
   std::mutex routesMutex;
   routing::RouteTableBuilder routesBuilder;
--- a/libs/requests/src/StrikeDesk.cpp
+++ b/libs/requests/src/StrikeTracker.cpp
@@ -1,4 +1,4 @@
-#include "StrikeDesk.h"
+#include "StrikeTracker.h"
 
 #include <algorithm>
 #include <atomic>
@@ -22,9 +22,9 @@
 
 } // namespace
 
-StrikeDesk::StrikeDesk(membership::Node& aNode,
-                       rpc::RpcClient& aRpc,
-                       platform::LogClient& aLog)
+StrikeTracker::StrikeTracker(membership::Node& aNode,
+                             rpc::RpcClient& aRpc,
+                             platform::LogClient& aLog)
   : node_(aNode)
   , rpc_(aRpc)
   , log_(aLog)
@@ -32,13 +32,13 @@
 }
 
 Suspicion
-StrikeDesk::Find(const std::string& aDigest) const
+StrikeTracker::Find(const std::string& aDigest) const
 {
   return suspects_.Find(aDigest, clock_.Now());
 }
 
 void
-StrikeDesk::Take(const schema::StrikeNotice& aNotice)
+StrikeTracker::Take(const schema::StrikeNotice& aNotice)
 {
   if (aNotice.strike() == schema::NO_STRIKE) {
     suspects_.Clear(aNotice.request_digest());
@@ -48,7 +48,7 @@
 }
 
 void
-StrikeDesk::Report(const std::string& aDigest, schema::Strike aStrike)
+StrikeTracker::Report(const std::string& aDigest, schema::Strike aStrike)
 {
   schema::StrikeNotice notice;
   notice.set_request_digest(aDigest);
@@ -61,7 +61,7 @@
 }
 
 void
-StrikeDesk::TellEntries(const schema::StrikeNotice& aNotice)
+StrikeTracker::TellEntries(const schema::StrikeNotice& aNotice)
 {
   auto view = node_.GetView();
   auto waiting = std::make_shared<std::atomic<int>>(0);
@@ -86,7 +86,7 @@
 }
 
 void
-StrikeDesk::Quarantine(const std::string& aDigest)
+StrikeTracker::Quarantine(const std::string& aDigest)
 {
   telemetry::Logger logger("requests");
   schema::LogRecord record;
--- a/libs/requests/src/StrikeDesk.h
+++ b/libs/requests/src/StrikeTracker.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_requests_StrikeDesk_h
-#define waxwingyoke_requests_StrikeDesk_h
+#ifndef waxwingyoke_requests_StrikeTracker_h
+#define waxwingyoke_requests_StrikeTracker_h
 
 #include <string>
 
@@ -17,12 +17,12 @@
  * Spreads what sides judge of requests: a strike to the other entries, a
  * conviction also to the log, whence every process refuses the request.
  */
-class StrikeDesk
+class StrikeTracker
 {
 public:
-  StrikeDesk(membership::Node& aNode,
-             rpc::RpcClient& aRpc,
-             platform::LogClient& aLog);
+  StrikeTracker(membership::Node& aNode,
+                rpc::RpcClient& aRpc,
+                platform::LogClient& aLog);
 
   Suspicion Find(const std::string& aDigest) const;
 
@@ -45,4 +45,4 @@
 
 } // namespace waxwingyoke::requests
 
-#endif // waxwingyoke_requests_StrikeDesk_h
+#endif // waxwingyoke_requests_StrikeTracker_h
--- a/libs/weights/include/weights/Depot.h
+++ b/libs/weights/include/weights/Replicator.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_weights_Depot_h
-#define waxwingyoke_weights_Depot_h
+#ifndef waxwingyoke_weights_Replicator_h
+#define waxwingyoke_weights_Replicator_h
 
 #include <cstdint>
 #include <functional>
@@ -33,7 +33,7 @@
  * engine to load the version once it is whole. Owned by the daemon, one a
  * process.
  */
-class Depot
+class Replicator
 {
 public:
   /** Admission of requests at this side, around a switch-over. */
@@ -47,14 +47,14 @@
     std::function<void()> resume;
   };
 
-  Depot(net::Runtime& aRuntime,
-        const schema::DaemonSettings& aSettings,
-        membership::Node& aNode,
-        platform::LogClient& aLog,
-        net::HttpClient& aHttp,
-        rpc::RpcClient& aRpc,
-        Hooks aHooks);
-  ~Depot();
+  Replicator(net::Runtime& aRuntime,
+             const schema::DaemonSettings& aSettings,
+             membership::Node& aNode,
+             platform::LogClient& aLog,
+             net::HttpClient& aHttp,
+             rpc::RpcClient& aRpc,
+             Hooks aHooks);
+  ~Replicator();
 
   /** Chunks and manifests for peers, behind the deployment's secret. */
   void AddRoutes(net::Router& aRouter);
@@ -85,4 +85,4 @@
 
 } // namespace waxwingyoke::weights
 
-#endif // waxwingyoke_weights_Depot_h
+#endif // waxwingyoke_weights_Replicator_h
--- a/libs/weights/src/ChunkRoutes.cpp
+++ b/libs/weights/src/ChunkRoutes.cpp
@@ -60,8 +60,8 @@
 
 } // namespace
 
-ChunkRoutes::ChunkRoutes(const Holdings& aHoldings, Pacer& aLink)
-  : holdings_(aHoldings)
+ChunkRoutes::ChunkRoutes(const ChunkStore& aChunkStore, Pacer& aLink)
+  : chunkStore_(aChunkStore)
   , link_(aLink)
 {
 }
@@ -97,8 +97,8 @@
                           bool aWholeOnly) const
 {
   auto version = ReadDigest(aRequest, kManifests);
-  auto content = version ? holdings_.FindContent(*version) : nullptr;
-  if (!content || (aWholeOnly && !holdings_.IsWhole(*version))) {
+  auto content = version ? chunkStore_.FindContent(*version) : nullptr;
+  if (!content || (aWholeOnly && !chunkStore_.IsWhole(*version))) {
     Refuse(ErrorKind::NotFound, aRequest, aWriter);
     return;
   }
@@ -112,7 +112,7 @@
                         net::ResponseWriter& aWriter)
 {
   auto digest = ReadDigest(aRequest, kChunks);
-  auto bytes = digest ? holdings_.FindChunk(*digest) : nullptr;
+  auto bytes = digest ? chunkStore_.FindChunk(*digest) : nullptr;
   if (!bytes) {
     Refuse(ErrorKind::NotFound, aRequest, aWriter);
     return;
@@ -163,7 +163,7 @@
                           net::ResponseWriter& aWriter) const
 {
   auto digest = ReadDigest(aRequest, kChunks);
-  auto bytes = digest ? holdings_.FindWholeChunk(*digest) : nullptr;
+  auto bytes = digest ? chunkStore_.FindWholeChunk(*digest) : nullptr;
   if (!bytes) {
     Refuse(ErrorKind::NotFound, aRequest, aWriter);
     return;
--- a/libs/weights/src/ChunkRoutes.h
+++ b/libs/weights/src/ChunkRoutes.h
@@ -6,9 +6,9 @@
 
 #include <net/Router.h>
 
-#include "GiftLimit.h"
-#include "Holdings.h"
+#include "ChunkStore.h"
 #include "Pacer.h"
+#include "UploadLimit.h"
 
 namespace waxwingyoke::weights {
 
@@ -16,7 +16,7 @@
 class ChunkRoutes
 {
 public:
-  ChunkRoutes(const Holdings& aHoldings, Pacer& aLink);
+  ChunkRoutes(const ChunkStore& aChunkStore, Pacer& aLink);
 
   /** For peers: whatever is checked, paced, a few answers at once. */
   void AddPeerRoutes(net::Router& aRouter, const std::string& aSecret);
@@ -38,11 +38,11 @@
   bool MayGive(const utils::Digest& aChunk);
   void WritePaced(const std::string& aBytes, net::ResponseWriter& aWriter);
 
-  const Holdings& holdings_;
+  const ChunkStore& chunkStore_;
   Pacer& link_;
   utils::Clock clock_;
   boost::fibers::mutex mutex_;
-  GiftLimit limit_;
+  UploadLimit limit_;
   std::atomic<int> answers_{ 0 };
   std::atomic<std::uint64_t> given_{ 0 };
 };
--- a/libs/weights/src/Holdings.cpp
+++ b/libs/weights/src/ChunkStore.cpp
@@ -1,4 +1,4 @@
-#include "Holdings.h"
+#include "ChunkStore.h"
 
 #include <algorithm>
 #include <mutex>
@@ -8,13 +8,13 @@
 
 using utils::ErrorKind;
 
-Holdings::Holdings(std::uint64_t aMaxBytes)
+ChunkStore::ChunkStore(std::uint64_t aMaxBytes)
   : maxBytes_(aMaxBytes)
 {
 }
 
 void
-Holdings::AddContent(const std::shared_ptr<const Content>& aContent)
+ChunkStore::AddContent(const std::shared_ptr<const Content>& aContent)
 {
   std::scoped_lock lock(mutex_);
   Kept kept{ aContent, ChunkSet(aContent->chunks.size()) };
@@ -27,7 +27,7 @@
 }
 
 void
-Holdings::KeepOnly(const std::set<utils::Digest>& aVersions)
+ChunkStore::KeepOnly(const std::set<utils::Digest>& aVersions)
 {
   std::scoped_lock lock(mutex_);
   std::erase_if(versions_, [&](const auto& aEntry) {
@@ -43,9 +43,9 @@
 }
 
 bool
-Holdings::AddChunk(const utils::Digest& aChunk,
-                   std::string aBytes,
-                   utils::Error& aReason)
+ChunkStore::AddChunk(const utils::Digest& aChunk,
+                     std::string aBytes,
+                     utils::Error& aReason)
 {
   if (utils::Digest::Of(aBytes) != aChunk) {
     aReason.Set(ErrorKind::DigestMismatch, "chunk " + aChunk.ToHex());
@@ -69,16 +69,16 @@
   return true;
 }
 
-Holdings::Bytes
-Holdings::FindChunk(const utils::Digest& aChunk) const
+ChunkStore::Bytes
+ChunkStore::FindChunk(const utils::Digest& aChunk) const
 {
   std::scoped_lock lock(mutex_);
   auto found = chunks_.find(aChunk);
   return found == chunks_.end() ? nullptr : found->second;
 }
 
-Holdings::Bytes
-Holdings::FindWholeChunk(const utils::Digest& aChunk) const
+ChunkStore::Bytes
+ChunkStore::FindWholeChunk(const utils::Digest& aChunk) const
 {
   std::scoped_lock lock(mutex_);
   bool whole = std::ranges::any_of(versions_, [&](const auto& aEntry) {
@@ -90,7 +90,7 @@
 }
 
 std::shared_ptr<const Content>
-Holdings::FindContent(const utils::Digest& aVersion) const
+ChunkStore::FindContent(const utils::Digest& aVersion) const
 {
   std::scoped_lock lock(mutex_);
   auto found = versions_.find(aVersion);
@@ -98,7 +98,7 @@
 }
 
 std::optional<ChunkSet>
-Holdings::FindHeld(const utils::Digest& aVersion) const
+ChunkStore::FindHeld(const utils::Digest& aVersion) const
 {
   std::scoped_lock lock(mutex_);
   auto found = versions_.find(aVersion);
@@ -107,14 +107,14 @@
 }
 
 bool
-Holdings::IsWhole(const utils::Digest& aVersion) const
+ChunkStore::IsWhole(const utils::Digest& aVersion) const
 {
   auto held = FindHeld(aVersion);
   return held && held->IsFull();
 }
 
 std::uint64_t
-Holdings::GetBytes() const
+ChunkStore::GetBytes() const
 {
   std::scoped_lock lock(mutex_);
   return bytes_;
--- a/libs/weights/src/Holdings.h
+++ b/libs/weights/src/ChunkStore.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_weights_Holdings_h
-#define waxwingyoke_weights_Holdings_h
+#ifndef waxwingyoke_weights_ChunkStore_h
+#define waxwingyoke_weights_ChunkStore_h
 
 #include <cstdint>
 #include <map>
@@ -23,12 +23,12 @@
  * A chunk enters only with bytes of its own digest, so whatever is read from
  * here may be passed on. The bytes held never exceed the bound.
  */
-class Holdings
+class ChunkStore
 {
 public:
   using Bytes = std::shared_ptr<const std::string>;
 
-  explicit Holdings(std::uint64_t aMaxBytes);
+  explicit ChunkStore(std::uint64_t aMaxBytes);
 
   /**
    * Makes aContent one of the versions kept; chunks that other versions
@@ -77,4 +77,4 @@
 
 } // namespace waxwingyoke::weights
 
-#endif // waxwingyoke_weights_Holdings_h
+#endif // waxwingyoke_weights_ChunkStore_h
--- a/libs/weights/src/Outside.cpp
+++ b/libs/weights/src/ExternalSources.cpp
@@ -1,4 +1,4 @@
-#include "Outside.h"
+#include "ExternalSources.h"
 
 #include <algorithm>
 #include <utility>
@@ -36,9 +36,9 @@
 
 } // namespace
 
-Outside::Outside(Services aServices,
-                 std::shared_ptr<Swarm> aSwarm,
-                 OriginBudget& aBudget)
+ExternalSources::ExternalSources(Services aServices,
+                                 std::shared_ptr<Swarm> aSwarm,
+                                 OriginBudget& aBudget)
   : services_(aServices)
   , swarm_(std::move(aSwarm))
   , budget_(aBudget)
@@ -53,10 +53,10 @@
   add(SourceKind::Origin, platform.origin());
 }
 
-std::vector<OutsidePick>
-Outside::ListServices() const
+std::vector<ExternalPick>
+ExternalSources::ListServices() const
 {
-  std::vector<OutsidePick> picks;
+  std::vector<ExternalPick> picks;
   for (const auto& service : list_) {
     if (service.avoidUntil <= clock_.Now()) {
       picks.push_back({ 0, service.kind, service.endpoint, {} });
@@ -66,7 +66,7 @@
 }
 
 bool
-Outside::IsDue(std::size_t aExtent)
+ExternalSources::IsDue(std::size_t aExtent)
 {
   if (rankedVms_ != swarm_->regionVms) {
     rankedVms_ = swarm_->regionVms;
@@ -86,13 +86,13 @@
 }
 
 std::size_t
-Outside::GetExtentOf(std::size_t aChunk) const
+ExternalSources::GetExtentOf(std::size_t aChunk) const
 {
   return GetExtent(aChunk, swarm_->content->chunks.size());
 }
 
 bool
-Outside::Admit(const OutsidePick& aPick)
+ExternalSources::Admit(const ExternalPick& aPick)
 {
   if (aPick.kind == SourceKind::RemotePeer) {
     return true;
@@ -106,14 +106,14 @@
 }
 
 bool
-Outside::IsHeldBack(std::size_t aChunk) const
+ExternalSources::IsHeldBack(std::size_t aChunk) const
 {
   auto found = heldBack_.find(aChunk);
   return found != heldBack_.end() && clock_.Now() < found->second;
 }
 
-std::optional<OutsidePick>
-Outside::PickSource(const PickInput& aInput, std::size_t aChunk) const
+std::optional<ExternalPick>
+ExternalSources::PickSource(const PickInput& aInput, std::size_t aChunk) const
 {
   auto services = ListServices();
   auto vm = PickRemotePeer(aInput, aChunk);
@@ -126,13 +126,13 @@
     return std::nullopt;
   }
   auto endpoint = swarm_->peers.Find(*vm)->endpoint;
-  return OutsidePick{ aChunk, SourceKind::RemotePeer, endpoint, *vm };
+  return ExternalPick{ aChunk, SourceKind::RemotePeer, endpoint, *vm };
 }
 
-std::optional<OutsidePick>
-Outside::Next()
+std::optional<ExternalPick>
+ExternalSources::Next()
 {
-  auto held = services_.holdings.FindHeld(swarm_->version);
+  auto held = services_.chunkStore.FindHeld(swarm_->version);
   if (running_ >= kMaxRunning || !held) {
     return std::nullopt;
   }
@@ -154,9 +154,9 @@
 }
 
 void
-Outside::End(const OutsidePick& aPick,
-             std::size_t aBytes,
-             const utils::Error& aError)
+ExternalSources::End(const ExternalPick& aPick,
+                     std::size_t aBytes,
+                     const utils::Error& aError)
 {
   --running_;
   if (aBytes == 0 && aPick.kind != SourceKind::RemotePeer) {
--- a/libs/weights/src/Outside.h
+++ b/libs/weights/src/ExternalSources.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_weights_Outside_h
-#define waxwingyoke_weights_Outside_h
+#ifndef waxwingyoke_weights_ExternalSources_h
+#define waxwingyoke_weights_ExternalSources_h
 
 #include <map>
 #include <memory>
@@ -22,7 +22,7 @@
 };
 
 /** One chunk to fetch from outside the region. */
-struct OutsidePick
+struct ExternalPick
 {
   std::size_t chunk = 0;
   SourceKind kind = SourceKind::Origin;
@@ -35,15 +35,15 @@
  * Decides which chunks this side brings into its region, and from where: the
  * store, else the origin, else a side of another region.
  */
-class Outside
+class ExternalSources
 {
 public:
-  Outside(Services aServices,
-          std::shared_ptr<Swarm> aSwarm,
-          OriginBudget& aBudget);
+  ExternalSources(Services aServices,
+                  std::shared_ptr<Swarm> aSwarm,
+                  OriginBudget& aBudget);
 
   /** The next chunk that is this side's turn; empty where there is none. */
-  std::optional<OutsidePick> Next();
+  std::optional<ExternalPick> Next();
 
   void Begin() { ++running_; }
 
@@ -51,15 +51,15 @@
   void GiveUp() { --running_; }
 
   /** Whether the origin's budget lets that pick be fetched; may suspend. */
-  bool Admit(const OutsidePick& aPick);
+  bool Admit(const ExternalPick& aPick);
 
   /** aBytes came, with an error or without. */
-  void End(const OutsidePick& aPick,
+  void End(const ExternalPick& aPick,
            std::size_t aBytes,
            const utils::Error& aError);
 
   /** The store and the origin, as far as there are any and they work. */
-  std::vector<OutsidePick> ListServices() const;
+  std::vector<ExternalPick> ListServices() const;
 
 private:
   struct Service
@@ -72,8 +72,8 @@
 
   bool IsDue(std::size_t aExtent);
   bool IsHeldBack(std::size_t aChunk) const;
-  std::optional<OutsidePick> PickSource(const PickInput& aInput,
-                                        std::size_t aChunk) const;
+  std::optional<ExternalPick> PickSource(const PickInput& aInput,
+                                         std::size_t aChunk) const;
   std::size_t GetExtentOf(std::size_t aChunk) const;
 
   const Services services_;
@@ -91,4 +91,4 @@
 
 } // namespace waxwingyoke::weights
 
-#endif // waxwingyoke_weights_Outside_h
+#endif // waxwingyoke_weights_ExternalSources_h
--- a/libs/weights/src/Gossip.cpp
+++ b/libs/weights/src/Gossip.cpp
@@ -37,7 +37,7 @@
 void
 Gossip::Run()
 {
-  while (!swarm_->cancelled && !services_.holdings.IsWhole(swarm_->version)) {
+  while (!swarm_->cancelled && !services_.chunkStore.IsWhole(swarm_->version)) {
     Round();
     net::Runtime::Sleep(
       std::clamp(swarm_->GetChunkTime() / 3, kMinInterval, kMaxInterval));
--- a/libs/weights/src/Offers.cpp
+++ b/libs/weights/src/Offers.cpp
@@ -16,11 +16,11 @@
 
 Offers::Offers(std::string aVm,
                std::string aIncarnation,
-               const Holdings& aHoldings,
+               const ChunkStore& aChunkStore,
                const ChunkRoutes& aRoutes)
   : vm_(std::move(aVm))
   , incarnation_(std::move(aIncarnation))
-  , holdings_(aHoldings)
+  , chunkStore_(aChunkStore)
   , routes_(aRoutes)
 {
 }
@@ -40,7 +40,7 @@
 {
   schema::PeerOffer offer;
   offer.set_vm(vm_);
-  if (auto held = holdings_.FindHeld(aVersion)) {
+  if (auto held = chunkStore_.FindHeld(aVersion)) {
     offer.set_incarnation(incarnation_);
     offer.set_held(held->GetBytes());
     offer.set_given_chunks(routes_.GetGivenChunks());
--- a/libs/weights/src/Offers.h
+++ b/libs/weights/src/Offers.h
@@ -11,7 +11,7 @@
 #include <utils/RcuCell.h>
 
 #include "ChunkRoutes.h"
-#include "Holdings.h"
+#include "ChunkStore.h"
 
 namespace waxwingyoke::weights {
 
@@ -31,7 +31,7 @@
 public:
   Offers(std::string aVm,
          std::string aIncarnation,
-         const Holdings& aHoldings,
+         const ChunkStore& aChunkStore,
          const ChunkRoutes& aRoutes);
 
   void AddMethods(rpc::RpcServer& aServer);
@@ -52,7 +52,7 @@
 
   const std::string vm_;
   const std::string incarnation_;
-  const Holdings& holdings_;
+  const ChunkStore& chunkStore_;
   const ChunkRoutes& routes_;
   utils::RcuCell<KnownOffers> known_;
   boost::fibers::mutex mutex_;
--- a/libs/weights/src/PermitDesk.cpp
+++ b/libs/weights/src/PermitHolder.cpp
@@ -1,4 +1,4 @@
-#include "PermitDesk.h"
+#include "PermitHolder.h"
 
 #include <algorithm>
 #include <utility>
@@ -47,14 +47,15 @@
     }));
 }
 
-PermitDesk::PermitDesk(const Services& aServices, RolloutLog& aLog)
+PermitHolder::PermitHolder(const Services& aServices, RolloutLog& aLog)
   : services_(aServices)
   , log_(aLog)
 {
 }
 
 const Permit*
-PermitDesk::FindOwn(const std::string& aProfile, std::uint64_t aRevision) const
+PermitHolder::FindOwn(const std::string& aProfile,
+                      std::uint64_t aRevision) const
 {
   return log_.GetPermits().Find(aProfile,
                                 aRevision,
@@ -65,7 +66,7 @@
 // From here on the request may stand in the log, also where its append seems
 // to have failed, so the time for which a permit is good is counted from here.
 void
-PermitDesk::Begin(const schema::Profile& aProfile)
+PermitHolder::Begin(const schema::Profile& aProfile)
 {
   profile_ = aProfile.name();
   revision_ = aProfile.revision();
@@ -74,7 +75,7 @@
 }
 
 bool
-PermitDesk::Poll(const schema::Profile& aProfile, utils::Error& aReason)
+PermitHolder::Poll(const schema::Profile& aProfile, utils::Error& aReason)
 {
   if (profile_ != aProfile.name() || revision_ != aProfile.revision()) {
     Release();
@@ -118,7 +119,7 @@
 }
 
 utils::Millis
-PermitDesk::GetPause(const schema::Profile& aProfile) const
+PermitHolder::GetPause(const schema::Profile& aProfile) const
 {
   const auto* own = FindOwn(aProfile.name(), aProfile.revision());
   return GetPollPause(log_.GetPermits().GetPermits(aProfile.name()),
@@ -127,13 +128,13 @@
 }
 
 bool
-PermitDesk::IsValid() const
+PermitHolder::IsValid() const
 {
   return deadline_ && clock_.Now() < *deadline_;
 }
 
 void
-PermitDesk::Release()
+PermitHolder::Release()
 {
   if (!profile_.empty()) {
     unwanted_.push_back({ profile_, revision_ });
@@ -144,7 +145,7 @@
 }
 
 void
-PermitDesk::FlushReleases()
+PermitHolder::FlushReleases()
 {
   std::vector<Unwanted> left;
   for (const auto& unwanted : unwanted_) {
@@ -157,7 +158,7 @@
 
 // Looks at the log first: a release whose answer was lost stands there.
 bool
-PermitDesk::ReleaseOne(const Unwanted& aUnwanted)
+PermitHolder::ReleaseOne(const Unwanted& aUnwanted)
 {
   utils::Error reason;
   if (!log_.Sync(reason)) {
@@ -168,7 +169,7 @@
 }
 
 bool
-PermitDesk::Request(const schema::Profile& aProfile, utils::Error& aReason)
+PermitHolder::Request(const schema::Profile& aProfile, utils::Error& aReason)
 {
   schema::LogRecord record;
   record.set_id(utils::MakeUniqueId());
@@ -182,7 +183,7 @@
 }
 
 bool
-PermitDesk::SendRelease(const std::string& aProfile, const Permit& aPermit)
+PermitHolder::SendRelease(const std::string& aProfile, const Permit& aPermit)
 {
   schema::LogRecord record;
   record.set_id(utils::MakeUniqueId());
@@ -197,7 +198,7 @@
 }
 
 void
-PermitDesk::FreeExpired(const std::string& aProfile)
+PermitHolder::FreeExpired(const std::string& aProfile)
 {
   auto view = services_.node.GetView();
   auto expired = expiry_.ListExpired(
@@ -209,7 +210,7 @@
 }
 
 bool
-PermitDesk::KeepsMinimum(const schema::Profile& aProfile) const
+PermitHolder::KeepsMinimum(const schema::Profile& aProfile) const
 {
   auto ready = CountReadyOthers(*services_.node.GetView(),
                                 aProfile.name(),
--- a/libs/weights/src/PermitDesk.h
+++ b/libs/weights/src/PermitHolder.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_weights_PermitDesk_h
-#define waxwingyoke_weights_PermitDesk_h
+#ifndef waxwingyoke_weights_PermitHolder_h
+#define waxwingyoke_weights_PermitHolder_h
 
 #include <cstdint>
 #include <optional>
@@ -13,10 +13,10 @@
 namespace waxwingyoke::weights {
 
 /** Asks for, watches and releases this process's permits. */
-class PermitDesk
+class PermitHolder
 {
 public:
-  PermitDesk(const Services& aServices, RolloutLog& aLog);
+  PermitHolder(const Services& aServices, RolloutLog& aLog);
 
   /**
    * Whether this VM may be taken out of service for that revision now. Asks
@@ -81,4 +81,4 @@
 
 } // namespace waxwingyoke::weights
 
-#endif // waxwingyoke_weights_PermitDesk_h
+#endif // waxwingyoke_weights_PermitHolder_h
--- a/libs/weights/src/Picker.cpp
+++ b/libs/weights/src/Picker.cpp
@@ -15,7 +15,7 @@
 constexpr int kMaxFetchesPerPeer = 1;
 // A holder that failed so often in a row may be dead, though still listed.
 constexpr int kMaxFailures = 2;
-// Peers whose gifts differ by less are told apart by the hash: a sharper
+// Peers whose uploads differ by less are told apart by the hash: a sharper
 // choice would send every side to the same peer.
 constexpr std::uint64_t kGivenStep = 2;
 
--- a/libs/weights/src/Depot.cpp
+++ b/libs/weights/src/Replicator.cpp
@@ -1,4 +1,4 @@
-#include <weights/Depot.h>
+#include <weights/Replicator.h>
 
 #include <algorithm>
 #include <set>
@@ -9,7 +9,7 @@
 #include <telemetry/Logger.h>
 
 #include "ChunkRoutes.h"
-#include "Holdings.h"
+#include "ChunkStore.h"
 #include "Offers.h"
 #include "RolloutLog.h"
 #include "SwitchOver.h"
@@ -37,7 +37,7 @@
 
 } // namespace
 
-struct Depot::Impl : std::enable_shared_from_this<Depot::Impl>
+struct Replicator::Impl : std::enable_shared_from_this<Replicator::Impl>
 {
   Impl(const schema::DaemonSettings& aSettings,
        membership::Node& aNode,
@@ -56,7 +56,7 @@
   void Report();
 
   const schema::DaemonSettings settings;
-  Holdings holdings;
+  ChunkStore chunkStore;
   RolloutLog rollout;
   Pacer link;
   Pacer regionLink;
@@ -75,28 +75,28 @@
   std::string reported;
 };
 
-Depot::Impl::Impl(const schema::DaemonSettings& aSettings,
-                  membership::Node& aNode,
-                  platform::LogClient& aLog,
-                  net::HttpClient& aHttp,
-                  rpc::RpcClient& aRpc,
-                  Hooks aHooks)
+Replicator::Impl::Impl(const schema::DaemonSettings& aSettings,
+                       membership::Node& aNode,
+                       platform::LogClient& aLog,
+                       net::HttpClient& aHttp,
+                       rpc::RpcClient& aRpc,
+                       Hooks aHooks)
   : settings(aSettings)
-  , holdings(aSettings.weights().memory_bytes())
+  , chunkStore(aSettings.weights().memory_bytes())
   , rollout(aLog)
   , link(aSettings.weights().link_bytes_per_s())
   , regionLink(aSettings.weights().region_bytes_per_s())
   , regionShare(aSettings.weights().region_bytes_per_s())
-  , routes(holdings, link)
-  , offers(aSettings.node().vm(), aNode.GetIncarnation(), holdings, routes)
-  , services{ settings, aNode, aHttp,      aRpc,       holdings,
+  , routes(chunkStore, link)
+  , offers(aSettings.node().vm(), aNode.GetIncarnation(), chunkStore, routes)
+  , services{ settings, aNode, aHttp,      aRpc,       chunkStore,
               offers,   link,  regionLink, regionShare }
   , switchOver(services, rollout, std::move(aHooks))
 {
 }
 
 void
-Depot::Impl::Run()
+Replicator::Impl::Run()
 {
   while (true) {
     Step();
@@ -106,7 +106,7 @@
 }
 
 void
-Depot::Impl::Step()
+Replicator::Impl::Step()
 {
   auto profile = FindDesired(services);
   if (!profile) {
@@ -121,7 +121,7 @@
 }
 
 void
-Depot::Impl::StepUnselected()
+Replicator::Impl::StepUnselected()
 {
   auto view = services.node.GetView();
   const auto* member = view->FindMember(services.settings.node().vm());
@@ -135,7 +135,7 @@
 }
 
 void
-Depot::Impl::StepModel(const schema::Profile& aProfile)
+Replicator::Impl::StepModel(const schema::Profile& aProfile)
 {
   auto version = utils::Digest::Parse(aProfile.version());
   if (!version) {
@@ -145,11 +145,11 @@
   error = {};
   Want(*version, aProfile.revision());
   Trim(*version);
-  StepEngine(aProfile, holdings.IsWhole(*version));
+  StepEngine(aProfile, chunkStore.IsWhole(*version));
 }
 
 void
-Depot::Impl::Want(const utils::Digest& aVersion, std::uint64_t aRevision)
+Replicator::Impl::Want(const utils::Digest& aVersion, std::uint64_t aRevision)
 {
   if (transfer && transfer->GetVersion() == aVersion) {
     return;
@@ -167,9 +167,9 @@
 // Keeps what is wanted and what the engine serves, which others may still
 // need from here.
 void
-Depot::Impl::Trim(const utils::Digest& aWanted)
+Replicator::Impl::Trim(const utils::Digest& aWanted)
 {
-  if (!holdings.FindContent(aWanted)) {
+  if (!chunkStore.FindContent(aWanted)) {
     return;
   }
   std::set<utils::Digest> now{ aWanted };
@@ -179,12 +179,12 @@
   }
   if (now != kept) {
     kept = now;
-    holdings.KeepOnly(kept);
+    chunkStore.KeepOnly(kept);
   }
 }
 
 void
-Depot::Impl::StepEngine(const schema::Profile& aProfile, bool aWhole)
+Replicator::Impl::StepEngine(const schema::Profile& aProfile, bool aWhole)
 {
   auto serving = switchOver.GetServing();
   bool changed = aWhole != std::exchange(wasWhole, aWhole) ||
@@ -197,7 +197,7 @@
 }
 
 void
-Depot::Impl::Report()
+Replicator::Impl::Report()
 {
   schema::TransferProgress progress;
   utils::Error reason = error.IsSet() ? error : switchOver.GetLastError();
@@ -220,13 +220,13 @@
   });
 }
 
-Depot::Depot(net::Runtime& aRuntime,
-             const schema::DaemonSettings& aSettings,
-             membership::Node& aNode,
-             platform::LogClient& aLog,
-             net::HttpClient& aHttp,
-             rpc::RpcClient& aRpc,
-             Hooks aHooks)
+Replicator::Replicator(net::Runtime& aRuntime,
+                       const schema::DaemonSettings& aSettings,
+                       membership::Node& aNode,
+                       platform::LogClient& aLog,
+                       net::HttpClient& aHttp,
+                       rpc::RpcClient& aRpc,
+                       Hooks aHooks)
   : runtime_(aRuntime)
   , impl_(std::make_shared<Impl>(aSettings,
                                  aNode,
@@ -237,40 +237,40 @@
 {
 }
 
-Depot::~Depot() = default;
+Replicator::~Replicator() = default;
 
 void
-Depot::AddRoutes(net::Router& aRouter)
+Replicator::AddRoutes(net::Router& aRouter)
 {
   impl_->routes.AddPeerRoutes(aRouter, impl_->settings.node().secret());
 }
 
 void
-Depot::AddEngineRoutes(net::Router& aRouter)
+Replicator::AddEngineRoutes(net::Router& aRouter)
 {
   impl_->routes.AddEngineRoutes(aRouter);
 }
 
 void
-Depot::AddMethods(rpc::RpcServer& aServer)
+Replicator::AddMethods(rpc::RpcServer& aServer)
 {
   impl_->offers.AddMethods(aServer);
 }
 
 void
-Depot::Start()
+Replicator::Start()
 {
   runtime_.Spawn([impl = impl_] { impl->Run(); });
 }
 
 ServingState
-Depot::GetServing() const
+Replicator::GetServing() const
 {
   return impl_->switchOver.GetServing();
 }
 
 void
-Depot::ChargeLive(std::size_t aBytes)
+Replicator::ChargeLive(std::size_t aBytes)
 {
   impl_->link.Charge(aBytes);
 }
--- a/libs/weights/src/Swarm.h
+++ b/libs/weights/src/Swarm.h
@@ -11,9 +11,9 @@
 #include <rpc/RpcClient.h>
 #include <schema/settings.pb.h>
 
+#include "ChunkStore.h"
 #include "Content.h"
 #include "Fetcher.h"
-#include "Holdings.h"
 #include "Offers.h"
 #include "Pacer.h"
 #include "PeerBook.h"
@@ -29,7 +29,7 @@
   membership::Node& node;
   net::HttpClient& http;
   rpc::RpcClient& rpc;
-  Holdings& holdings;
+  ChunkStore& chunkStore;
   Offers& offers;
   Pacer& link;
   /** Holds fetches from other regions to regionShare. */
--- a/libs/weights/src/SwitchOver.cpp
+++ b/libs/weights/src/SwitchOver.cpp
@@ -34,7 +34,7 @@
 
 SwitchOver::SwitchOver(Services aServices,
                        RolloutLog& aLog,
-                       Depot::Hooks aHooks)
+                       Replicator::Hooks aHooks)
   : services_(aServices)
   , hooks_(std::move(aHooks))
   , permits_(aServices, aLog)
--- a/libs/weights/src/SwitchOver.h
+++ b/libs/weights/src/SwitchOver.h
@@ -6,9 +6,9 @@
 
 #include <platform/EngineClient.h>
 #include <utils/RcuCell.h>
-#include <weights/Depot.h>
+#include <weights/Replicator.h>
 
-#include "PermitDesk.h"
+#include "PermitHolder.h"
 #include "Swarm.h"
 
 namespace waxwingyoke::weights {
@@ -20,7 +20,7 @@
 class SwitchOver
 {
 public:
-  SwitchOver(Services aServices, RolloutLog& aLog, Depot::Hooks aHooks);
+  SwitchOver(Services aServices, RolloutLog& aLog, Replicator::Hooks aHooks);
 
   /**
    * One look at the engine. aProfile is the one in force here, aWhole
@@ -57,8 +57,8 @@
   void Announce(const ServingState& aServing);
 
   const Services services_;
-  Depot::Hooks hooks_;
-  PermitDesk permits_;
+  Replicator::Hooks hooks_;
+  PermitHolder permits_;
   platform::EngineClient engine_;
   utils::RcuCell<ServingState> serving_;
   utils::Error lastError_;
--- a/libs/weights/src/Transfer.cpp
+++ b/libs/weights/src/Transfer.cpp
@@ -101,7 +101,7 @@
 {
   schema::TransferProgress progress;
   progress.set_version(swarm_->version.ToHex());
-  if (auto held = services_.holdings.FindHeld(swarm_->version)) {
+  if (auto held = services_.chunkStore.FindHeld(swarm_->version)) {
     progress.set_chunks_held(static_cast<std::uint32_t>(held->GetCount()));
     progress.set_chunks_total(static_cast<std::uint32_t>(held->GetSize()));
   }
@@ -119,8 +119,8 @@
   if (swarm_->cancelled) {
     return;
   }
-  swarm_->content = services_.holdings.FindContent(swarm_->version);
-  if (swarm_->content->bytes > services_.holdings.GetMaxBytes()) {
+  swarm_->content = services_.chunkStore.FindContent(swarm_->version);
+  if (swarm_->content->bytes > services_.chunkStore.GetMaxBytes()) {
     swarm_->lastError.Set(ErrorKind::TooLarge,
                           "the version exceeds weights.memory_bytes");
     return;
@@ -140,7 +140,7 @@
 bool
 Transfer::FindManifest()
 {
-  if (services_.holdings.FindContent(swarm_->version)) {
+  if (services_.chunkStore.FindContent(swarm_->version)) {
     return true;
   }
   SeeMembers(services_, *swarm_);
@@ -204,14 +204,14 @@
     return false;
   }
   swarm_->lastError = {};
-  services_.holdings.AddContent(content);
+  services_.chunkStore.AddContent(content);
   return true;
 }
 
 void
 Transfer::Work()
 {
-  while (!swarm_->cancelled && !services_.holdings.IsWhole(swarm_->version)) {
+  while (!swarm_->cancelled && !services_.chunkStore.IsWhole(swarm_->version)) {
     if (!FetchFromOutside() && !FetchFromRegion()) {
       net::Runtime::Sleep(kIdlePause);
     }
@@ -221,7 +221,7 @@
 bool
 Transfer::FetchFromRegion()
 {
-  auto held = services_.holdings.FindHeld(swarm_->version);
+  auto held = services_.chunkStore.FindHeld(swarm_->version);
   if (!held) {
     return false;
   }
@@ -239,7 +239,9 @@
   utils::Error reason;
   swarm_->peers.BeginFetch(pick->peer);
   std::size_t bytes = 0;
-  OutsidePick near{ pick->chunk, SourceKind::RemotePeer, endpoint, pick->peer };
+  ExternalPick near{
+    pick->chunk, SourceKind::RemotePeer, endpoint, pick->peer
+  };
   bool whole = FetchChunk(near, true, bytes, reason);
   swarm_->peers.EndFetch(pick->peer);
   NotePeer(pick->peer, whole, reason);
@@ -284,7 +286,7 @@
 }
 
 bool
-Transfer::IsServiceNear(const OutsidePick& aPick) const
+Transfer::IsServiceNear(const ExternalPick& aPick) const
 {
   const auto& settings = services_.settings;
   return aPick.kind != SourceKind::RemotePeer &&
@@ -292,7 +294,7 @@
 }
 
 bool
-Transfer::FetchChunk(const OutsidePick& aPick,
+Transfer::FetchChunk(const ExternalPick& aPick,
                      bool aOwnRegion,
                      std::size_t& aBytes,
                      utils::Error& aReason)
@@ -322,7 +324,7 @@
   auto begin = clock_.Now();
   swarm_->running.insert(aPick.chunk);
   auto bytes = fetcher_.Fetch(order, aReason);
-  bool whole = bytes && services_.holdings.AddChunk(
+  bool whole = bytes && services_.chunkStore.AddChunk(
                           chunk.digest, std::move(*bytes), aReason);
   swarm_->running.erase(aPick.chunk);
   if (whole) {
--- a/libs/weights/src/Transfer.h
+++ b/libs/weights/src/Transfer.h
@@ -5,15 +5,15 @@
 
 #include <schema/weights.pb.h>
 
+#include "ExternalSources.h"
 #include "Gossip.h"
 #include "OriginBudget.h"
-#include "Outside.h"
 #include "Swarm.h"
 
 namespace waxwingyoke::weights {
 
 /**
- * Brings one version into Holdings, from the sides of the region, and what
+ * Brings one version into ChunkStore, from the sides of the region, and what
  * none of them holds from outside. Its fibers run on the thread of Start.
  */
 class Transfer : public std::enable_shared_from_this<Transfer>
@@ -26,7 +26,7 @@
 
   void Start();
 
-  /** Ends the fibers soon; what was fetched stays in Holdings. */
+  /** Ends the fibers soon; what was fetched stays in ChunkStore. */
   void Cancel() { swarm_->cancelled = true; }
 
   const utils::Digest& GetVersion() const { return swarm_->version; }
@@ -45,12 +45,12 @@
   bool FetchFromRegion();
   bool FetchFromOutside();
   /** aBytes: how many came, whole or not. */
-  bool FetchChunk(const OutsidePick& aPick,
+  bool FetchChunk(const ExternalPick& aPick,
                   bool aOwnRegion,
                   std::size_t& aBytes,
                   utils::Error& aReason);
   /** Whether the pick is the store or the origin, in this region. */
-  bool IsServiceNear(const OutsidePick& aPick) const;
+  bool IsServiceNear(const ExternalPick& aPick) const;
   void NotePeer(const std::string& aVm,
                 bool aWhole,
                 const utils::Error& aReason);
@@ -59,7 +59,7 @@
   std::shared_ptr<Swarm> swarm_;
   std::shared_ptr<Gossip> gossip_;
   OriginBudget budget_;
-  Outside outside_;
+  ExternalSources outside_;
   Fetcher fetcher_;
   utils::Clock clock_;
   std::uint64_t manifestTries_ = 0;
--- a/libs/weights/src/GiftLimit.cpp
+++ b/libs/weights/src/UploadLimit.cpp
@@ -1,4 +1,4 @@
-#include "GiftLimit.h"
+#include "UploadLimit.h"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int kFreeGifts = 2;
+constexpr int kFreeUploads = 2;
 constexpr std::size_t kMaxChunks = 100000;
 constexpr utils::Millis kMinTime(20);
 constexpr utils::Millis kMaxTime(5000);
@@ -16,23 +16,23 @@
 } // namespace
 
 bool
-GiftLimit::Begin(const utils::Digest& aChunk, utils::Millis aNow)
+UploadLimit::Begin(const utils::Digest& aChunk, utils::Millis aNow)
 {
-  if (gifts_.size() >= kMaxChunks) {
-    gifts_.clear();
+  if (uploads_.size() >= kMaxChunks) {
+    uploads_.clear();
   }
-  auto& gifts = gifts_[aChunk];
-  bool due = aNow - gifts.last >= usualTime_ * kTimesUntilKnown;
-  if (gifts.count >= kFreeGifts && !due) {
+  auto& uploads = uploads_[aChunk];
+  bool due = aNow - uploads.last >= usualTime_ * kTimesUntilKnown;
+  if (uploads.count >= kFreeUploads && !due) {
     return false;
   }
-  ++gifts.count;
-  gifts.last = aNow;
+  ++uploads.count;
+  uploads.last = aNow;
   return true;
 }
 
 void
-GiftLimit::End(utils::Millis aTime)
+UploadLimit::End(utils::Millis aTime)
 {
   usualTime_ = std::clamp(aTime, kMinTime, kMaxTime);
 }
--- a/libs/weights/src/GiftLimit.h
+++ b/libs/weights/src/UploadLimit.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_weights_GiftLimit_h
-#define waxwingyoke_weights_GiftLimit_h
+#ifndef waxwingyoke_weights_UploadLimit_h
+#define waxwingyoke_weights_UploadLimit_h
 
 #include <unordered_map>
 
@@ -10,29 +10,29 @@
 
 /**
  * Keeps the first holder of a rare chunk from giving it to everybody: after
- * two gifts the two that got it can give it as well, and all others are to
+ * two uploads the two that got it can give it as well, and all others are to
  * ask them. Askers that know no other holder are let through in time.
  */
-class GiftLimit
+class UploadLimit
 {
 public:
-  /** Whether a gift of aChunk may begin now; counts it. */
+  /** Whether a upload of aChunk may begin now; counts it. */
   bool Begin(const utils::Digest& aChunk, utils::Millis aNow);
 
-  /** A gift of any chunk took that long. */
+  /** A upload of any chunk took that long. */
   void End(utils::Millis aTime);
 
 private:
-  struct Gifts
+  struct Uploads
   {
     int count = 0;
     utils::Millis last;
   };
 
-  std::unordered_map<utils::Digest, Gifts> gifts_;
+  std::unordered_map<utils::Digest, Uploads> uploads_;
   utils::Millis usualTime_{ 500 };
 };
 
 } // namespace waxwingyoke::weights
 
-#endif // waxwingyoke_weights_GiftLimit_h
+#endif // waxwingyoke_weights_UploadLimit_h
--- a/libs/weights/tests/SwarmTest.cpp
+++ b/libs/weights/tests/SwarmTest.cpp
@@ -5,12 +5,12 @@
 #include <vector>
 
 #include <ChunkSet.h>
-#include <GiftLimit.h>
 #include <Pacer.h>
 #include <PeerBook.h>
 #include <Picker.h>
 #include <RegionShare.h>
 #include <StepIn.h>
+#include <UploadLimit.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::weights;
@@ -225,9 +225,10 @@
   CHECK(unlimited.GetRate() == 0);
 }
 
-TEST_CASE("a chunk is given to two, then to one in each time that a gift takes")
+TEST_CASE(
+  "a chunk is given to two, then to one in each time that a upload takes")
 {
-  GiftLimit limit;
+  UploadLimit limit;
   auto chunk = utils::Digest::Of("rare");
   CHECK(limit.Begin(chunk, Millis(0)));
   CHECK(limit.Begin(chunk, Millis(10)));
--- a/tools/waxwingyoked/src/SideRole.cpp
+++ b/tools/waxwingyoked/src/SideRole.cpp
@@ -4,7 +4,7 @@
 
 #include <net/HttpServer.h>
 #include <requests/Side.h>
-#include <weights/Depot.h>
+#include <weights/Replicator.h>
 
 #include "ServiceProbe.h"
 
@@ -70,49 +70,49 @@
             aProcess.node,
             aProcess.httpClient,
             [this] { return GetServing(); })
-    , depot_(aProcess.runtime,
-             aProcess.settings,
-             aProcess.node,
-             aProcess.log,
-             aProcess.httpClient,
-             aProcess.rpcClient,
-             MakeHooks())
+    , replicator_(aProcess.runtime,
+                  aProcess.settings,
+                  aProcess.node,
+                  aProcess.log,
+                  aProcess.httpClient,
+                  aProcess.rpcClient,
+                  MakeHooks())
   {
-    depot_.AddEngineRoutes(engineRouter_);
+    replicator_.AddEngineRoutes(engineRouter_);
     // Live answers come first: chunks get what they leave of the link.
     side_.OnLiveBytes(
-      [this](std::size_t aBytes) { depot_.ChargeLive(aBytes); });
+      [this](std::size_t aBytes) { replicator_.ChargeLive(aBytes); });
   }
 
   void AddRoutes(net::Router& aRouter) override
   {
     side_.AddRoutes(aRouter);
-    depot_.AddRoutes(aRouter);
+    replicator_.AddRoutes(aRouter);
   }
   void AddMethods(rpc::RpcServer& aServer) override
   {
     side_.AddMethods(aServer);
-    depot_.AddMethods(aServer);
+    replicator_.AddMethods(aServer);
   }
   bool Start(utils::Error& aReason) override;
   bool IsReady() const override { return true; }
   void Drain() override { DrainSide(side_); }
 
 private:
-  weights::Depot::Hooks MakeHooks();
+  weights::Replicator::Hooks MakeHooks();
   requests::Serving GetServing() const;
 
   const Process& process_;
   requests::Side side_;
-  weights::Depot depot_;
+  weights::Replicator replicator_;
   net::Router engineRouter_;
   std::unique_ptr<net::HttpServer> engineServer_;
 };
 
-weights::Depot::Hooks
+weights::Replicator::Hooks
 EngineSideRole::MakeHooks()
 {
-  weights::Depot::Hooks hooks;
+  weights::Replicator::Hooks hooks;
   hooks.pause = [this] { side_.Pause(); };
   hooks.waitIdle = [this](utils::Millis aTime) {
     return side_.WaitIdle(aTime);
@@ -124,7 +124,7 @@
 requests::Serving
 EngineSideRole::GetServing() const
 {
-  auto serving = depot_.GetServing();
+  auto serving = replicator_.GetServing();
   return { serving.profile, serving.revision, serving.version };
 }
 
@@ -143,7 +143,7 @@
     return false;
   }
   side_.Start();
-  depot_.Start();
+  replicator_.Start();
   return true;
 }
 
