--- a/tests/bed/include/bed/Bed.h
+++ b/tests/bed/include/bed/Bed.h
@@ -193,6 +193,8 @@
 private:
   explicit Bed(BedOptions aOptions);
 
+  std::vector<BedNode*> FindNodes(
+    const std::function<bool(const BedNode&)>& aWanted);
   bool Start(utils::Error& aReason);
   void LayOut();
   BedNode& AddNode(const Site& aSite,
--- a/tests/bed/src/Bed.cpp
+++ b/tests/bed/src/Bed.cpp
@@ -41,39 +41,33 @@
 }
 
 std::vector<BedNode*>
-Bed::GetEntries()
+Bed::FindNodes(const std::function<bool(const BedNode&)>& aWanted)
 {
   std::vector<BedNode*> found;
   for (auto& node : nodes_) {
-    if (node->IsEntry()) {
+    if (aWanted(*node)) {
       found.push_back(node.get());
     }
   }
   return found;
 }
 
+std::vector<BedNode*>
+Bed::GetEntries()
+{
+  return FindNodes(&BedNode::IsEntry);
+}
+
 std::vector<BedNode*>
 Bed::GetEngineSides()
 {
-  std::vector<BedNode*> found;
-  for (auto& node : nodes_) {
-    if (node->IsEngineSide()) {
-      found.push_back(node.get());
-    }
-  }
-  return found;
+  return FindNodes(&BedNode::IsEngineSide);
 }
 
 std::vector<BedNode*>
 Bed::GetServiceSides()
 {
-  std::vector<BedNode*> found;
-  for (auto& node : nodes_) {
-    if (node->isService) {
-      found.push_back(node.get());
-    }
-  }
-  return found;
+  return FindNodes(&BedNode::isService);
 }
 
 void
