--- a/tests/ToolTest.cpp
+++ b/tests/ToolTest.cpp
@@ -97,6 +97,7 @@
       { "status", { "status" }, 0, "in force everywhere" },
       { "watch", { "rollout", "watch", "register" }, 0, "1 of 1 ready" },
       { "quarantine", { "quarantine", "list" }, 0, "" },
+      { "as JSON", { "--json", "quarantine", "list" }, 0, "[]" },
       { "lift", { "quarantine", "lift", "ab" }, 0, "lifted ab" },
       { "retire",
         { "profile", "retire", "register", "--wait" },
--- a/tools/waxwingyoke/src/QuarantineCommands.cpp
+++ b/tools/waxwingyoke/src/QuarantineCommands.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <iostream>
 #include <memory>
+#include <set>
+#include <string>
 
 #include <CLI/CLI.hpp>
 #include <profiles/Publisher.h>
+#include <telemetry/Logger.h>
 #include <utils/Hash.h>
 
 #include "Output.h"
@@ -15,17 +18,26 @@
 
 namespace {
 
+void
+PrintList(const std::set<std::string>& aDigests, bool aJson)
+{
+  std::string text;
+  std::ranges::for_each(aDigests, [&text, aJson](const std::string& aDigest) {
+    const char* separator = text.empty() ? "" : ",";
+    text += aJson ? separator + telemetry::QuoteJson(aDigest) : aDigest + "\n";
+  });
+  std::cout << (aJson ? "[" + text + "]\n" : text);
+}
+
 int
-List(const Platform& aPlatform)
+List(const Platform& aPlatform, bool aJson)
 {
   utils::Error reason;
   auto config = profiles::Publisher(aPlatform.log).ReadConfig(reason);
   if (!config) {
     return Fail(reason);
   }
-  std::ranges::for_each(config->quarantine, [](const std::string& aDigest) {
-    std::cout << aDigest << "\n";
-  });
+  PrintList(config->quarantine, aJson);
   return 0;
 }
 
@@ -62,7 +74,10 @@
   auto* list = group->add_subcommand("list", "digests of refused requests");
   list->callback([&aContext] {
     aContext.run = [&aContext] {
-      return RunOnPlatform(aContext.settingsFile, &List);
+      return RunOnPlatform(aContext.settingsFile,
+                           [&aContext](const Platform& aPlatform) {
+                             return List(aPlatform, aContext.json);
+                           });
     };
   });
 
