--- a/cmake/Waxwingyoke.cmake
+++ b/cmake/Waxwingyoke.cmake
@@ -10,14 +10,14 @@
                                        waxwingyoke_warnings)
 endfunction()
 
-# waxwingyoke_test(NAME SOURCES ... DEPENDS ...)
+# waxwingyoke_test(NAME SOURCES ... DEPENDS ... [ARGUMENTS ...])
 # One doctest program, known to ctest by its name.
 function(waxwingyoke_test NAME)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;ARGUMENTS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/DoctestMain.cpp)
   target_include_directories(${NAME} PRIVATE src)
   target_link_libraries(${NAME} PRIVATE ${ARG_DEPENDS} waxwingyoke_warnings)
-  add_test(NAME ${NAME} COMMAND ${NAME})
+  add_test(NAME ${NAME} COMMAND ${NAME} ${ARG_ARGUMENTS})
   set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
 endfunction()
 
