Read the rollout stream by the log client's own way past trimmed records

Cause: RolloutLog handled a trimmed stream by a read that failed, a read far past the end to learn where the stream begins, and a third one; LogClient already had ReadKept for just that. The own way is gone; reading goes on while it makes progress.

--- a/libs/weights/src/RolloutLog.cpp
+++ b/libs/weights/src/RolloutLog.cpp
@@ -1,6 +1,6 @@
 #include "RolloutLog.h"
 
-#include <limits>
+#include <algorithm>
 #include <mutex>
 
 #include <telemetry/Metrics.h>
@@ -35,39 +35,23 @@
   return true;
 }
 
+// Records that are gone granted tickets of bursts long past and permits that
+// have long been freed, so reading goes on at the first that is kept.
 bool
 RolloutLog::ReadPage(bool& aMore, utils::Error& aReason)
 {
-  utils::Error reason;
-  auto page =
-    log_.Read(platform::kRolloutStream, next_, kPageRecords, kNoWait, reason);
-  if (!page && reason.kind == ErrorKind::LogTrimmed) {
-    return SkipTrimmed(aReason);
-  }
+  auto page = log_.ReadKept(
+    platform::kRolloutStream, next_, kPageRecords, kNoWait, aReason);
   if (!page) {
-    aReason = reason;
     return false;
   }
+  auto before = next_;
+  next_ = std::max(next_, page->first_offset());
   for (const auto& record : page->records()) {
     Fold(record);
     next_ = record.offset() + 1;
   }
-  aMore = page->records_size() > 0 && next_ < page->next_offset();
-  return true;
-}
-
-// Records that are gone granted tickets of bursts long past and permits that
-// have long been freed.
-bool
-RolloutLog::SkipTrimmed(utils::Error& aReason)
-{
-  constexpr auto kEnd =
-    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
-  auto page = log_.Read(platform::kRolloutStream, kEnd, 1, kNoWait, aReason);
-  if (!page) {
-    return false;
-  }
-  next_ = page->first_offset();
+  aMore = next_ > before && next_ < page->next_offset();
   return true;
 }
 
--- a/libs/weights/src/RolloutLog.h
+++ b/libs/weights/src/RolloutLog.h
@@ -38,7 +38,6 @@
 
 private:
   bool ReadPage(bool& aMore, utils::Error& aReason);
-  bool SkipTrimmed(utils::Error& aReason);
   void Fold(const schema::StoredRecord& aRecord);
 
   platform::LogClient& log_;
