--- /dev/null
+++ b/libs/dispatch/src/CrashLedger.cpp
@@ -0,0 +1,72 @@
+#include <dispatch/CrashLedger.h>
+
+#include <algorithm>
+
+namespace waxwingyoke::dispatch {
+
+namespace {
+
+// Two crashes under one request within a minute are hardly chance: a crash
+// ends about a batch of requests out of thousands.
+constexpr std::size_t kCrashesToQuarantine = 2;
+constexpr utils::Millis kMemory(60000);
+constexpr std::size_t kMaxRows = 4096;
+
+} // namespace
+
+void
+CrashLedger::DropOld(utils::Millis aNow)
+{
+  std::erase_if(rows_, [aNow](const auto& aRow) {
+    return aNow - aRow.second.last > kMemory;
+  });
+}
+
+bool
+CrashLedger::Note(const Crash& aCrash, utils::Millis aNow)
+{
+  DropOld(aNow);
+  if (rows_.size() >= kMaxRows && !rows_.contains(aCrash.request)) {
+    return false;
+  }
+  auto& row = rows_[aCrash.request];
+  bool isNew = row.upstreams.insert(aCrash.upstream).second;
+  if (isNew) {
+    row.last = aNow;
+  }
+  return isNew;
+}
+
+bool
+CrashLedger::IsQuarantined(std::uint64_t aRequest, utils::Millis aNow) const
+{
+  auto row = rows_.find(aRequest);
+  return row != rows_.end() &&
+         row->second.upstreams.size() >= kCrashesToQuarantine &&
+         aNow - row->second.last <= kMemory;
+}
+
+void
+CrashLedger::Clear(std::uint64_t aRequest)
+{
+  rows_.erase(aRequest);
+}
+
+std::vector<Crash>
+CrashLedger::ListSince(utils::Millis aSince) const
+{
+  std::vector<Crash> crashes;
+  for (const auto& [request, row] : rows_) {
+    if (row.last < aSince) {
+      continue;
+    }
+    std::ranges::transform(row.upstreams,
+                           std::back_inserter(crashes),
+                           [request = request](std::uint64_t aUpstream) {
+                             return Crash{ request, aUpstream };
+                           });
+  }
+  return crashes;
+}
+
+} // namespace waxwingyoke::dispatch
--- /dev/null
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -0,0 +1,225 @@
+#include <dispatch/UpstreamBook.h>
+
+#include <algorithm>
+
+#include <utils/Hash.h>
+
+namespace waxwingyoke::dispatch {
+
+namespace {
+
+using utils::Millis;
+
+// A side's word goes before the directory's while it is fresh: it repeats
+// itself four times in this time.
+constexpr Millis kSideReportAge(1500);
+// Another data centre adds its delay twice and its bytes are charged; this
+// many ms of a later first event are taken for that.
+constexpr double kCrossingMs = 40;
+// Requests beyond an engine's slots: enough that a slot which is freed is
+// taken before an entry hears of it, and no more, as they wait unseen.
+constexpr std::uint32_t kEngineQueue = 2;
+// A plain service's work time until the book learns better; its objective
+// bounds the queue.
+constexpr double kPlainWorkMs = 60;
+// Room for what the prediction leaves out.
+constexpr double kObjectiveShare = 0.85;
+
+} // namespace
+
+UseCount
+UpstreamState::GetUse() const
+{
+  UseCount sum = own;
+  for (const auto& [entry, use] : others) {
+    sum.running += use.running;
+    sum.unreadTokens += use.unreadTokens;
+  }
+  return sum;
+}
+
+std::uint64_t
+FindServedVersion(const UpstreamState& aState,
+                  const PlaceQuery& aQuery,
+                  Millis aNow)
+{
+  bool fresh = aState.side && aNow - aState.sideHeardAt < kSideReportAge;
+  if (fresh) {
+    return aState.side->accepting ? aState.side->version : 0;
+  }
+  return aState.record.FindCompleteVersion(aQuery.model, aQuery.layers);
+}
+
+bool
+UpstreamBook::IsCandidate(const UpstreamState& aState,
+                          const PlaceQuery& aQuery,
+                          Millis aNow) const
+{
+  if (aState.record.service != aQuery.service || aState.record.draining ||
+      !aState.health.IsUsable(aNow) ||
+      std::ranges::find(aQuery.excluded, aState.record.id) !=
+        aQuery.excluded.end()) {
+    return false;
+  }
+  if (aQuery.engine == nullptr) {
+    return true;
+  }
+  auto version = FindServedVersion(aState, aQuery, aNow);
+  return version > 0 && version >= aQuery.minVersion;
+}
+
+Place
+UpstreamBook::Rate(const UpstreamPointer& aState,
+                   const PlaceQuery& aQuery,
+                   Millis aNow) const
+{
+  Place place;
+  place.upstream = aState;
+  auto use = aState->GetUse();
+  if (aQuery.engine != nullptr) {
+    bool fresh = aState->side && aNow - aState->sideHeardAt < kSideReportAge;
+    EngineLoad load{ use.running,
+                     use.unreadTokens,
+                     fresh ? aState->side->pace : 1.0 };
+    place.version = FindServedVersion(*aState, aQuery, aNow);
+    place.predictedMs =
+      aQuery.engine->PredictFirstEventMs(load, aQuery.promptTokens);
+  } else {
+    auto slots = std::max<std::uint32_t>(aState->record.slots, 1);
+    place.predictedMs = kPlainWorkMs * (1.0 + use.running / slots) +
+                        kPlainWorkMs * use.running / slots;
+    // Failures cost a second send or the answer.
+    place.predictedMs *= 1 + 2 * aState->health.GetFailedShare();
+  }
+  return place;
+}
+
+std::optional<Place>
+UpstreamBook::FindBest(const PlaceQuery& aQuery,
+                       Millis aNow,
+                       bool aInTime) const
+{
+  std::optional<Place> best;
+  double bestCost = 0;
+  for (const auto& [id, state] : upstreams_) {
+    if (!IsCandidate(*state, aQuery, aNow)) {
+      continue;
+    }
+    auto place = Rate(state, aQuery, aNow);
+    bool full =
+      aQuery.engine != nullptr &&
+      state->GetUse().running >= aQuery.engine->GetSlots() + kEngineQueue;
+    auto limit = static_cast<double>(aQuery.timeLeft.value) * kObjectiveShare;
+    if (aInTime && (full || place.predictedMs > limit)) {
+      continue;
+    }
+    bool crosses = state->record.dataCentre != aQuery.dataCentre;
+    bool other =
+      aQuery.preferredVersion > 0 && place.version != aQuery.preferredVersion;
+    double cost = place.predictedMs + (crosses ? kCrossingMs : 0) +
+                  (other ? kCrossingMs : 0);
+    if (!best || cost < bestCost) {
+      best = place;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+std::optional<Place>
+UpstreamBook::FindPlace(const PlaceQuery& aQuery, Millis aNow) const
+{
+  return FindBest(aQuery, aNow, true);
+}
+
+std::optional<Place>
+UpstreamBook::FindAnyPlace(const PlaceQuery& aQuery, Millis aNow) const
+{
+  return FindBest(aQuery, aNow, false);
+}
+
+ServiceLoad
+UpstreamBook::GetLoad(const PlaceQuery& aQuery, Millis aNow) const
+{
+  ServiceLoad load;
+  for (const auto& [id, state] : upstreams_) {
+    if (IsCandidate(*state, aQuery, aNow)) {
+      ++load.usable;
+      load.slots += aQuery.engine != nullptr ? aQuery.engine->GetSlots()
+                                             : state->record.slots;
+      load.running += state->GetUse().running;
+    }
+  }
+  return load;
+}
+
+void
+UpstreamBook::Put(const platform::Upstream& aRecord)
+{
+  auto& state = upstreams_[aRecord.id];
+  bool restarted = state && state->record.startedMs != aRecord.startedMs;
+  if (!state || restarted) {
+    state = std::make_shared<UpstreamState>();
+    state->hash = utils::StableHash(aRecord.id);
+  }
+  state->record = aRecord;
+}
+
+void
+UpstreamBook::Remove(const std::string& aId)
+{
+  upstreams_.erase(aId);
+}
+
+UpstreamPointer
+UpstreamBook::Find(const std::string& aId) const
+{
+  auto row = upstreams_.find(aId);
+  return row == upstreams_.end() ? nullptr : row->second;
+}
+
+std::vector<std::string>
+UpstreamBook::ListIds() const
+{
+  std::vector<std::string> ids;
+  std::ranges::transform(upstreams_,
+                         std::back_inserter(ids),
+                         [](const auto& aRow) { return aRow.first; });
+  return ids;
+}
+
+void
+UpstreamBook::TakeEntryUse(
+  const std::string& aEntry,
+  const std::unordered_map<std::uint64_t, UseCount>& aUses)
+{
+  for (auto& [id, state] : upstreams_) {
+    auto use = aUses.find(state->hash);
+    if (use == aUses.end()) {
+      state->others.erase(aEntry);
+    } else {
+      state->others[aEntry] = use->second;
+    }
+  }
+}
+
+void
+UpstreamBook::ForgetEntry(const std::string& aEntry)
+{
+  std::ranges::for_each(
+    upstreams_, [&aEntry](auto& aRow) { aRow.second->others.erase(aEntry); });
+}
+
+void
+UpstreamBook::TakeSideReport(const std::string& aId,
+                             const SideReport& aReport,
+                             Millis aNow)
+{
+  auto state = Find(aId);
+  if (state) {
+    state->side = aReport;
+    state->sideHeardAt = aNow;
+  }
+}
+
+} // namespace waxwingyoke::dispatch
--- /dev/null
+++ b/libs/dispatch/src/UpstreamHealth.cpp
@@ -0,0 +1,74 @@
+#include <dispatch/UpstreamHealth.h>
+
+#include <algorithm>
+
+namespace waxwingyoke::dispatch {
+
+namespace {
+
+using utils::Millis;
+
+// One request's weight in the moving share: about the last ten count.
+constexpr double kSampleWeight = 0.1;
+// Services fail a seventh of idempotent requests on ordinary days; a share
+// that stays above this marks the upstream, not the requests.
+constexpr double kEjectShare = 0.34;
+constexpr int kMinSamples = 5;
+// About the time in which a crashed upstream starts again.
+constexpr Millis kFirstEjection(500);
+constexpr Millis kLongestEjection(4000);
+constexpr int kMaxDoublings = 3;
+
+} // namespace
+
+void
+UpstreamHealth::Note(Outcome aOutcome, Millis aNow)
+{
+  if (aOutcome == Outcome::Refused) {
+    return;
+  }
+  bool failed = aOutcome != Outcome::Served;
+  ++samples_;
+  failedShare_ += kSampleWeight * ((failed ? 1.0 : 0.0) - failedShare_);
+  unreachableInARow_ =
+    aOutcome == Outcome::Unreachable ? unreachableInARow_ + 1 : 0;
+  if (unreachableInARow_ > 0 ||
+      (failed && samples_ >= kMinSamples && failedShare_ > kEjectShare)) {
+    Eject(aNow);
+  } else if (!failed && failedShare_ < kSampleWeight) {
+    ejections_ = 0;
+  }
+}
+
+void
+UpstreamHealth::Eject(Millis aNow)
+{
+  if (!IsUsable(aNow)) {
+    return;
+  }
+  auto factor = std::int64_t{ 1 } << std::min(ejections_, kMaxDoublings);
+  ++ejections_;
+  AvoidUntil(aNow + std::min(kFirstEjection * factor, kLongestEjection));
+  // A few good answers after its return are enough to stay.
+  failedShare_ = std::min(failedShare_, kEjectShare);
+}
+
+void
+UpstreamHealth::AvoidUntil(Millis aTime)
+{
+  usableFrom_ = std::max(usableFrom_, aTime);
+}
+
+bool
+UpstreamHealth::IsUsable(Millis aNow) const
+{
+  return aNow >= usableFrom_;
+}
+
+void
+UpstreamHealth::Reset()
+{
+  *this = UpstreamHealth();
+}
+
+} // namespace waxwingyoke::dispatch
--- /dev/null
+++ b/libs/dispatch/src/WindowBudget.cpp
@@ -0,0 +1,53 @@
+#include <dispatch/WindowBudget.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace waxwingyoke::dispatch {
+
+namespace {
+
+constexpr std::int64_t kSlices = 10;
+
+} // namespace
+
+WindowBudget::Slice&
+WindowBudget::Current(utils::Millis aNow)
+{
+  auto width = std::max(terms_.window / kSlices, utils::Millis(1));
+  while (!slices_.empty() &&
+         aNow - slices_.front().begin > terms_.window + width) {
+    slices_.pop_front();
+  }
+  if (slices_.empty() || aNow - slices_.back().begin >= width) {
+    slices_.push_back({ aNow, 0, 0 });
+  }
+  return slices_.back();
+}
+
+void
+WindowBudget::NoteFirst(utils::Millis aNow)
+{
+  Current(aNow).first += 1;
+}
+
+bool
+WindowBudget::Take(utils::Millis aNow)
+{
+  auto& current = Current(aNow);
+  Slice sum = std::accumulate(slices_.begin(),
+                              slices_.end(),
+                              Slice(),
+                              [](Slice aSum, const Slice& aSlice) {
+                                aSum.first += aSlice.first;
+                                aSum.second += aSlice.second;
+                                return aSum;
+                              });
+  if (sum.second + 1 > terms_.ratio * sum.first + terms_.slack) {
+    return false;
+  }
+  current.second += 1;
+  return true;
+}
+
+} // namespace waxwingyoke::dispatch
--- /dev/null
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -0,0 +1,182 @@
+#include "ConfigFollower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwingyoke::fleet {
+
+namespace {
+
+using platform::Topic;
+using utils::Millis;
+
+constexpr Millis kPauseAfterFailure(200);
+// Several changes in a row are read together.
+constexpr Millis kPauseAfterChange(80);
+
+} // namespace
+
+ConfigFollower::ConfigFollower(platform::KeyedLog& aLog,
+                               const platform::FleetCodecs& aCodecs,
+                               Millis aWait)
+  : log_(aLog)
+  , codecs_(aCodecs)
+  , wait_(aWait)
+{
+}
+
+void
+ConfigFollower::Start(net::Runtime& aRuntime, std::function<void()> aOnChange)
+{
+  onChange_ = std::move(aOnChange);
+  aRuntime.Spawn([this] { Loop(); });
+}
+
+void
+ConfigFollower::Loop()
+{
+  while (true) {
+    auto before = end_;
+    if (!Poll()) {
+      net::Runtime::Sleep(kPauseAfterFailure);
+    } else if (end_ != before) {
+      net::Runtime::Sleep(kPauseAfterChange);
+    }
+  }
+}
+
+bool
+ConfigFollower::Poll()
+{
+  // An answer proves the state of the log when the question was sent.
+  auto sentAt = clock_.Now();
+  utils::Error reason;
+  auto page = started_ ? log_.Read(Topic::Operator, end_, wait_, reason)
+                       : log_.ReadNewest(Topic::Operator, reason);
+  NoteLog(page.has_value(), reason);
+  if (!page) {
+    started_ = started_ && reason.kind != utils::ErrorKind::LogTrimmed;
+    return false;
+  }
+  std::ranges::for_each(page->records,
+                        [this](const auto& aRecord) { Apply(aRecord); });
+  end_ = std::max(end_, page->end);
+  confirmedAt_ = std::max(confirmedAt_.value_or(sentAt), sentAt);
+  started_ = true;
+  if (onChange_ && !page->records.empty()) {
+    onChange_();
+  }
+  return true;
+}
+
+void
+ConfigFollower::NoteLog(bool aAnswers, const utils::Error& aReason)
+{
+  if (aAnswers == logAnswers_) {
+    return;
+  }
+  logAnswers_ = aAnswers;
+  if (aAnswers) {
+    logger_.Info("the log answers again",
+                 { { "age_ms", std::to_string(GetAge().value) } });
+  } else {
+    logger_.Warn("the log does not answer",
+                 { { "reason", aReason.detail },
+                   { "age_ms", std::to_string(GetAge().value) } });
+  }
+}
+
+void
+ConfigFollower::Apply(const platform::KeyedRecord& aRecord)
+{
+  auto key = codecs_.parseOperatorKey(aRecord.key);
+  if (key.isConfig && !aRecord.dropped) {
+    ApplyConfig(aRecord.value, aRecord.offset);
+  } else if (!key.model.empty() && !aRecord.dropped) {
+    ApplyVersion(key.model, aRecord.value);
+  }
+}
+
+void
+ConfigFollower::ApplyConfig(const std::string& aText, std::uint64_t aOffset)
+{
+  utils::Error reason;
+  auto config = codecs_.parseConfig(aText, reason);
+  if (!config) {
+    logger_.Report(reason, { { "offset", std::to_string(aOffset) } });
+    return;
+  }
+  if (config_ && config->version <= config_->version) {
+    return;
+  }
+  logger_.Info("configuration in force",
+               { { "version", std::to_string(config->version) },
+                 { "offset", std::to_string(aOffset) },
+                 { "routes", std::to_string(config->routes.size()) } });
+  text_ = aText;
+  offset_ = aOffset;
+  config_ = std::make_shared<const platform::FleetConfig>(std::move(*config));
+}
+
+void
+ConfigFollower::ApplyVersion(const std::string& aModel,
+                             const std::string& aText)
+{
+  utils::Error reason;
+  auto version = codecs_.parseNamedVersion(aText, reason);
+  if (!version) {
+    logger_.Report(reason, { { "model", aModel } });
+    return;
+  }
+  auto& named = versions_[aModel];
+  if (*version > named.version) {
+    named = { *version, clock_.Now(), started_ };
+    logger_.Info(
+      "version named",
+      { { "model", aModel }, { "version", std::to_string(*version) } });
+  }
+}
+
+std::optional<NamedVersion>
+ConfigFollower::FindVersion(const std::string& aModel) const
+{
+  auto row = versions_.find(aModel);
+  return row == versions_.end() ? std::nullopt : std::optional(row->second);
+}
+
+Millis
+ConfigFollower::GetAge() const
+{
+  // Before the first proof it is older than any bound.
+  constexpr Millis kUnknown(std::int64_t{ 1 } << 40);
+  return confirmedAt_ ? clock_.Now() - *confirmedAt_ : kUnknown;
+}
+
+std::optional<ConfigRecord>
+ConfigFollower::GetRecord() const
+{
+  if (!config_) {
+    return std::nullopt;
+  }
+  return ConfigRecord{ text_, offset_, GetAge() };
+}
+
+void
+ConfigFollower::Take(const ConfigRecord& aRecord)
+{
+  auto provedAt = clock_.Now() - aRecord.age;
+  if (confirmedAt_ && provedAt <= *confirmedAt_) {
+    return;
+  }
+  ApplyConfig(aRecord.text, aRecord.offset);
+  // What was read from the log later than the other's record is not proved
+  // by it.
+  if (config_ && offset_ <= aRecord.offset) {
+    confirmedAt_ = provedAt;
+  }
+  if (onChange_) {
+    onChange_();
+  }
+}
+
+} // namespace waxwingyoke::fleet
--- /dev/null
+++ b/libs/fleet/src/ConfigFollower.h
@@ -0,0 +1,97 @@
+#ifndef waxwingyoke_fleet_ConfigFollower_h
+#define waxwingyoke_fleet_ConfigFollower_h
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <net/Runtime.h>
+#include <platform/FleetCodecs.h>
+#include <platform/KeyedLog.h>
+#include <telemetry/Logger.h>
+#include <utils/Time.h>
+
+namespace waxwingyoke::fleet {
+
+/** The newest version of a model that the operator named. */
+struct NamedVersion
+{
+  std::uint64_t version = 0;
+  /** When this process learnt of it. */
+  utils::Millis learntAt;
+  /** False: it stood there when the process started. */
+  bool learntLive = false;
+};
+
+/** A configuration with its proof, as one entry tells it to another. */
+struct ConfigRecord
+{
+  std::string text;
+  std::uint64_t offset = 0;
+  /** Since the read was sent that found it the newest. */
+  utils::Millis age;
+};
+
+/**
+ * Follows the operator's topic: the configuration in force and the versions
+ * that are named. Neither ever goes back in the life of the process.
+ */
+class ConfigFollower
+{
+public:
+  /** How long one read waits for news; bounds the age of what is known. */
+  ConfigFollower(platform::KeyedLog& aLog,
+                 const platform::FleetCodecs& aCodecs,
+                 utils::Millis aWait);
+
+  /** Starts to follow; the hook runs after each change. */
+  void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
+
+  /** Reads once; false where the log gave nothing. */
+  bool Poll();
+
+  /** Null until one is known. */
+  std::shared_ptr<const platform::FleetConfig> GetConfig() const
+  {
+    return config_;
+  }
+  std::optional<NamedVersion> FindVersion(const std::string& aModel) const;
+
+  /** Since the configuration was last proved the newest. */
+  utils::Millis GetAge() const;
+
+  /** What Take of another entry reads; empty while none is known. */
+  std::optional<ConfigRecord> GetRecord() const;
+
+  /** Another entry's record; used if it is newer or better confirmed. */
+  void Take(const ConfigRecord& aRecord);
+
+private:
+  void Loop();
+  void Apply(const platform::KeyedRecord& aRecord);
+  void ApplyConfig(const std::string& aText, std::uint64_t aOffset);
+  void ApplyVersion(const std::string& aModel, const std::string& aText);
+  void NoteLog(bool aAnswers, const utils::Error& aReason);
+
+  platform::KeyedLog& log_;
+  platform::FleetCodecs codecs_;
+  utils::Millis wait_;
+  utils::Clock clock_ = utils::Clock::CountingSuspension();
+  telemetry::Logger logger_{ "config" };
+  std::function<void()> onChange_;
+  std::shared_ptr<const platform::FleetConfig> config_;
+  std::string text_;
+  std::uint64_t offset_ = 0;
+  std::map<std::string, NamedVersion> versions_;
+  bool started_ = false;
+  std::uint64_t end_ = 0;
+  std::optional<utils::Millis> confirmedAt_;
+  bool logAnswers_ = true;
+};
+
+} // namespace waxwingyoke::fleet
+
+#endif // waxwingyoke_fleet_ConfigFollower_h
--- /dev/null
+++ b/libs/fleet/src/Entry.cpp
@@ -0,0 +1,383 @@
+#include <fleet/Entry.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+#include <net/HttpServer.h>
+#include <net/Router.h>
+#include <schema/fleet.pb.h>
+
+#include "DirectoryFollower.h"
+#include "EntryServices.h"
+#include "Exchange.h"
+#include "PeerLink.h"
+
+namespace waxwingyoke::fleet {
+
+namespace {
+
+using utils::Millis;
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+// Between two notices of what this entry runs where: a slot is held for about
+// two seconds, so a notice that is this late misplaces few requests.
+constexpr Millis kNoticeInterval(60);
+// Said again without a change, so that a lost notice does not last.
+constexpr Millis kNoticeRepeat(500);
+// An entry that is silent for this long has no requests that count.
+constexpr Millis kEntrySilence(1500);
+constexpr Millis kCrashRepeat(2000);
+// The balancer asks each second and takes an entry out after two misses.
+constexpr Millis kUnreadyNotice(2200);
+// Of the grace period, for what runs to end.
+constexpr double kGraceShare = 0.9;
+constexpr Millis kDrainPoll(20);
+constexpr Millis kLogInterval(250);
+// Other entries are asked for the configuration when it is older than this
+// share of what a key may be trusted for.
+constexpr double kAskPeersShare = 0.4;
+constexpr Millis kAskInterval(300);
+constexpr Millis kAskTimeout(400);
+constexpr const char* kConfigPath = "/fleet/config";
+constexpr const char* kOffsetField = "Config-Offset";
+constexpr const char* kAgeField = "Config-Age-Ms";
+
+net::HttpResponse
+MakeText(int aStatus, std::string aText)
+{
+  net::HttpResponse response;
+  response.status = aStatus;
+  response.fields.Set("Content-Type", "text/plain");
+  response.body = std::move(aText);
+  return response;
+}
+
+} // namespace
+
+struct Entry::Impl
+{
+  Impl(net::Runtime& aRuntime,
+       const platform::FleetSettings& aSettings,
+       FleetPorts aPorts)
+    : runtime(aRuntime)
+    , settings(aSettings)
+    , ports(aPorts)
+    , services(aRuntime, aSettings, aPorts)
+    , directory(aPorts.log, aPorts.codecs, services.GetBook())
+    , peers(aRuntime, aSettings, aPorts.log, PeerRole::Entry)
+  {
+  }
+
+  bool StartServers(utils::Error& aReason);
+  void AddPeerRoutes();
+  bool IsReady() const;
+  net::HttpLimits GetLimits();
+  void NoticeLoop();
+  void SendNotice();
+  void ForgetSilentEntries();
+  void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
+  void TakeEntry(const Peer& aFrom, const schema::EntryNotice& aNotice);
+  void TakeSide(const schema::SideNotice& aNotice);
+  void AskPeersLoop();
+  void AskPeer(const Peer& aPeer);
+  void LogLoop();
+
+  net::Runtime& runtime;
+  const platform::FleetSettings& settings;
+  FleetPorts ports;
+  EntryServices services;
+  DirectoryFollower directory;
+  PeerLink peers;
+  net::Router peerRouter;
+  std::unique_ptr<net::HttpServer> callerServer;
+  std::unique_ptr<net::HttpServer> readinessServer;
+  std::unique_ptr<net::HttpServer> peerServer;
+  telemetry::Logger logger{ "entry" };
+  std::map<std::string, Millis> entriesHeardAt;
+  bool draining = false;
+  bool wasReady = false;
+};
+
+Entry::Entry(net::Runtime& aRuntime,
+             const platform::FleetSettings& aSettings,
+             FleetPorts aPorts)
+  : impl_(std::make_unique<Impl>(aRuntime, aSettings, std::move(aPorts)))
+{
+}
+
+Entry::~Entry() = default;
+
+bool
+Entry::Start(utils::Error& aReason)
+{
+  auto& impl = *impl_;
+  auto handler = [&impl](const Peer& aFrom,
+                         const schema::FleetNotice& aNotice) {
+    impl.TakeNotice(aFrom, aNotice);
+  };
+  if (!impl.peers.Start(handler, aReason) || !impl.StartServers(aReason)) {
+    return false;
+  }
+  auto serve = [&impl] { impl.services.ServeLines(); };
+  impl.services.GetConfig().Start(impl.runtime, serve);
+  impl.directory.Start(impl.runtime, serve);
+  impl.runtime.Spawn([&impl] { impl.NoticeLoop(); });
+  impl.runtime.Spawn([&impl] { impl.AskPeersLoop(); });
+  impl.runtime.Spawn([&impl] { impl.LogLoop(); });
+  return true;
+}
+
+// Out of the balancer's list first, still taking what it sends meanwhile.
+void
+Entry::Drain()
+{
+  auto& impl = *impl_;
+  impl.draining = true;
+  utils::Clock clock;
+  auto grace = static_cast<double>(impl.settings.bounds.grace.value);
+  auto end =
+    clock.Now() + Millis(static_cast<std::int64_t>(grace * kGraceShare));
+  net::Runtime::Sleep(kUnreadyNotice);
+  impl.callerServer->Close();
+  while (impl.callerServer->GetActiveCount() > 0 && clock.Now() < end) {
+    net::Runtime::Sleep(kDrainPoll);
+  }
+}
+
+bool
+Entry::Impl::StartServers(utils::Error& aReason)
+{
+  if (!settings.callers || !settings.readiness) {
+    aReason.Set(utils::ErrorKind::BadSettings,
+                "an entry's settings need addresses for callers and readiness");
+    return false;
+  }
+  callerServer = net::HttpServer::Builder(runtime)
+                   .SetEndpoint(*settings.callers)
+                   .SetCurrentLimits([this] { return GetLimits(); })
+                   .SetLeaving([this] { return draining; })
+                   .SetHandler([this](const auto& aRequest, auto& aWriter) {
+                     Exchange(services, aRequest, aWriter).Run();
+                   })
+                   .Build(aReason);
+  readinessServer =
+    callerServer
+      ? net::HttpServer::Builder(runtime)
+          .SetEndpoint(*settings.readiness)
+          .SetHandler([this](const auto&, auto& aWriter) {
+            bool ready = IsReady();
+            aWriter.Send(MakeText(ready ? kOk : kUnavailable,
+                                  ready ? "ready\n" : "not ready\n"));
+          })
+          .Build(aReason)
+      : nullptr;
+  AddPeerRoutes();
+  peerServer = readinessServer
+                 ? net::HttpServer::Builder(runtime)
+                     .SetEndpoint(peers.GetOwnEndpoint())
+                     .SetHandler([this](const auto& aRequest, auto& aWriter) {
+                       peerRouter.Handle(aRequest, aWriter);
+                     })
+                     .Build(aReason)
+                 : nullptr;
+  return peerServer != nullptr;
+}
+
+void
+Entry::Impl::AddPeerRoutes()
+{
+  peerRouter.Add("GET", "/metrics", [](const auto&, auto& aWriter) {
+    aWriter.Send(MakeText(kOk, telemetry::Metrics::Get().Show()));
+  });
+  peerRouter.Add("GET", kConfigPath, [this](const auto&, auto& aWriter) {
+    auto record = services.GetConfig().GetRecord();
+    if (!record) {
+      aWriter.Send(MakeText(kUnavailable, "no configuration\n"));
+      return;
+    }
+    auto response = MakeText(kOk, std::move(record->text));
+    response.fields.Set(kOffsetField, std::to_string(record->offset));
+    response.fields.Set(kAgeField, std::to_string(record->age.value));
+    aWriter.Send(response);
+  });
+}
+
+// One that knows no configuration, or can't tell whose keys still hold, has
+// nothing but refusals to offer.
+bool
+Entry::Impl::IsReady() const
+{
+  return !draining && services.GetTrust() != dispatch::Trust::KeylessOnly;
+}
+
+net::HttpLimits
+Entry::Impl::GetLimits()
+{
+  net::HttpLimits limits;
+  auto config = services.GetConfig().GetConfig();
+  auto current = config ? config->limits : platform::CallerLimits();
+  limits.bodyBytes = current.bodyBytes;
+  limits.headerBytes = static_cast<std::uint32_t>(current.headerBytes);
+  limits.idle = current.idleTimeout;
+  limits.header = current.headerTimeout;
+  return limits;
+}
+
+void
+Entry::Impl::NoticeLoop()
+{
+  Millis sentAt;
+  while (true) {
+    net::Runtime::Sleep(kNoticeInterval);
+    auto now = services.Now();
+    if (services.TakeUseChange() || now - sentAt >= kNoticeRepeat) {
+      SendNotice();
+      sentAt = now;
+      ForgetSilentEntries();
+    }
+  }
+}
+
+void
+Entry::Impl::SendNotice()
+{
+  schema::FleetNotice notice;
+  auto& entry = *notice.mutable_entry();
+  for (const auto& [id, state] : services.GetBook().GetAll()) {
+    if (state->own.running > 0) {
+      auto& use = *entry.add_uses();
+      use.set_upstream(state->hash);
+      use.set_running(state->own.running);
+      use.set_unread_tokens(state->own.unreadTokens);
+    }
+  }
+  auto since = services.Now() - kCrashRepeat;
+  for (const auto& crash : services.GetCrashes().ListSince(since)) {
+    auto& report = *entry.add_crashes();
+    report.set_request(crash.request);
+    report.set_upstream(crash.upstream);
+  }
+  peers.Send(PeerRole::Entry, notice);
+}
+
+void
+Entry::Impl::ForgetSilentEntries()
+{
+  auto now = services.Now();
+  std::erase_if(entriesHeardAt, [&](const auto& aRow) {
+    bool silent = now - aRow.second > kEntrySilence;
+    if (silent) {
+      services.GetBook().ForgetEntry(aRow.first);
+    }
+    return silent;
+  });
+  services.SetEntryCount(
+    std::max(entriesHeardAt.size(), peers.List(PeerRole::Entry).size()) + 1);
+}
+
+void
+Entry::Impl::TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice)
+{
+  if (aNotice.has_entry()) {
+    TakeEntry(aFrom, aNotice.entry());
+  } else if (aNotice.has_side()) {
+    TakeSide(aNotice.side());
+  }
+}
+
+void
+Entry::Impl::TakeEntry(const Peer& aFrom, const schema::EntryNotice& aNotice)
+{
+  std::unordered_map<std::uint64_t, dispatch::UseCount> uses;
+  for (const auto& use : aNotice.uses()) {
+    uses[use.upstream()] = { use.running(), use.unread_tokens() };
+  }
+  services.GetBook().TakeEntryUse(aFrom.vm, uses);
+  entriesHeardAt[aFrom.vm] = services.Now();
+  for (const auto& crash : aNotice.crashes()) {
+    services.GetCrashes().Note({ crash.request(), crash.upstream() },
+                               services.Now());
+  }
+  services.ServeLines();
+}
+
+void
+Entry::Impl::TakeSide(const schema::SideNotice& aNotice)
+{
+  auto& book = services.GetBook();
+  auto row = std::ranges::find_if(book.GetAll(), [&](const auto& aRow) {
+    return aRow.second->record.endpoint.ToString() == aNotice.upstream();
+  });
+  if (row == book.GetAll().end()) {
+    return;
+  }
+  book.TakeSideReport(
+    row->first,
+    { aNotice.version(), aNotice.accepting(), aNotice.pace() },
+    services.Now());
+  services.ServeLines();
+}
+
+void
+Entry::Impl::AskPeersLoop()
+{
+  auto limit = Millis(static_cast<std::int64_t>(
+    static_cast<double>(settings.bounds.revoke.value) * kAskPeersShare));
+  std::size_t next = 0;
+  while (true) {
+    net::Runtime::Sleep(kAskInterval);
+    auto entries = peers.List(PeerRole::Entry);
+    if (services.GetConfig().GetAge() > limit && !entries.empty()) {
+      AskPeer(entries[next++ % entries.size()]);
+    }
+  }
+}
+
+// The record's age counts from before the question: the answer may have been
+// on its way for as long as the call took.
+void
+Entry::Impl::AskPeer(const Peer& aPeer)
+{
+  net::HttpRequest request;
+  request.target = kConfigPath;
+  utils::Error reason;
+  auto askedAt = services.Now();
+  auto response = ports.client.Call(
+    aPeer.endpoint, request, { kAskTimeout, kAskTimeout, kAskTimeout }, reason);
+  if (!response || response->status != kOk) {
+    return;
+  }
+  auto read = [&response](const char* aName) {
+    return std::strtoull(
+      std::string(response->fields.Find(aName)).c_str(), nullptr, 10);
+  };
+  ConfigRecord record;
+  record.text = std::move(response->body);
+  record.offset = read(kOffsetField);
+  record.age = Millis(static_cast<std::int64_t>(read(kAgeField))) +
+               (services.Now() - askedAt);
+  logger.Info("configuration from another entry",
+              { { "peer", aPeer.vm },
+                { "offset", std::to_string(record.offset) },
+                { "age_ms", std::to_string(record.age.value) } });
+  services.GetConfig().Take(record);
+}
+
+void
+Entry::Impl::LogLoop()
+{
+  while (true) {
+    net::Runtime::Sleep(kLogInterval);
+    bool ready = IsReady();
+    if (ready != wasReady) {
+      wasReady = ready;
+      logger.Info(ready ? "ready" : "not ready",
+                  { { "config_age_ms",
+                      std::to_string(services.GetConfig().GetAge().value) } });
+    }
+    telemetry::WriteBufferedLogs();
+  }
+}
+
+} // namespace waxwingyoke::fleet
--- /dev/null
+++ b/libs/fleet/src/PeerLink.h
@@ -0,0 +1,89 @@
+#ifndef waxwingyoke_fleet_PeerLink_h
+#define waxwingyoke_fleet_PeerLink_h
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <net/Datagram.h>
+#include <net/Runtime.h>
+#include <platform/FleetSettings.h>
+#include <platform/KeyedLog.h>
+#include <schema/fleet.pb.h>
+#include <telemetry/Logger.h>
+#include <utils/Time.h>
+
+namespace waxwingyoke::fleet {
+
+/** The role of a process in the fleet. */
+enum class PeerRole
+{
+  Entry,
+  Side
+};
+
+/** Another process of ours. */
+struct Peer
+{
+  std::string vm;
+  net::Endpoint endpoint;
+  PeerRole role = PeerRole::Entry;
+  std::string dataCentre;
+  std::string region;
+  /** Of the last notice; with the sequence it orders notices. */
+  std::uint64_t startedMs = 0;
+  std::uint64_t sequence = 0;
+  utils::Millis heardAt;
+};
+
+/**
+ * Knows the other processes by the members' topic and exchanges notices
+ * with them. A peer that is gone costs a datagram now and then.
+ */
+class PeerLink
+{
+public:
+  using Handler =
+    std::function<void(const Peer& aFrom, const schema::FleetNotice& aNotice)>;
+
+  PeerLink(net::Runtime& aRuntime,
+           const platform::FleetSettings& aSettings,
+           platform::KeyedLog& aLog,
+           PeerRole aRole);
+
+  bool Start(Handler aHandler, utils::Error& aReason);
+
+  /** Sends to every peer of that role; fills in who sends. */
+  void Send(PeerRole aTo, schema::FleetNotice& aNotice);
+
+  /** Peers of that role. */
+  std::vector<Peer> List(PeerRole aRole) const;
+
+  const net::Endpoint& GetOwnEndpoint() const { return own_; }
+
+private:
+  void MembersLoop();
+  void Register();
+  void Apply(const platform::KeyedRecord& aRecord);
+  void Receive(const net::Endpoint& aFrom, std::string_view aBytes);
+
+  net::Runtime& runtime_;
+  const platform::FleetSettings& settings_;
+  platform::KeyedLog& log_;
+  PeerRole role_;
+  net::Endpoint own_;
+  std::uint64_t startedMs_;
+  std::uint64_t sequence_ = 0;
+  Handler handler_;
+  std::unique_ptr<net::DatagramSocket> socket_;
+  std::map<std::string, Peer> peers_;
+  utils::Clock clock_;
+  telemetry::Logger logger_{ "peers" };
+};
+
+} // namespace waxwingyoke::fleet
+
+#endif // waxwingyoke_fleet_PeerLink_h
--- /dev/null
+++ b/libs/fleet/src/PieceStore.cpp
@@ -0,0 +1,109 @@
+#include "PieceStore.h"
+
+#include <algorithm>
+
+namespace waxwingyoke::fleet {
+
+PieceStore::PieceStore(platform::LocalUpstream& aUpstream)
+  : upstream_(aUpstream)
+{
+}
+
+// Bytes that were checked under the list before this one count under their
+// digests; a new upstream may hold some that nobody has checked.
+void
+PieceStore::Begin(const platform::PieceList& aList)
+{
+  bool sameModel = list_.model == aList.model;
+  list_ = aList;
+  if (!sameModel) {
+    staged_.clear();
+  }
+  utils::Error reason;
+  auto numbers = upstream_.ListStaged(list_.model, reason)
+                   .value_or(std::vector<std::uint32_t>());
+  for (auto number : numbers) {
+    if (number < list_.digests.size()) {
+      Check(number);
+    }
+  }
+}
+
+bool
+PieceStore::Check(std::uint32_t aPiece)
+{
+  utils::Error reason;
+  auto bytes = upstream_.GetStaged(list_.model, aPiece, reason);
+  if (!bytes) {
+    staged_.erase(aPiece);
+    return false;
+  }
+  auto digest = utils::Digest::Of(*bytes);
+  staged_[aPiece] = digest;
+  return digest == list_.digests[aPiece];
+}
+
+std::set<std::uint32_t>
+PieceStore::GetMissing() const
+{
+  std::set<std::uint32_t> missing;
+  for (std::uint32_t i = 0; i < list_.digests.size(); ++i) {
+    auto row = staged_.find(i);
+    if (row == staged_.end() || row->second != list_.digests[i]) {
+      missing.insert(i);
+    }
+  }
+  return missing;
+}
+
+bool
+PieceStore::Put(std::uint32_t aPiece,
+                const std::string& aBytes,
+                utils::Error& aReason)
+{
+  auto digest = utils::Digest::Of(aBytes);
+  if (aPiece >= list_.digests.size() || digest != list_.digests[aPiece]) {
+    aReason.Set(utils::ErrorKind::DigestMismatch,
+                "piece " + std::to_string(aPiece));
+    return false;
+  }
+  if (!upstream_.PutStaged(list_.model, aPiece, aBytes, aReason)) {
+    return false;
+  }
+  staged_[aPiece] = digest;
+  return true;
+}
+
+std::optional<std::string>
+PieceStore::Get(const utils::Digest& aDigest)
+{
+  auto row = std::ranges::find_if(
+    staged_, [&aDigest](const auto& aRow) { return aRow.second == aDigest; });
+  if (row == staged_.end()) {
+    return std::nullopt;
+  }
+  auto piece = row->first;
+  utils::Error reason;
+  auto bytes = upstream_.GetStaged(list_.model, piece, reason);
+  if (!bytes || utils::Digest::Of(*bytes) != aDigest) {
+    staged_.erase(piece);
+    return std::nullopt;
+  }
+  return bytes;
+}
+
+bool
+PieceStore::IsWanted(const utils::Digest& aDigest) const
+{
+  return std::ranges::find(list_.digests, aDigest) != list_.digests.end();
+}
+
+void
+PieceStore::Verify()
+{
+  for (std::uint32_t i = 0; i < list_.digests.size(); ++i) {
+    Check(i);
+  }
+}
+
+} // namespace waxwingyoke::fleet
--- /dev/null
+++ b/libs/fleet/src/UpstreamLease.cpp
@@ -0,0 +1,35 @@
+#include "UpstreamLease.h"
+
+#include <utility>
+
+namespace waxwingyoke::fleet {
+
+UpstreamLease::UpstreamLease(EntryServices& aServices,
+                             dispatch::UpstreamPointer aUpstream,
+                             std::uint32_t aPromptTokens)
+  : services_(aServices)
+  , upstream_(std::move(aUpstream))
+  , unreadTokens_(aPromptTokens)
+{
+  ++upstream_->own.running;
+  upstream_->own.unreadTokens += unreadTokens_;
+  services_.NoteUseChange();
+}
+
+UpstreamLease::~UpstreamLease()
+{
+  NoteFirstEvent();
+  --upstream_->own.running;
+  auto& service = services_.GetService(upstream_->record.service);
+  service.returns.NoteRelease(services_.Now());
+  services_.NoteUseChange();
+  service.line.Serve();
+}
+
+void
+UpstreamLease::NoteFirstEvent()
+{
+  upstream_->own.unreadTokens -= std::exchange(unreadTokens_, 0);
+}
+
+} // namespace waxwingyoke::fleet
--- /dev/null
+++ b/libs/fleet/src/UpstreamLease.h
@@ -0,0 +1,39 @@
+#ifndef waxwingyoke_fleet_UpstreamLease_h
+#define waxwingyoke_fleet_UpstreamLease_h
+
+#include <cstdint>
+#include <string>
+
+#include <dispatch/UpstreamBook.h>
+
+#include "EntryServices.h"
+
+namespace waxwingyoke::fleet {
+
+/** Counts one request at one upstream for as long as it may run there. */
+class UpstreamLease
+{
+public:
+  UpstreamLease(EntryServices& aServices,
+                dispatch::UpstreamPointer aUpstream,
+                std::uint32_t aPromptTokens);
+  ~UpstreamLease();
+
+  UpstreamLease(const UpstreamLease&) = delete;
+  UpstreamLease& operator=(const UpstreamLease&) = delete;
+
+  /** Its prompt has been read. */
+  void NoteFirstEvent();
+
+  dispatch::UpstreamState& GetUpstream() { return *upstream_; }
+  const dispatch::UpstreamPointer& GetPointer() const { return upstream_; }
+
+private:
+  EntryServices& services_;
+  dispatch::UpstreamPointer upstream_;
+  std::uint32_t unreadTokens_;
+};
+
+} // namespace waxwingyoke::fleet
+
+#endif // waxwingyoke_fleet_UpstreamLease_h
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -1,6 +1,7 @@
 #ifndef waxwingyoke_net_HttpClient_h
 #define waxwingyoke_net_HttpClient_h
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,39 @@
   std::unique_ptr<Impl> impl_;
 };
 
+/**
+ * Stops a call from another fiber of its thread, also while the call waits
+ * for a connection or for the answer's head.
+ */
+class CallCanceller
+{
+public:
+  /** Makes the call that runs now, and each later one, fail. */
+  void Cancel();
+
+  bool IsCancelled() const { return cancelled_; }
+
+private:
+  friend class HttpClient;
+
+  bool cancelled_ = false;
+  std::function<void()> cancelRunning_;
+};
+
+/** What a call does besides waiting. */
+struct CallOptions
+{
+  /** May be null. Must outlive the call of Open. */
+  CallCanceller* canceller = nullptr;
+  /**
+   * Whether an answer belongs to the request; one that doesn't is read and
+   * dropped, and the next one on the connection is taken. Empty: all do.
+   */
+  std::function<bool(const HttpFields&)> accepts;
+  /** Whether a GET that meets a closed connection is sent again once. */
+  bool repeatGet = true;
+};
+
 /** How long a call waits for what. */
 struct CallTimeouts
 {
@@ -78,6 +112,15 @@
   explicit HttpClient(std::string aLocalAddress = "");
   ~HttpClient();
 
+  /**
+   * How long sent bytes may stay unacknowledged before a connection counts
+   * as broken; zero: as the system has it.
+   */
+  void SetUnacknowledgedLimit(utils::Millis aTime);
+
+  /** Whether a connection to aPeer can be made now. */
+  bool CanConnect(const Endpoint& aPeer, utils::Millis aTimeout);
+
   /**
    * The whole answer, whatever its status. TooLarge where its body is over
    * kMaxBodyBytes: no peer may fill this process's memory.
@@ -91,7 +134,8 @@
   std::unique_ptr<ResponseStream> Open(const Endpoint& aPeer,
                                        const HttpRequest& aRequest,
                                        const CallTimeouts& aTimeouts,
-                                       utils::Error& aReason);
+                                       utils::Error& aReason,
+                                       const CallOptions& aOptions = {});
 
   struct Impl;
 
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -35,6 +35,25 @@
 
   /** Whether Send or Start was called. */
   virtual bool IsStarted() const = 0;
+
+  /**
+   * Calls aHook once if the caller closes its connection before the handler
+   * ends; a later call replaces the hook. The hook must not suspend. A writer
+   * that has no connection of its own never calls it.
+   */
+  virtual void OnPeerGone(std::function<void()> aHook);
+};
+
+/** What a server takes from callers; may change while it runs. */
+struct HttpLimits
+{
+  std::size_t bodyBytes = 8 << 20;
+  std::uint32_t headerBytes = 16 << 10;
+  /** A connection between two requests that stays silent. */
+  utils::Millis idle{ 60000 };
+  /** From a request's first byte to the end of its head, and again to the
+   * end of its body. */
+  utils::Millis header{ 60000 };
 };
 
 using HttpHandler =
@@ -73,11 +92,12 @@
 {
   Endpoint endpoint;
   HttpHandler handler;
-  std::size_t maxBodyBytes = 8 << 20;
-  std::uint32_t maxHeaderBytes = 16 << 10;
+  HttpLimits limits;
+  /** Asked at each request where set, in place of `limits`. */
+  std::function<HttpLimits()> currentLimits;
   std::size_t maxConnections = 20000;
-  /** A connection between two requests, or within one, that stays silent. */
-  utils::Millis idleTimeout{ 60000 };
+  /** Whether answers tell the caller to close; asked at each answer. */
+  std::function<bool()> isLeaving;
   /** A caller that does not read what is written to it. */
   utils::Millis writeTimeout{ 20000 };
 };
@@ -92,6 +112,8 @@
   Builder& SetMaxBodyBytes(std::size_t aBytes);
   Builder& SetMaxConnections(std::size_t aCount);
   Builder& SetIdleTimeout(utils::Millis aTime);
+  Builder& SetCurrentLimits(std::function<HttpLimits()> aLimits);
+  Builder& SetLeaving(std::function<bool()> aIsLeaving);
   Builder& SetWriteTimeout(utils::Millis aTime);
 
   /** Binds and starts; empty with a reason if the port can't be had. */
--- a/libs/net/include/net/Runtime.h
+++ b/libs/net/include/net/Runtime.h
@@ -37,7 +37,7 @@
   /** Starts a fiber on the calling fiber's thread. */
   static void SpawnHere(std::function<void()> aFiber);
 
-  /** Waits for SIGTERM or SIGINT; returns its number. */
+  /** Waits for SIGTERM, SIGINT or SIGHUP; returns its number. */
   int WaitForSignal();
 
   std::size_t GetThreadCount() const;
--- a/libs/net/src/Beast.h
+++ b/libs/net/src/Beast.h
@@ -44,6 +44,10 @@
 bool
 IsClosedByPeer(Tcp::socket& aSocket);
 
+/** Whether the connection is open and holds nothing to read. */
+bool
+IsQuiet(Tcp::socket& aSocket);
+
 } // namespace waxwingyoke::net
 
 #endif // waxwingyoke_net_Beast_h
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -1,11 +1,14 @@
 #include <net/HttpClient.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
 #include <map>
 #include <utility>
 #include <vector>
 
+#include <netinet/tcp.h>
+
 #include <net/Runtime.h>
 
 #include "Await.h"
@@ -20,10 +23,16 @@
 using Stream = beast::tcp_stream;
 using utils::ErrorKind;
 
-constexpr std::size_t kReadBytes = 64 * 1024;
+// A buffer is cleared for each read, and most parts are small events.
+constexpr std::size_t kReadBytes = 8 * 1024;
 constexpr std::size_t kMaxIdlePerPeer = 64;
 // Below the server's idle timeout, so that it seldom closes first.
 constexpr utils::Millis kMaxIdleTime(15000);
+// Of the time that a peer says it keeps an idle connection, so that a request
+// does not cross its close.
+constexpr double kKeepAliveShare = 0.8;
+// Answers to other requests that one call reads past at most.
+constexpr int kMaxStrayAnswers = 2;
 
 struct Connection
 {
@@ -36,6 +45,7 @@
   beast::flat_buffer buffer;
   bool reused = false;
   utils::Millis idleSince;
+  utils::Millis maxIdle = kMaxIdleTime;
 };
 
 using Idle = std::map<Endpoint, std::vector<std::unique_ptr<Connection>>>;
@@ -63,8 +73,9 @@
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    bool fresh = aNow - connection->idleSince < kMaxIdleTime;
-    if (fresh && !IsClosedByPeer(connection->stream.socket())) {
+    bool fresh = aNow - connection->idleSince < connection->maxIdle;
+    // Bytes that nobody asked for would be taken for the next answer.
+    if (fresh && IsQuiet(connection->stream.socket())) {
       connection->reused = true;
       return connection;
     }
@@ -72,11 +83,27 @@
   return nullptr;
 }
 
+// "timeout=5" of the field Keep-Alive; the default where it says nothing.
+utils::Millis
+ReadMaxIdle(std::string_view aKeepAlive)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  auto at = aKeepAlive.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return kMaxIdleTime;
+  }
+  std::string digits(aKeepAlive.substr(at + kTimeout.size()));
+  auto seconds = std::strtoul(digits.c_str(), nullptr, 10);
+  auto kept = static_cast<std::int64_t>(seconds * 1000 * kKeepAliveShare);
+  return std::min(utils::Millis(kept), kMaxIdleTime);
+}
+
 void
 KeepIdle(const Endpoint& aPeer, std::unique_ptr<Connection> aConnection)
 {
   auto& idle = GetIdle()[aPeer];
-  if (idle.size() < kMaxIdlePerPeer) {
+  bool clean = aConnection->buffer.size() == 0;
+  if (clean && idle.size() < kMaxIdlePerPeer) {
     aConnection->stream.expires_never();
     aConnection->idleSince = utils::Clock().Now();
     idle.push_back(std::move(aConnection));
@@ -107,15 +134,42 @@
   }
 }
 
+// Where a connection comes from and when it counts as broken.
+struct ConnectSettings
+{
+  std::string localAddress;
+  utils::Millis unacknowledgedLimit;
+};
+
+void
+LimitSilence(Tcp::socket& aSocket, utils::Millis aLimit)
+{
+  if (aLimit == utils::Millis(0)) {
+    return;
+  }
+  auto milliseconds = static_cast<unsigned>(aLimit.value);
+  setsockopt(aSocket.native_handle(),
+             IPPROTO_TCP,
+             TCP_USER_TIMEOUT,
+             &milliseconds,
+             sizeof(milliseconds));
+}
+
 std::unique_ptr<Connection>
-Connect(const std::string& aLocalAddress,
+Connect(const ConnectSettings& aSettings,
         const Endpoint& aPeer,
         utils::Millis aTimeout,
-        utils::Error& aReason)
+        utils::Error& aReason,
+        CallCanceller* aCanceller = nullptr,
+        const std::function<void(Stream&)>& aOnStart = {})
 {
+  const auto& aLocalAddress = aSettings.localAddress;
   beast::error_code error;
   auto address = asio::ip::make_address(aPeer.address, error);
   auto connection = std::make_unique<Connection>(GetThreadIo());
+  if (aOnStart) {
+    aOnStart(connection->stream);
+  }
   if (!error && !aLocalAddress.empty()) {
     BindTo(connection->stream.socket(), aLocalAddress, error);
   }
@@ -126,12 +180,16 @@
               connection->stream.async_connect(native, std::move(aHandler));
             }).error;
   }
+  if (!error && aCanceller != nullptr && aCanceller->IsCancelled()) {
+    error = asio::error::operation_aborted;
+  }
   if (error) {
     aReason.Set(ErrorKind::ConnectFailed,
                 aPeer.ToString() + ": " + error.message());
     return nullptr;
   }
   connection->stream.socket().set_option(Tcp::no_delay(true), error);
+  LimitSilence(connection->stream.socket(), aSettings.unacknowledgedLimit);
   return connection;
 }
 
@@ -143,7 +201,10 @@
   message.method_string(aRequest.method);
   message.target(aRequest.target);
   CopyFields(aRequest.fields, message);
-  message.set(http::field::host, aPeer.ToString());
+  // A forwarded request keeps the host that its caller named.
+  if (aRequest.fields.Find("Host").empty()) {
+    message.set(http::field::host, aPeer.ToString());
+  }
   message.body() = aRequest.body;
   message.prepare_payload();
   return message;
@@ -155,11 +216,51 @@
 {
   Endpoint peer;
   std::unique_ptr<Connection> connection;
-  http::response_parser<http::buffer_body> parser;
+  std::optional<http::response_parser<http::buffer_body>> parser;
   HttpFields fields;
   bool failed = false;
+
+  /** Reads the head of the next answer on the connection. */
+  IoResult ReadHead();
+  /** Reads and drops the body of the answer whose head was read. */
+  IoResult SkipBody();
 };
 
+IoResult
+ResponseStream::Impl::ReadHead()
+{
+  parser.emplace();
+  parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  auto result = Await([&](auto aHandler) {
+    http::async_read_header(
+      connection->stream, connection->buffer, *parser, std::move(aHandler));
+  });
+  Traffic::Get().received.Add(result.bytes);
+  if (!result.error) {
+    fields = ReadFields(parser->get());
+  }
+  return result;
+}
+
+IoResult
+ResponseStream::Impl::SkipBody()
+{
+  IoResult result;
+  std::string scratch(kReadBytes, '\0');
+  while (!result.error && !parser->is_done()) {
+    parser->get().body().data = scratch.data();
+    parser->get().body().size = scratch.size();
+    result = Await([&](auto aHandler) {
+      http::async_read_some(
+        connection->stream, connection->buffer, *parser, std::move(aHandler));
+    });
+    if (result.error == http::error::need_buffer) {
+      result.error = {};
+    }
+  }
+  return result;
+}
+
 ResponseStream::ResponseStream(std::unique_ptr<Impl> aImpl)
   : impl_(std::move(aImpl))
 {
@@ -167,8 +268,9 @@
 
 ResponseStream::~ResponseStream()
 {
-  if (impl_->parser.is_done() && !impl_->failed &&
-      impl_->parser.get().keep_alive()) {
+  if (impl_->parser->is_done() && !impl_->failed &&
+      impl_->parser->get().keep_alive()) {
+    impl_->connection->maxIdle = ReadMaxIdle(impl_->fields.Find("Keep-Alive"));
     KeepIdle(impl_->peer, std::move(impl_->connection));
   }
 }
@@ -176,7 +278,7 @@
 int
 ResponseStream::GetStatus() const
 {
-  return static_cast<int>(impl_->parser.get().result_int());
+  return static_cast<int>(impl_->parser->get().result_int());
 }
 
 const HttpFields&
@@ -191,18 +293,20 @@
                      utils::Error& aReason)
 {
   aPart.clear();
-  if (impl_->parser.is_done()) {
+  if (impl_->parser->is_done()) {
     return ReadResult::End;
   }
   auto& connection = *impl_->connection;
   aPart.resize(kReadBytes);
-  auto& body = impl_->parser.get().body();
+  auto& body = impl_->parser->get().body();
   body.data = aPart.data();
   body.size = aPart.size();
   connection.stream.expires_after(aTimeout.ToChrono());
   auto result = Await([&](auto aHandler) {
-    http::async_read_some(
-      connection.stream, connection.buffer, impl_->parser, std::move(aHandler));
+    http::async_read_some(connection.stream,
+                          connection.buffer,
+                          *impl_->parser,
+                          std::move(aHandler));
   });
   Traffic::Get().received.Add(result.bytes);
   aPart.resize(kReadBytes - body.size);
@@ -211,7 +315,7 @@
     SetIoError(result.error, "body", aReason);
     return ReadResult::Failed;
   }
-  if (aPart.empty() && impl_->parser.is_done()) {
+  if (aPart.empty() && impl_->parser->is_done()) {
     return ReadResult::End;
   }
   return ReadResult::Data;
@@ -225,29 +329,49 @@
   }
 }
 
+void
+CallCanceller::Cancel()
+{
+  cancelled_ = true;
+  if (cancelRunning_) {
+    cancelRunning_();
+  }
+}
+
 struct HttpClient::Impl
 {
-  std::string localAddress;
+  ConnectSettings connect;
 
   std::unique_ptr<ResponseStream::Impl> Exchange(
     const Endpoint& aPeer,
     std::unique_ptr<Connection> aConnection,
     http::request<http::string_body>& aMessage,
     const CallTimeouts& aTimeouts,
+    const CallOptions& aOptions,
+    utils::Error& aReason);
+
+  std::unique_ptr<ResponseStream::Impl> Send(
+    const Endpoint& aPeer,
+    http::request<http::string_body>& aMessage,
+    const CallTimeouts& aTimeouts,
+    const CallOptions& aOptions,
+    bool aMayRepeat,
     utils::Error& aReason);
 };
 
+// Reads past answers to other requests, such as a second answer to the
+// connection's last one.
 std::unique_ptr<ResponseStream::Impl>
 HttpClient::Impl::Exchange(const Endpoint& aPeer,
                            std::unique_ptr<Connection> aConnection,
                            http::request<http::string_body>& aMessage,
                            const CallTimeouts& aTimeouts,
+                           const CallOptions& aOptions,
                            utils::Error& aReason)
 {
   auto answer = std::make_unique<ResponseStream::Impl>();
   answer->peer = aPeer;
   answer->connection = std::move(aConnection);
-  answer->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
   auto& connection = *answer->connection;
   connection.stream.expires_after(aTimeouts.head.ToChrono());
   auto result = Await([&](auto aHandler) {
@@ -255,63 +379,109 @@
   });
   Traffic::Get().sent.Add(result.bytes);
   if (!result.error) {
-    result = Await([&](auto aHandler) {
-      http::async_read_header(connection.stream,
-                              connection.buffer,
-                              answer->parser,
-                              std::move(aHandler));
-    });
-    Traffic::Get().received.Add(result.bytes);
+    result = answer->ReadHead();
+  }
+  for (int strays = 0;
+       !result.error && aOptions.accepts && !aOptions.accepts(answer->fields);
+       ++strays) {
+    if (strays == kMaxStrayAnswers) {
+      result.error = http::make_error_code(http::error::bad_status);
+      break;
+    }
+    result = answer->SkipBody();
+    if (!result.error) {
+      result = answer->ReadHead();
+    }
   }
   if (result.error) {
     SetIoError(result.error, "exchange", aReason);
     return nullptr;
   }
-  answer->fields = ReadFields(answer->parser.get());
   return answer;
 }
 
-HttpClient::HttpClient(std::string aLocalAddress)
-  : impl_(std::make_unique<Impl>())
-{
-  impl_->localAddress = std::move(aLocalAddress);
-}
-
-HttpClient::~HttpClient() = default;
-
-std::unique_ptr<ResponseStream>
-HttpClient::Open(const Endpoint& aPeer,
-                 const HttpRequest& aRequest,
-                 const CallTimeouts& aTimeouts,
-                 utils::Error& aReason)
+std::unique_ptr<ResponseStream::Impl>
+HttpClient::Impl::Send(const Endpoint& aPeer,
+                       http::request<http::string_body>& aMessage,
+                       const CallTimeouts& aTimeouts,
+                       const CallOptions& aOptions,
+                       bool aMayRepeat,
+                       utils::Error& aReason)
 {
-  auto message = MakeMessage(aPeer, aRequest);
+  auto* canceller = aOptions.canceller;
+  auto watch = [canceller](Stream& aStream) {
+    if (canceller != nullptr) {
+      canceller->cancelRunning_ = [&aStream] { aStream.cancel(); };
+    }
+  };
   auto connection = TakeIdle(aPeer, utils::Clock().Now());
   bool reused = connection != nullptr;
-  if (!connection) {
+  if (reused) {
+    watch(connection->stream);
+  } else {
     connection =
-      Connect(impl_->localAddress, aPeer, aTimeouts.connect, aReason);
+      Connect(connect, aPeer, aTimeouts.connect, aReason, canceller, watch);
   }
   if (!connection) {
     return nullptr;
   }
-  auto answer =
-    impl_->Exchange(aPeer, std::move(connection), message, aTimeouts, aReason);
-  bool repeat = !answer && reused && aRequest.method == "GET" &&
+  auto answer = Exchange(
+    aPeer, std::move(connection), aMessage, aTimeouts, aOptions, aReason);
+  bool repeat = !answer && reused && aMayRepeat &&
                 aReason.kind == ErrorKind::ConnectionLost;
   if (repeat) {
     connection =
-      Connect(impl_->localAddress, aPeer, aTimeouts.connect, aReason);
+      Connect(connect, aPeer, aTimeouts.connect, aReason, canceller, watch);
     if (!connection) {
       return nullptr;
     }
-    answer = impl_->Exchange(
-      aPeer, std::move(connection), message, aTimeouts, aReason);
+    answer = Exchange(
+      aPeer, std::move(connection), aMessage, aTimeouts, aOptions, aReason);
   }
-  if (!answer) {
+  return answer;
+}
+
+HttpClient::HttpClient(std::string aLocalAddress)
+  : impl_(std::make_unique<Impl>())
+{
+  impl_->connect.localAddress = std::move(aLocalAddress);
+}
+
+HttpClient::~HttpClient() = default;
+
+void
+HttpClient::SetUnacknowledgedLimit(utils::Millis aTime)
+{
+  impl_->connect.unacknowledgedLimit = aTime;
+}
+
+bool
+HttpClient::CanConnect(const Endpoint& aPeer, utils::Millis aTimeout)
+{
+  utils::Error ignored;
+  return Connect(impl_->connect, aPeer, aTimeout, ignored) != nullptr;
+}
+
+std::unique_ptr<ResponseStream>
+HttpClient::Open(const Endpoint& aPeer,
+                 const HttpRequest& aRequest,
+                 const CallTimeouts& aTimeouts,
+                 utils::Error& aReason,
+                 const CallOptions& aOptions)
+{
+  auto* canceller = aOptions.canceller;
+  if (canceller != nullptr && canceller->IsCancelled()) {
+    aReason.Set(ErrorKind::ConnectFailed, "cancelled");
     return nullptr;
   }
-  return std::make_unique<ResponseStream>(std::move(answer));
+  auto message = MakeMessage(aPeer, aRequest);
+  bool mayRepeat = aOptions.repeatGet && aRequest.method == "GET";
+  auto answer =
+    impl_->Send(aPeer, message, aTimeouts, aOptions, mayRepeat, aReason);
+  if (canceller != nullptr) {
+    canceller->cancelRunning_ = nullptr;
+  }
+  return answer ? std::make_unique<ResponseStream>(std::move(answer)) : nullptr;
 }
 
 std::optional<HttpResponse>
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -21,6 +22,11 @@
 
 } // namespace
 
+void
+ResponseWriter::OnPeerGone(std::function<void()>)
+{
+}
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
 {
   Impl(Runtime& aRuntime, Options aOptions)
@@ -32,6 +38,9 @@
   bool Bind(utils::Error& aReason);
   void AcceptLoop();
   void ServeConnection(Stream& aStream);
+  bool AwaitRequest(Stream& aStream,
+                    beast::flat_buffer& aBuffer,
+                    const HttpLimits& aLimits);
   bool ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer);
   bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
   void Refuse(Stream& aStream, beast::error_code aError);
@@ -131,18 +140,48 @@
   aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
+// Waits for the first byte of the next request.
 bool
-HttpServer::Impl::ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer)
+HttpServer::Impl::AwaitRequest(Stream& aStream,
+                               beast::flat_buffer& aBuffer,
+                               const HttpLimits& aLimits)
 {
-  http::request_parser<http::string_body> parser;
-  parser.body_limit(options.maxBodyBytes);
-  parser.header_limit(options.maxHeaderBytes);
-  aStream.expires_after(options.idleTimeout.ToChrono());
+  constexpr std::size_t kFirstReadBytes = 4096;
+  if (aBuffer.size() > 0) {
+    return true;
+  }
+  aStream.expires_after(aLimits.idle.ToChrono());
   Track(aStream);
   auto result = Await([&](auto aHandler) {
-    http::async_read(aStream, aBuffer, parser, std::move(aHandler));
+    aStream.async_read_some(aBuffer.prepare(kFirstReadBytes),
+                            std::move(aHandler));
   });
   Untrack(aStream);
+  aBuffer.commit(result.bytes);
+  return !result.error;
+}
+
+bool
+HttpServer::Impl::ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer)
+{
+  auto limits =
+    options.currentLimits ? options.currentLimits() : options.limits;
+  if (!AwaitRequest(aStream, aBuffer, limits)) {
+    return false;
+  }
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(limits.bodyBytes);
+  parser.header_limit(limits.headerBytes);
+  aStream.expires_after(limits.header.ToChrono());
+  auto result = Await([&](auto aHandler) {
+    http::async_read_header(aStream, aBuffer, parser, std::move(aHandler));
+  });
+  if (!result.error && !parser.is_done()) {
+    aStream.expires_after(limits.header.ToChrono());
+    result = Await([&](auto aHandler) {
+      http::async_read(aStream, aBuffer, parser, std::move(aHandler));
+    });
+  }
   Traffic::Get().received.Add(result.bytes);
   if (result.error) {
     Refuse(aStream, result.error);
@@ -162,7 +201,9 @@
                              const HttpRequest& aRequest,
                              bool aKeep)
 {
-  StreamWriter writer(aStream, options.writeTimeout, aKeep && !closing);
+  bool leaving = closing || (options.isLeaving && options.isLeaving());
+  bool keep = aKeep && !leaving;
+  StreamWriter writer(aStream, options.writeTimeout, keep);
   ++active;
   options.handler(aRequest, writer);
   if (!writer.IsStarted()) {
@@ -170,33 +211,44 @@
     error.Set(utils::ErrorKind::Internal, "no answer was made");
     writer.Send(MakeErrorResponse(error));
   }
+  writer.EndWatch();
   --active;
   if (!writer.IsWhole()) {
     aStream.close();
     return false;
   }
-  return aKeep;
+  return keep;
 }
 
 void
 HttpServer::Impl::Refuse(Stream& aStream, beast::error_code aError)
 {
+  constexpr int kTimeoutStatus = 408;
+  constexpr int kHeadTooLargeStatus = 431;
   static auto& sBroken =
     telemetry::Metrics::Get().GetCounter("http_broken_requests_total");
   utils::Error error;
-  if (aError == http::error::body_limit ||
-      aError == http::error::header_limit) {
+  std::optional<int> status;
+  if (aError == http::error::body_limit) {
     error.Set(utils::ErrorKind::TooLarge, aError.message());
+  } else if (aError == http::error::header_limit) {
+    error.Set(utils::ErrorKind::TooLarge, aError.message());
+    status = kHeadTooLargeStatus;
+  } else if (aError == beast::error::timeout) {
+    error.Set(utils::ErrorKind::BadRequest, "the request did not arrive");
+    status = kTimeoutStatus;
   } else if (aError.category() ==
                http::make_error_code(http::error::bad_method).category() &&
-             aError != http::error::end_of_stream) {
+             aError != http::error::end_of_stream &&
+             aError != http::error::partial_message) {
     error.Set(utils::ErrorKind::BadRequest, aError.message());
   } else {
     return;
   }
   sBroken.Add();
-  StreamWriter(aStream, options.writeTimeout, false)
-    .Send(MakeErrorResponse(error));
+  auto response = MakeErrorResponse(error);
+  response.status = status.value_or(response.status);
+  StreamWriter(aStream, options.writeTimeout, false).Send(response);
 }
 
 HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
@@ -258,7 +310,7 @@
 HttpServer::Builder&
 HttpServer::Builder::SetMaxBodyBytes(std::size_t aBytes)
 {
-  options_.maxBodyBytes = aBytes;
+  options_.limits.bodyBytes = aBytes;
   return *this;
 }
 
@@ -272,7 +324,22 @@
 HttpServer::Builder&
 HttpServer::Builder::SetIdleTimeout(utils::Millis aTime)
 {
-  options_.idleTimeout = aTime;
+  options_.limits.idle = aTime;
+  options_.limits.header = aTime;
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetCurrentLimits(std::function<HttpLimits()> aLimits)
+{
+  options_.currentLimits = std::move(aLimits);
+  return *this;
+}
+
+HttpServer::Builder&
+HttpServer::Builder::SetLeaving(std::function<bool()> aIsLeaving)
+{
+  options_.isLeaving = std::move(aIsLeaving);
   return *this;
 }
 
--- a/libs/net/src/Runtime.cpp
+++ b/libs/net/src/Runtime.cpp
@@ -195,7 +195,7 @@
 int
 Runtime::WaitForSignal()
 {
-  boost::asio::signal_set signals(GetThreadIo(), SIGTERM, SIGINT);
+  boost::asio::signal_set signals(GetThreadIo(), SIGTERM, SIGINT, SIGHUP);
   int number = 0;
   Await([&](auto aHandler) {
     signals.async_wait([&number, aHandler](auto aError, int aNumber) mutable {
--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -21,6 +21,44 @@
   return !broken_;
 }
 
+void
+StreamWriter::OnPeerGone(std::function<void()> aHook)
+{
+  if (watch_) {
+    watch_->hook = std::move(aHook);
+    return;
+  }
+  watch_ = std::make_shared<Watch>();
+  watch_->hook = std::move(aHook);
+  auto watch = watch_;
+  auto& socket = stream_.socket();
+  socket.async_wait(Tcp::socket::wait_read,
+                    [watch, &socket](beast::error_code aError) {
+                      if (watch->ended) {
+                        return;
+                      }
+                      watch->fired = true;
+                      // Bytes that came are the caller's next request.
+                      if (!aError && IsClosedByPeer(socket) && watch->hook) {
+                        watch->hook();
+                      }
+                    });
+}
+
+// The wait must be over before the connection reads its next request.
+void
+StreamWriter::EndWatch()
+{
+  if (watch_ && !watch_->ended) {
+    watch_->ended = true;
+    watch_->hook = nullptr;
+    if (!watch_->fired) {
+      beast::error_code ignored;
+      stream_.socket().cancel(ignored);
+    }
+  }
+}
+
 bool
 StreamWriter::Send(const HttpResponse& aResponse)
 {
@@ -78,15 +116,40 @@
   });
 }
 
-bool
-IsClosedByPeer(Tcp::socket& aSocket)
+namespace {
+
+/** What a look at the socket's input shows. */
+enum class Input
+{
+  None,
+  Bytes,
+  Closed
+};
+
+Input
+Peek(Tcp::socket& aSocket)
 {
   char byte = 0;
   auto got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got == 0) {
-    return true;
+  if (got > 0) {
+    return Input::Bytes;
   }
-  return got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+  bool empty = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return empty ? Input::None : Input::Closed;
+}
+
+} // namespace
+
+bool
+IsClosedByPeer(Tcp::socket& aSocket)
+{
+  return Peek(aSocket) == Input::Closed;
+}
+
+bool
+IsQuiet(Tcp::socket& aSocket)
+{
+  return Peek(aSocket) == Input::None;
 }
 
 } // namespace waxwingyoke::net
--- a/libs/net/src/StreamWriter.h
+++ b/libs/net/src/StreamWriter.h
@@ -1,6 +1,9 @@
 #ifndef waxwingyoke_net_StreamWriter_h
 #define waxwingyoke_net_StreamWriter_h
 
+#include <functional>
+#include <memory>
+
 #include <net/HttpServer.h>
 
 #include "Beast.h"
@@ -32,6 +35,10 @@
     return broken_ || IsClosedByPeer(stream_.socket());
   }
   bool IsStarted() const override { return started_; }
+  void OnPeerGone(std::function<void()> aHook) override;
+
+  /** Ends the watch for the caller's close; before the next read. */
+  void EndWatch();
 
   /** Whether the answer went out to its end. */
   bool IsWhole() const { return finished_ && !broken_; }
@@ -40,7 +47,16 @@
   template<typename Operation>
   bool Do(Operation aOperation);
 
+  /** Shared with the wait's handler, which may run after this is gone. */
+  struct Watch
+  {
+    std::function<void()> hook;
+    bool fired = false;
+    bool ended = false;
+  };
+
   beast::tcp_stream& stream_;
+  std::shared_ptr<Watch> watch_;
   utils::Millis timeout_;
   bool keepAlive_;
   bool started_ = false;
--- /dev/null
+++ b/libs/platform/include/platform/FleetCodecs.h
@@ -0,0 +1,43 @@
+#ifndef waxwingyoke_platform_FleetCodecs_h
+#define waxwingyoke_platform_FleetCodecs_h
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <platform/FleetConfig.h>
+#include <platform/Upstream.h>
+#include <utils/Error.h>
+
+namespace waxwingyoke::platform {
+
+/** What a record of the operator's topic is about. */
+struct OperatorKey
+{
+  /** It holds the configuration. */
+  bool isConfig = false;
+  /** It names the newest version of this model; empty: it does not. */
+  std::string model;
+};
+
+/** How an adapter reads the records of the platform's topics. */
+struct FleetCodecs
+{
+  std::function<OperatorKey(std::string_view aKey)> parseOperatorKey;
+  std::function<std::optional<FleetConfig>(std::string_view aText,
+                                           utils::Error& aReason)>
+    parseConfig;
+  std::function<std::optional<std::uint64_t>(std::string_view aText,
+                                             utils::Error& aReason)>
+    parseNamedVersion;
+  std::function<std::optional<Upstream>(std::string_view aId,
+                                        std::string_view aText,
+                                        utils::Error& aReason)>
+    parseUpstream;
+};
+
+} // namespace waxwingyoke::platform
+
+#endif // waxwingyoke_platform_FleetCodecs_h
--- /dev/null
+++ b/libs/platform/include/platform/KeyedLog.h
@@ -0,0 +1,70 @@
+#ifndef waxwingyoke_platform_KeyedLog_h
+#define waxwingyoke_platform_KeyedLog_h
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <utils/Error.h>
+#include <utils/Time.h>
+
+namespace waxwingyoke::platform {
+
+/** The topics of the platform's log that a fleet uses. */
+enum class Topic
+{
+  /** The operator's configuration and the versions that it names. */
+  Operator,
+  /** Upstreams that register themselves. */
+  Upstreams,
+  /** Our own processes and how they are reached. */
+  Members
+};
+
+/** One record of a keyed topic. */
+struct KeyedRecord
+{
+  std::string key;
+  std::string value;
+  std::uint64_t offset = 0;
+  /** The key was dropped; there is no value. */
+  bool dropped = false;
+};
+
+struct KeyedPage
+{
+  std::vector<KeyedRecord> records;
+  /** Where the next read begins. */
+  std::uint64_t end = 0;
+};
+
+/** Keyed topics of the platform's log; the port that adapters implement. */
+class KeyedLog
+{
+public:
+  virtual ~KeyedLog() = default;
+
+  /** The newest record of each key. */
+  virtual std::optional<KeyedPage> ReadNewest(Topic aTopic,
+                                              utils::Error& aReason) = 0;
+
+  /**
+   * Records from aFrom on; waits up to aWait for the first. LogTrimmed where
+   * aFrom is no longer kept: ReadNewest then tells the state.
+   */
+  virtual std::optional<KeyedPage> Read(Topic aTopic,
+                                        std::uint64_t aFrom,
+                                        utils::Millis aWait,
+                                        utils::Error& aReason) = 0;
+
+  /** Appends one record; OutcomeUnknown where it may stand all the same. */
+  virtual bool Append(Topic aTopic,
+                      const std::string& aKey,
+                      const std::string& aValue,
+                      utils::Error& aReason) = 0;
+};
+
+} // namespace waxwingyoke::platform
+
+#endif // waxwingyoke_platform_KeyedLog_h
--- /dev/null
+++ b/libs/platform/include/platform/Upstream.h
@@ -0,0 +1,66 @@
+#ifndef waxwingyoke_platform_Upstream_h
+#define waxwingyoke_platform_Upstream_h
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <net/Endpoint.h>
+
+namespace waxwingyoke::platform {
+
+/** Layers of a model that an upstream has in its memory. */
+struct HeldLayers
+{
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint32_t first = 0;
+  /** One past the last. */
+  std::uint32_t end = 0;
+};
+
+/** One upstream as it registered itself in the platform's directory. */
+struct Upstream
+{
+  /** Names this incarnation; another one has another id or start. */
+  std::string id;
+  std::string service;
+  net::Endpoint endpoint;
+  std::string dataCentre;
+  std::uint32_t slots = 1;
+  /** It takes nothing new and ends soon. */
+  bool draining = false;
+  /** Start of the incarnation, wall clock, ms; 0: unknown. */
+  std::int64_t startedMs = 0;
+  std::vector<HeldLayers> held;
+
+  /** The version of which it holds all aLayers layers; 0: none. */
+  std::uint64_t FindCompleteVersion(std::string_view aModel,
+                                    std::uint32_t aLayers) const;
+};
+
+/** What an upstream says of itself when asked. */
+struct UpstreamReport
+{
+  std::vector<HeldLayers> held;
+  /** An order is in progress. */
+  bool busy = false;
+  /** Orders accepted since its start. */
+  std::uint64_t orders = 0;
+  std::uint32_t queued = 0;
+  std::uint32_t running = 0;
+  /** Over 1: slower than its description. */
+  double pace = 1;
+  std::int64_t startedMs = 0;
+};
+
+/** The version of which aHeld has all aLayers layers of aModel; 0: none. */
+std::uint64_t
+FindCompleteVersion(const std::vector<HeldLayers>& aHeld,
+                    std::string_view aModel,
+                    std::uint32_t aLayers);
+
+} // namespace waxwingyoke::platform
+
+#endif // waxwingyoke_platform_Upstream_h
--- /dev/null
+++ b/libs/platform/include/platform/UpstreamCalls.h
@@ -0,0 +1,88 @@
+#ifndef waxwingyoke_platform_UpstreamCalls_h
+#define waxwingyoke_platform_UpstreamCalls_h
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <net/Endpoint.h>
+#include <platform/Upstream.h>
+#include <utils/Digest.h>
+#include <utils/Error.h>
+
+namespace waxwingyoke::platform {
+
+/** The pieces of one version of a model, in order. */
+struct PieceList
+{
+  std::string model;
+  std::uint64_t version = 0;
+  std::size_t pieceBytes = 0;
+  std::vector<utils::Digest> digests;
+};
+
+/** What an upstream does with an order. */
+enum class OrderResult
+{
+  Begun,
+  /** Already in effect, or complete. */
+  Done,
+  /** It does not fit the upstream's state now. */
+  Conflict
+};
+
+/**
+ * The upstream beside this process: its state, its staging area and the
+ * orders it takes. The port that adapters implement.
+ */
+class LocalUpstream
+{
+public:
+  virtual ~LocalUpstream() = default;
+
+  virtual std::optional<UpstreamReport> GetReport(utils::Error& aReason) = 0;
+
+  /** Numbers of the pieces that lie staged; they may be damaged. */
+  virtual std::optional<std::vector<std::uint32_t>> ListStaged(
+    const std::string& aModel,
+    utils::Error& aReason) = 0;
+
+  /** NotFound where the piece is not staged. */
+  virtual std::optional<std::string> GetStaged(const std::string& aModel,
+                                               std::uint32_t aPiece,
+                                               utils::Error& aReason) = 0;
+
+  /** Replaces what was staged under that number. */
+  virtual bool PutStaged(const std::string& aModel,
+                         std::uint32_t aPiece,
+                         const std::string& aBytes,
+                         utils::Error& aReason) = 0;
+
+  /** Orders the load of all layers from what is staged; lets work finish. */
+  virtual std::optional<OrderResult> OrderLoad(const std::string& aModel,
+                                               std::uint64_t aVersion,
+                                               utils::Error& aReason) = 0;
+};
+
+/** The origin of weights; what it sends may be damaged. */
+class WeightOrigin
+{
+public:
+  virtual ~WeightOrigin() = default;
+
+  virtual std::optional<PieceList> GetPieceList(const net::Endpoint& aOrigin,
+                                                const std::string& aModel,
+                                                std::uint64_t aVersion,
+                                                utils::Error& aReason) = 0;
+
+  virtual std::optional<std::string> GetPiece(const net::Endpoint& aOrigin,
+                                              const std::string& aModel,
+                                              std::uint64_t aVersion,
+                                              std::uint32_t aPiece,
+                                              utils::Error& aReason) = 0;
+};
+
+} // namespace waxwingyoke::platform
+
+#endif // waxwingyoke_platform_UpstreamCalls_h
--- /dev/null
+++ b/libs/platform/src/FleetConfig.cpp
@@ -0,0 +1,61 @@
+#include <platform/FleetConfig.h>
+
+#include <algorithm>
+
+namespace waxwingyoke::platform {
+
+void
+FleetConfig::Index()
+{
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    routesByHost_[routes[i].host].push_back(i);
+  }
+  for (auto& [host, indices] : routesByHost_) {
+    std::ranges::stable_sort(indices, std::ranges::greater{}, [this](auto i) {
+      return routes[i].pathPrefix.size();
+    });
+  }
+  for (std::size_t i = 0; i < organisations.size(); ++i) {
+    for (const auto& key : organisations[i].keys) {
+      organisationByKey_.emplace(key, i);
+    }
+  }
+}
+
+const Route*
+FleetConfig::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  auto row = routesByHost_.find(aHost);
+  if (row == routesByHost_.end()) {
+    return nullptr;
+  }
+  auto found = std::ranges::find_if(row->second, [&](std::size_t aIndex) {
+    return aPath.starts_with(routes[aIndex].pathPrefix);
+  });
+  return found == row->second.end() ? nullptr : &routes[*found];
+}
+
+const Organisation*
+FleetConfig::FindOrganisation(std::string_view aKey) const
+{
+  auto row = organisationByKey_.find(aKey);
+  return row == organisationByKey_.end() ? nullptr
+                                         : &organisations[row->second];
+}
+
+const ServiceInfo*
+FleetConfig::FindService(std::string_view aName) const
+{
+  auto found = std::ranges::find(services, aName, &ServiceInfo::name);
+  return found == services.end() ? nullptr : &*found;
+}
+
+std::optional<net::Endpoint>
+FleetConfig::FindOrigin() const
+{
+  auto found = std::ranges::find_if(
+    services, [](const auto& aService) { return aService.origin.has_value(); });
+  return found == services.end() ? std::nullopt : found->origin;
+}
+
+} // namespace waxwingyoke::platform
--- a/libs/telemetry/include/telemetry/Logger.h
+++ b/libs/telemetry/include/telemetry/Logger.h
@@ -24,8 +24,18 @@
   std::string file;
   /** Stands in each line as "vm". */
   std::string vm;
+  /**
+   * Lines go to a buffer of that size, which WriteBufferedLogs empties to
+   * standard output; what does not fit is dropped and counted. 0: each line
+   * is written at once to `file` or standard error.
+   */
+  std::size_t bufferBytes = 0;
 };
 
+/** Writes buffered lines without waiting; to be called now and then. */
+void
+WriteBufferedLogs();
+
 /** Sets up logging; to be called once, before any Logger is used. */
 void
 StartLogging(const LogOptions& aOptions);
--- a/libs/telemetry/src/Logger.cpp
+++ b/libs/telemetry/src/Logger.cpp
@@ -3,8 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <mutex>
 #include <utility>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <telemetry/Metrics.h>
 #include <utils/Time.h>
 
 #include <log4cplus/consoleappender.h>
@@ -12,6 +17,7 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 namespace waxwingyoke::telemetry {
 
@@ -52,9 +58,72 @@
   return sInitializer;
 }
 
+/**
+ * Keeps lines in a bounded buffer until they are written without waiting, so
+ * that a slow reader of the output costs lines, never a request's time.
+ */
+class BoundedAppender : public log4cplus::Appender
+{
+public:
+  explicit BoundedAppender(std::size_t aBytes)
+    : limit_(aBytes)
+  {
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  }
+  ~BoundedAppender() override { destructorImpl(); }
+
+  void close() override { Write(); }
+  void Write();
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override;
+
+private:
+  std::mutex bufferMutex_;
+  std::string buffer_;
+  std::size_t limit_;
+};
+
+void
+BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent& aEvent)
+{
+  static auto& sDropped = Metrics::Get().GetCounter("log_lines_dropped_total");
+  std::scoped_lock lock(bufferMutex_);
+  if (buffer_.size() + aEvent.getMessage().size() >= limit_) {
+    sDropped.Add();
+    return;
+  }
+  buffer_ += aEvent.getMessage();
+  buffer_ += '\n';
+}
+
+void
+BoundedAppender::Write()
+{
+  std::scoped_lock lock(bufferMutex_);
+  if (buffer_.empty()) {
+    return;
+  }
+  auto written = ::write(STDOUT_FILENO, buffer_.data(), buffer_.size());
+  if (written > 0) {
+    buffer_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+BoundedAppender*&
+GetBoundedAppender()
+{
+  static BoundedAppender* sAppender = nullptr;
+  return sAppender;
+}
+
 log4cplus::SharedAppenderPtr
 MakeAppender(const LogOptions& aOptions)
 {
+  if (aOptions.bufferBytes > 0) {
+    GetBoundedAppender() = new BoundedAppender(aOptions.bufferBytes);
+    return log4cplus::SharedAppenderPtr(GetBoundedAppender());
+  }
   if (aOptions.file.empty()) {
     return log4cplus::SharedAppenderPtr(
       new log4cplus::ConsoleAppender(true, true));
@@ -79,9 +148,19 @@
   root.setLogLevel(GetLevel(aOptions.level).native);
 }
 
+void
+WriteBufferedLogs()
+{
+  if (GetBoundedAppender() != nullptr) {
+    GetBoundedAppender()->Write();
+  }
+}
+
 void
 StopLogging()
 {
+  WriteBufferedLogs();
+  GetBoundedAppender() = nullptr;
   log4cplus::Logger::shutdown();
 }
 
--- a/libs/utils/include/utils/Time.h
+++ b/libs/utils/include/utils/Time.h
@@ -64,6 +64,9 @@
   /** The machine's steady clock. */
   Clock();
 
+  /** A steady clock that goes on while the VM is suspended. */
+  static Clock CountingSuspension();
+
   /** A clock that reads from aSource, as tests do. */
   explicit Clock(Source aSource);
 
--- a/libs/utils/src/Time.cpp
+++ b/libs/utils/src/Time.cpp
@@ -1,5 +1,6 @@
 #include <utils/Time.h>
 
+#include <ctime>
 #include <utility>
 
 namespace waxwingyoke::utils {
@@ -28,6 +29,18 @@
 {
 }
 
+Clock
+Clock::CountingSuspension()
+{
+  return Clock([] {
+    constexpr std::int64_t kMsPerSecond = 1000;
+    constexpr std::int64_t kNanosPerMs = 1000000;
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Millis(now.tv_sec * kMsPerSecond + now.tv_nsec / kNanosPerMs);
+  });
+}
+
 Millis
 GetWallTime()
 {
--- a/tools/waxwingyoked/src/Main.cpp
+++ b/tools/waxwingyoked/src/Main.cpp
@@ -1,6 +1,7 @@
 // waxwingyoked: the daemon, either an entry that takes callers' requests or
 // a side beside one upstream.
 
+#include <csignal>
 #include <iostream>
 #include <string>
 
@@ -11,6 +12,7 @@
 #include <utils/Hash.h>
 
 #include "ControlPort.h"
+#include "FleetRole.h"
 #include "Process.h"
 #include "Role.h"
 
@@ -92,6 +94,10 @@
   node.Start();
   logger.Info("started", { { "role", aSettings.node().role() } });
   auto signal = aRuntime.WaitForSignal();
+  while (signal == SIGHUP) {
+    logger.Warn("settings are read once: restart to change them");
+    signal = aRuntime.WaitForSignal();
+  }
   logger.Info("draining", { { "signal", std::to_string(signal) } });
   node.UpdateStatus(
     [](schema::NodeStatus& aStatus) { aStatus.set_leaving(true); });
@@ -106,6 +112,10 @@
 int
 main(int aCount, char** aArguments)
 {
+  auto fleetRole = FindFleetRole(aCount, aArguments);
+  if (fleetRole) {
+    return RunFleetRole(*fleetRole);
+  }
   CLI::App app{ "Daemon of waxwingyoke. It reads its settings once; a changed "
                 "file takes effect by a restart. SIGTERM drains: new work is "
                 "refused, what runs is finished." };
