Sides tell each other which pieces they have; one side brings each piece

Cause: a side's fetchers waited in line behind pieces that nobody had yet; of version 3 half of the upstreams took it 14 s after it was named, and the origin sent 7.6 copies. Change: each side announces its staged pieces; a side takes the rarest piece that one of its region has, one side a piece crosses into a region, and one fetches it from the origin; others step in after a delay. Open: half of the streams are late while pieces travel.

--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -1,10 +1,9 @@
 #include "PieceExchange.h"
 
 #include <algorithm>
-#include <random>
+#include <utility>
 
 #include <telemetry/Metrics.h>
-#include <utils/Hash.h>
 
 namespace waxwingyoke::fleet {
 
@@ -18,32 +17,17 @@
 constexpr int kBusy = 503;
 constexpr const char* kPiecePath = "/fleet/pieces/";
 constexpr const char* kListPath = "/fleet/lists/";
-constexpr const char* kWaitQuery = "wait_ms";
+constexpr std::size_t kBitsPerByte = 8;
 // Enough to fill a side's link while one answer is on its way.
 constexpr int kFetchers = 4;
 // More at a time would hold up the upstream's events on the same link.
 constexpr int kMaxUploads = 2;
-// A piece takes 40 ms on a side's link; this many may be before it.
-constexpr Millis kWaitForPiece(1500);
-// Sides of the region that are asked beside the one that brings a piece.
-constexpr std::size_t kOthersOfRegion = 4;
-constexpr Millis kWaitForUpload(1500);
+// About the time that an upload takes.
+constexpr Millis kBusyPause(40);
+constexpr Millis kPickInterval(25);
 constexpr Millis kConnectTimeout(500);
-constexpr Millis kBodyTimeout(2500);
-
-std::string
-RankKey(const Digest& aPiece, const std::string& aVm)
-{
-  return aPiece.ToHex() + aVm;
-}
-
-std::vector<std::string>
-ListVms(const std::vector<Peer>& aPeers, const std::string& aOwnVm)
-{
-  std::vector<std::string> vms{ aOwnVm };
-  std::ranges::transform(aPeers, std::back_inserter(vms), &Peer::vm);
-  return vms;
-}
+constexpr Millis kPieceTimeout(2500);
+constexpr Millis kListTimeout(800);
 
 net::HttpResponse
 MakeBytes(std::string aBytes)
@@ -62,6 +46,29 @@
   aWriter.Send(response);
 }
 
+std::vector<bool>
+ReadBits(const std::string& aBytes)
+{
+  std::vector<bool> bits(aBytes.size() * kBitsPerByte);
+  for (std::size_t i = 0; i < bits.size(); ++i) {
+    auto byte = static_cast<unsigned char>(aBytes[i / kBitsPerByte]);
+    bits[i] = (byte >> (i % kBitsPerByte) & 1U) != 0;
+  }
+  return bits;
+}
+
+std::string
+MakeBits(const std::vector<bool>& aBits)
+{
+  std::string bytes((aBits.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
+  for (std::size_t i = 0; i < aBits.size(); ++i) {
+    auto bit = static_cast<unsigned>(aBits[i]) << (i % kBitsPerByte);
+    bytes[i / kBitsPerByte] = static_cast<char>(
+      static_cast<unsigned char>(bytes[i / kBitsPerByte]) | bit);
+  }
+  return bytes;
+}
+
 } // namespace
 
 PieceExchange::PieceExchange(net::Runtime& aRuntime,
@@ -94,7 +101,35 @@
               });
 }
 
-// Waits for a piece that is on its way here, and for a turn on the link.
+void
+PieceExchange::TakeNotice(const Peer& aFrom, const schema::SideNotice& aNotice)
+{
+  auto& row = announcements_[aFrom.vm];
+  row.peer = aFrom;
+  row.model = aNotice.staged_model();
+  row.version = aNotice.staged_version();
+  row.pieces = ReadBits(aNotice.staged_pieces());
+  if (fetchers_ > 0) {
+    changed_.notify_all();
+  }
+}
+
+void
+PieceExchange::FillNotice(schema::SideNotice& aNotice) const
+{
+  const auto& list = store_.GetList();
+  if (list.digests.empty()) {
+    return;
+  }
+  auto missing = store_.GetMissing();
+  std::vector<bool> bits(list.digests.size(), true);
+  std::ranges::for_each(
+    missing, [&bits](std::uint32_t aPiece) { bits[aPiece] = false; });
+  aNotice.set_staged_model(list.model);
+  aNotice.set_staged_version(list.version);
+  aNotice.set_staged_pieces(MakeBits(bits));
+}
+
 void
 PieceExchange::ServePiece(const net::HttpRequest& aRequest,
                           net::ResponseWriter& aWriter)
@@ -107,45 +142,30 @@
     SendStatus(aWriter, kNotFound);
     return;
   }
-  auto wait =
-    std::atoi(std::string(net::FindQuery(aRequest.target, kWaitQuery)).c_str());
-  auto until =
-    std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
-  std::unique_lock lock(mutex_);
-  auto bytes = store_.Get(*digest);
-  while (!bytes && store_.IsWanted(*digest) &&
-         std::chrono::steady_clock::now() < until) {
-    changed_.wait_until(lock, until);
-    bytes = store_.Get(*digest);
-  }
-  if (!bytes) {
-    SendStatus(aWriter, kNotFound);
-    return;
-  }
-  bool turn = changed_.wait_for(
-    lock, kWaitForUpload.ToChrono(), [this] { return uploads_ < kMaxUploads; });
-  if (!turn) {
+  if (uploads_ >= kMaxUploads) {
     SendStatus(aWriter, kBusy);
     return;
   }
   ++uploads_;
-  lock.unlock();
-  sSent.Add();
-  aWriter.Send(MakeBytes(std::move(*bytes)));
-  lock.lock();
+  auto bytes = store_.Get(*digest);
+  if (bytes) {
+    sSent.Add();
+    aWriter.Send(MakeBytes(std::move(*bytes)));
+  } else {
+    SendStatus(aWriter, kNotFound);
+  }
   --uploads_;
-  changed_.notify_all();
 }
 
-// One line a digest, after the size of a piece.
+// The size of a piece, then one line a digest.
 void
 PieceExchange::ServeList(const net::HttpRequest& aRequest,
                          net::ResponseWriter& aWriter)
 {
   const auto& list = store_.GetList();
-  auto wanted =
+  auto held =
     std::string(kListPath) + list.model + "/" + std::to_string(list.version);
-  if (list.digests.empty() || net::GetPath(aRequest.target) != wanted) {
+  if (list.digests.empty() || net::GetPath(aRequest.target) != held) {
     SendStatus(aWriter, kNotFound);
     return;
   }
@@ -167,7 +187,7 @@
   auto response =
     client_.Call(aPeer.endpoint,
                  request,
-                 { kConnectTimeout, kConnectTimeout, kConnectTimeout },
+                 { kConnectTimeout, kListTimeout, kListTimeout },
                  reason);
   if (!response || response->status != kOk) {
     return std::nullopt;
@@ -195,164 +215,165 @@
   return list.digests.empty() ? std::nullopt : std::optional(list);
 }
 
+// Of a version that was named just now only the origin has a list.
 std::optional<platform::PieceList>
-PieceExchange::GetList(const std::optional<net::Endpoint>& aOrigin,
+PieceExchange::GetList(const FetchOrder& aOrder,
                        const std::string& aModel,
                        std::uint64_t aVersion,
                        utils::Error& aReason)
 {
-  // A list is small and all need it at once: the origin is asked by few.
-  auto sides = peers_.List(PeerRole::Side);
-  std::ranges::stable_partition(sides, [this](const Peer& aPeer) {
-    return aPeer.dataCentre == settings_.dataCentre;
+  std::vector<Peer> holders;
+  for (const auto& [vm, row] : announcements_) {
+    if (row.model == aModel && row.version == aVersion) {
+      holders.push_back(row.peer);
+    }
+  }
+  std::ranges::sort(holders, {}, [this](const Peer& aPeer) {
+    return aPeer.region != settings_.region;
   });
-  for (const auto& peer : sides) {
+  for (const auto& peer : holders) {
     auto list = AskPeerForList(peer, aModel, aVersion);
     if (list) {
       return list;
     }
   }
-  if (!aOrigin) {
+  if (aOrder.origin == nullptr) {
     aReason.Set(utils::ErrorKind::StoreUnavailable, "no origin is known");
     return std::nullopt;
   }
-  return origin_.GetPieceList(*aOrigin, aModel, aVersion, aReason);
+  return origin_.GetPieceList(
+    *aOrder.origin->origin, aModel, aVersion, aReason);
 }
 
-// Rank 0 of a region brings a piece there, rank 0 of all takes it from the
-// origin. Of a version that is not new, others of the region have it.
-std::vector<PieceExchange::Source>
-PieceExchange::PlanSources(const Digest& aPiece, bool aIsNew) const
+PickQuery
+PieceExchange::MakeQuery(const FetchOrder& aOrder) const
 {
-  auto sides = peers_.List(PeerRole::Side);
-  auto find = [&sides](const std::string& aVm) {
-    return std::ranges::find(sides, aVm, &Peer::vm);
+  auto regionOf = [this](const std::string& aDataCentre) {
+    auto row = settings_.regions.find(aDataCentre);
+    return row == settings_.regions.end() ? std::string() : row->second;
   };
-  std::vector<Peer> near;
-  std::ranges::copy_if(
-    sides, std::back_inserter(near), [this](const Peer& aPeer) {
-      return aPeer.region == settings_.region;
-    });
-  auto ofRegion =
-    utils::RankMembers(aPiece.ToHex(), ListVms(near, settings_.vm));
-  auto ofAll = utils::RankMembers(aPiece.ToHex(), ListVms(sides, settings_.vm));
-  bool bringsToRegion = ofRegion.front() == settings_.vm;
-  bool bringsFromOrigin = ofAll.front() == settings_.vm;
-  std::vector<Source> sources;
-  auto add = [&](const std::string& aVm, Millis aPatience) {
-    if (aVm != settings_.vm) {
-      sources.push_back({ find(aVm)->endpoint, aPatience });
+  auto originRegion =
+    aOrder.origin != nullptr ? regionOf(aOrder.origin->originDataCentre) : "";
+  const auto& list = store_.GetList();
+  PickQuery query;
+  query.ownVm = settings_.vm;
+  query.isNearOrigin = settings_.region == originRegion;
+  query.missing = store_.GetMissing();
+  std::ranges::for_each(onTheWay_, [&query](std::uint32_t aPiece) {
+    query.missing.erase(aPiece);
+  });
+  query.running = downloads_;
+  query.elapsed = clock_.Now() - begunAt_;
+  query.isNew = aOrder.isNew;
+  for (const auto& peer : peers_.List(PeerRole::Side)) {
+    PieceHolder side;
+    side.vm = peer.vm;
+    side.isNear = peer.region == settings_.region;
+    side.isNearOrigin = peer.region == originRegion;
+    auto row = announcements_.find(peer.vm);
+    if (row != announcements_.end() && row->second.model == list.model &&
+        row->second.version == list.version) {
+      side.pieces = row->second.pieces;
+      side.isBusy = clock_.Now() < row->second.busyUntil;
     }
-  };
-  if (!aIsNew || !bringsToRegion) {
-    add(ofRegion.front(), bringsToRegion ? Millis(0) : kWaitForPiece);
-    auto others = std::min(ofRegion.size() - 1, kOthersOfRegion);
-    std::for_each_n(ofRegion.begin() + 1, others, [&](const auto& aVm) {
-      add(aVm, Millis(0));
-    });
+    query.sides.push_back(std::move(side));
   }
-  if (!bringsFromOrigin) {
-    add(ofAll.front(), kWaitForPiece);
-  }
-  // The origin, and once more near by for what it could not give.
-  sources.push_back({ std::nullopt, Millis(0) });
-  return sources;
+  return query;
 }
 
 std::optional<std::string>
-PieceExchange::FetchFrom(const Source& aSource,
-                         std::uint32_t aPiece,
-                         const std::optional<net::Endpoint>& aOrigin,
+PieceExchange::FetchFrom(const PieceChoice& aChoice,
+                         const FetchOrder& aOrder,
                          utils::Error& aReason)
 {
   const auto& list = store_.GetList();
-  if (!aSource.peer) {
-    if (!aOrigin) {
-      aReason.Set(utils::ErrorKind::StoreUnavailable, "no origin is known");
-      return std::nullopt;
-    }
+  if (aChoice.vm.empty()) {
     static auto& sFromOrigin =
       telemetry::Metrics::Get().GetCounter("fleet_pieces_from_origin_total");
     sFromOrigin.Add();
-    return origin_.GetPiece(
-      *aOrigin, list.model, list.version, aPiece, aReason);
+    return origin_.GetPiece(*aOrder.origin->origin,
+                            list.model,
+                            list.version,
+                            aChoice.piece,
+                            aReason);
   }
+  auto& row = announcements_[aChoice.vm];
   net::HttpRequest request;
-  request.target = kPiecePath + list.digests[aPiece].ToHex() + "?" +
-                   kWaitQuery + "=" + std::to_string(aSource.patience.value);
-  auto response = client_.Call(
-    *aSource.peer,
-    request,
-    { kConnectTimeout, aSource.patience + kBodyTimeout, kBodyTimeout },
-    aReason);
-  if (response && response->status != kOk) {
-    aReason.Set(utils::ErrorKind::NotFound, "the side does not have it");
-    return std::nullopt;
+  request.target = kPiecePath + list.digests[aChoice.piece].ToHex();
+  auto response =
+    client_.Call(row.peer.endpoint,
+                 request,
+                 { kConnectTimeout, kPieceTimeout, kPieceTimeout },
+                 aReason);
+  if (response && response->status == kOk) {
+    return std::move(response->body);
+  }
+  auto& after = announcements_[aChoice.vm];
+  after.busyUntil = clock_.Now() + kBusyPause;
+  if (response && response->status == kBusy) {
+    aReason.Set(utils::ErrorKind::Overloaded, "the side has no room");
+  } else {
+    // Until its next notice it has nothing that counts.
+    after.pieces.clear();
+    if (response) {
+      aReason.Set(utils::ErrorKind::NotFound, "the side does not have it");
+    }
   }
-  return response ? std::optional(std::move(response->body)) : std::nullopt;
+  return std::nullopt;
 }
 
 bool
-PieceExchange::FetchOne(std::uint32_t aPiece,
-                        const std::optional<net::Endpoint>& aOrigin,
-                        bool aIsNew)
+PieceExchange::FetchOne(const PieceChoice& aChoice, const FetchOrder& aOrder)
 {
   auto version = store_.GetList().version;
-  auto digest = store_.GetList().digests[aPiece];
-  for (const auto& source : PlanSources(digest, aIsNew)) {
-    utils::Error reason;
-    auto bytes = FetchFrom(source, aPiece, aOrigin, reason);
-    if (store_.GetList().version != version) {
-      return false;
-    }
-    if (bytes && store_.Put(aPiece, *bytes, reason)) {
-      changed_.notify_all();
-      return true;
-    }
-    if (reason.kind != utils::ErrorKind::NotFound) {
-      logger_.Report(
-        reason,
-        { { "piece", std::to_string(aPiece) },
-          { "source", source.peer ? source.peer->ToString() : "origin" } });
-    }
+  utils::Error reason;
+  auto bytes = FetchFrom(aChoice, aOrder, reason);
+  // Another version may be wanted by now, with other pieces in that place.
+  if (bytes && store_.GetList().version == version &&
+      store_.Put(aChoice.piece, *bytes, reason)) {
+    changedHere_ = true;
+    return true;
+  }
+  if (reason.IsSet() && reason.kind != utils::ErrorKind::Overloaded) {
+    logger_.Report(reason,
+                   { { "piece", std::to_string(aChoice.piece) },
+                     { "source", aChoice.vm.empty() ? "origin" : aChoice.vm } });
   }
   return false;
 }
 
 void
-PieceExchange::FetchLoop(const std::optional<net::Endpoint>& aOrigin,
-                         bool aIsNew)
+PieceExchange::FetchLoop(const FetchOrder& aOrder)
 {
-  while (!queue_.empty()) {
-    auto piece = queue_.back();
-    queue_.pop_back();
-    FetchOne(piece, aOrigin, aIsNew);
+  while (aOrder.isWanted() && !store_.GetMissing().empty()) {
+    auto choice = PickPiece(MakeQuery(aOrder));
+    bool possible =
+      choice && (!choice->vm.empty() || aOrder.origin != nullptr);
+    if (!possible) {
+      std::unique_lock lock(mutex_);
+      changed_.wait_for(lock, kPickInterval.ToChrono());
+      continue;
+    }
+    onTheWay_.insert(choice->piece);
+    ++downloads_[choice->vm];
+    bool fetched = FetchOne(*choice, aOrder);
+    --downloads_[choice->vm];
+    onTheWay_.erase(choice->piece);
+    if (!fetched) {
+      net::Runtime::Sleep(kPickInterval);
+    }
   }
   --fetchers_;
   changed_.notify_all();
 }
 
 bool
-PieceExchange::FetchMissing(const std::optional<net::Endpoint>& aOrigin,
-                            bool aIsNew)
+PieceExchange::FetchMissing(const FetchOrder& aOrder)
 {
-  auto missing = store_.GetMissing();
-  queue_.assign(missing.begin(), missing.end());
-  // Each side in an order of its own, so that they don't all ask one.
-  std::ranges::sort(queue_, {}, [this](std::uint32_t aPiece) {
-    return utils::StableHash(
-      RankKey(store_.GetList().digests[aPiece], settings_.vm));
-  });
-  // Those that others wait for come first, that is last in the queue.
-  std::ranges::stable_partition(queue_, [this](std::uint32_t aPiece) {
-    const auto& digest = store_.GetList().digests[aPiece];
-    auto vms = ListVms(peers_.List(PeerRole::Side), settings_.vm);
-    return utils::RankMembers(digest.ToHex(), vms).front() != settings_.vm;
-  });
+  begunAt_ = clock_.Now();
   while (fetchers_ < kFetchers) {
     ++fetchers_;
-    net::Runtime::SpawnHere(
-      [this, aOrigin, aIsNew] { FetchLoop(aOrigin, aIsNew); });
+    net::Runtime::SpawnHere([this, &aOrder] { FetchLoop(aOrder); });
   }
   std::unique_lock lock(mutex_);
   changed_.wait(lock, [this] { return fetchers_ == 0; });
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -2,7 +2,10 @@
 #define waxwingyoke_fleet_PieceExchange_h
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,25 +14,30 @@
 
 #include <net/HttpClient.h>
 #include <net/Router.h>
+#include <platform/FleetConfig.h>
 #include <platform/FleetSettings.h>
 #include <telemetry/Logger.h>
 
 #include "PeerLink.h"
+#include "PiecePicker.h"
 #include "PieceStore.h"
 
 namespace waxwingyoke::fleet {
 
-/** Where pieces come from besides the sides. */
-struct OriginSource
+/** What one round of fetching is for. */
+struct FetchOrder
 {
-  platform::WeightOrigin& origin;
-  std::optional<net::Endpoint> endpoint;
+  /** Null if no service hands out weights. */
+  const platform::ServiceInfo* origin = nullptr;
+  /** The version was named just now, so that nobody had it. */
+  bool isNew = false;
+  /** Whether the version is still wanted. */
+  std::function<bool()> isWanted;
 };
 
 /**
- * Brings pieces from other sides, and hands out what lies here. For each
- * piece one side of a region fetches it from outside the region, and one of
- * all fetches it from the origin; the others ask those.
+ * Brings pieces from other sides and from the origin, and hands out what
+ * lies here. Sides tell each other what they have by notices.
  */
 class PieceExchange
 {
@@ -43,38 +51,41 @@
 
   void AddRoutes(net::Router& aRouter);
 
-  /**
-   * Brings what the store's list lacks; true when nothing is missing.
-   * aIsNew: the version was named just now, so that nobody has it yet.
-   */
-  bool FetchMissing(const std::optional<net::Endpoint>& aOrigin, bool aIsNew);
+  /** Brings what the store's list lacks; true when nothing is missing. */
+  bool FetchMissing(const FetchOrder& aOrder);
 
   /** The list of a version, from a side that has it or from the origin. */
-  std::optional<platform::PieceList> GetList(
-    const std::optional<net::Endpoint>& aOrigin,
-    const std::string& aModel,
-    std::uint64_t aVersion,
-    utils::Error& aReason);
+  std::optional<platform::PieceList> GetList(const FetchOrder& aOrder,
+                                             const std::string& aModel,
+                                             std::uint64_t aVersion,
+                                             utils::Error& aReason);
+
+  /** What another side said that it has. */
+  void TakeNotice(const Peer& aFrom, const schema::SideNotice& aNotice);
+
+  /** Says what lies here. */
+  void FillNotice(schema::SideNotice& aNotice) const;
+
+  /** Whether what lies here changed since the last call. */
+  bool TakeChange() { return std::exchange(changedHere_, false); }
 
 private:
-  /** Where one piece is asked for, in order. */
-  struct Source
+  /** What one side said last. */
+  struct Announcement
   {
-    std::optional<net::Endpoint> peer;
-    utils::Millis patience;
+    Peer peer;
+    std::string model;
+    std::uint64_t version = 0;
+    std::vector<bool> pieces;
+    utils::Millis busyUntil;
   };
 
-  std::vector<Source> PlanSources(const utils::Digest& aPiece,
-                                  bool aIsNew) const;
-  void FetchLoop(const std::optional<net::Endpoint>& aOrigin, bool aIsNew);
-  bool FetchOne(std::uint32_t aPiece,
-                const std::optional<net::Endpoint>& aOrigin,
-                bool aIsNew);
-  std::optional<std::string> FetchFrom(
-    const Source& aSource,
-    std::uint32_t aPiece,
-    const std::optional<net::Endpoint>& aOrigin,
-    utils::Error& aReason);
+  PickQuery MakeQuery(const FetchOrder& aOrder) const;
+  void FetchLoop(const FetchOrder& aOrder);
+  bool FetchOne(const PieceChoice& aChoice, const FetchOrder& aOrder);
+  std::optional<std::string> FetchFrom(const PieceChoice& aChoice,
+                                       const FetchOrder& aOrder,
+                                       utils::Error& aReason);
   void ServePiece(const net::HttpRequest& aRequest,
                   net::ResponseWriter& aWriter);
   void ServeList(const net::HttpRequest& aRequest,
@@ -89,7 +100,12 @@
   PeerLink& peers_;
   PieceStore& store_;
   platform::WeightOrigin& origin_;
-  std::vector<std::uint32_t> queue_;
+  utils::Clock clock_;
+  std::map<std::string, Announcement> announcements_;
+  std::set<std::uint32_t> onTheWay_;
+  std::map<std::string, int> downloads_;
+  utils::Millis begunAt_;
+  bool changedHere_ = false;
   int fetchers_ = 0;
   int uploads_ = 0;
   boost::fibers::mutex mutex_;
--- /dev/null
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -0,0 +1,148 @@
+#include "PiecePicker.h"
+
+#include <algorithm>
+
+#include <utils/Hash.h>
+
+namespace waxwingyoke::fleet {
+
+namespace {
+
+using utils::Millis;
+
+// A piece takes 30 ms from the origin and 40 ms on a side's link; the next in
+// rank brings a piece that the one before has not brought after a few dozen.
+constexpr Millis kFarRankDelay(900);
+constexpr Millis kOriginRankDelay(1400);
+// Sides say what they have several times in this; until then it is not known
+// that none has a piece of a version that is not new.
+constexpr Millis kHearFirst(900);
+// From one side at a time, so that its link does not hold up live answers.
+constexpr int kMaxFromOne = 1;
+
+bool
+Has(const PieceHolder& aSide, std::uint32_t aPiece)
+{
+  return aPiece < aSide.pieces.size() && aSide.pieces[aPiece];
+}
+
+bool
+CanAsk(const PickQuery& aQuery, const PieceHolder& aSide)
+{
+  auto row = aQuery.running.find(aSide.vm);
+  return !aSide.isBusy &&
+         (row == aQuery.running.end() || row->second < kMaxFromOne);
+}
+
+// This side's place among those that may bring a piece from afar.
+std::int64_t
+GetRank(const PickQuery& aQuery, std::uint32_t aPiece, bool aForOrigin)
+{
+  std::vector<std::string> vms;
+  for (const auto& side : aQuery.sides) {
+    if (aForOrigin ? side.isNearOrigin : side.isNear) {
+      vms.push_back(side.vm);
+    }
+  }
+  vms.push_back(aQuery.ownVm);
+  auto ranked = utils::RankMembers(std::to_string(aPiece), std::move(vms));
+  auto rank = std::ranges::find(ranked, aQuery.ownVm) - ranked.begin();
+  bool others = aForOrigin && !aQuery.isNearOrigin &&
+                std::ranges::any_of(aQuery.sides, &PieceHolder::isNearOrigin);
+  // Sides in the origin's region go first: their bytes cross no border.
+  return rank + (others ? 2 : 0);
+}
+
+std::uint64_t
+OwnOrder(const PickQuery& aQuery, std::uint32_t aPiece)
+{
+  return utils::StableHash(aQuery.ownVm, aPiece);
+}
+
+std::optional<PieceChoice>
+PickNear(const PickQuery& aQuery)
+{
+  std::optional<PieceChoice> best;
+  std::size_t fewest = 0;
+  for (auto piece : aQuery.missing) {
+    std::size_t holders = 0;
+    const PieceHolder* source = nullptr;
+    for (const auto& side : aQuery.sides) {
+      if (!side.isNear || !Has(side, piece)) {
+        continue;
+      }
+      ++holders;
+      bool better =
+        source == nullptr || utils::StableHash(side.vm, OwnOrder(aQuery, piece)) <
+                               utils::StableHash(source->vm, OwnOrder(aQuery, piece));
+      if (CanAsk(aQuery, side) && better) {
+        source = &side;
+      }
+    }
+    bool rarer = !best || holders < fewest ||
+                 (holders == fewest &&
+                  OwnOrder(aQuery, piece) < OwnOrder(aQuery, best->piece));
+    if (source != nullptr && rarer) {
+      best = PieceChoice{ piece, source->vm };
+      fewest = holders;
+    }
+  }
+  return best;
+}
+
+bool
+IsHeld(const PickQuery& aQuery, std::uint32_t aPiece, bool aNear)
+{
+  return std::ranges::any_of(aQuery.sides, [&](const PieceHolder& aSide) {
+    return aSide.isNear == aNear && Has(aSide, aPiece);
+  });
+}
+
+std::optional<PieceChoice>
+PickFar(const PickQuery& aQuery)
+{
+  for (auto piece : aQuery.missing) {
+    if (IsHeld(aQuery, piece, true) ||
+        aQuery.elapsed < kFarRankDelay * GetRank(aQuery, piece, false)) {
+      continue;
+    }
+    auto source = std::ranges::find_if(
+      aQuery.sides, [&](const PieceHolder& aSide) {
+        return !aSide.isNear && Has(aSide, piece) && CanAsk(aQuery, aSide);
+      });
+    if (source != aQuery.sides.end()) {
+      return PieceChoice{ piece, source->vm };
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<PieceChoice>
+PickFromOrigin(const PickQuery& aQuery)
+{
+  if (!aQuery.isNew && aQuery.elapsed < kHearFirst) {
+    return std::nullopt;
+  }
+  auto found = std::ranges::find_if(aQuery.missing, [&](std::uint32_t aPiece) {
+    return !IsHeld(aQuery, aPiece, true) && !IsHeld(aQuery, aPiece, false) &&
+           aQuery.elapsed >= kOriginRankDelay * GetRank(aQuery, aPiece, true);
+  });
+  return found == aQuery.missing.end()
+           ? std::nullopt
+           : std::optional(PieceChoice{ *found, "" });
+}
+
+} // namespace
+
+std::optional<PieceChoice>
+PickPiece(const PickQuery& aQuery)
+{
+  // What nobody else brings comes first: others wait for it.
+  auto choice = PickFromOrigin(aQuery);
+  if (!choice) {
+    choice = PickFar(aQuery);
+  }
+  return choice ? choice : PickNear(aQuery);
+}
+
+} // namespace waxwingyoke::fleet
--- /dev/null
+++ b/libs/fleet/src/PiecePicker.h
@@ -0,0 +1,63 @@
+#ifndef waxwingyoke_fleet_PiecePicker_h
+#define waxwingyoke_fleet_PiecePicker_h
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <utils/Time.h>
+
+namespace waxwingyoke::fleet {
+
+/** Another side and the pieces that it said it has. */
+struct PieceHolder
+{
+  std::string vm;
+  /** In this side's region. */
+  bool isNear = false;
+  /** In the origin's region. */
+  bool isNearOrigin = false;
+  /** Bit i: it has piece i of the wanted version. */
+  std::vector<bool> pieces;
+  /** It had no room for an upload a moment ago. */
+  bool isBusy = false;
+};
+
+/** What the choice of the next piece depends on. */
+struct PickQuery
+{
+  std::string ownVm;
+  bool isNearOrigin = false;
+  /** Neither here nor on their way. */
+  std::set<std::uint32_t> missing;
+  std::vector<PieceHolder> sides;
+  /** Downloads that run, by side. */
+  std::map<std::string, int> running;
+  /** Since this side began to stage the version. */
+  utils::Millis elapsed;
+  /** The version was named just now, so that nobody had it. */
+  bool isNew = false;
+};
+
+struct PieceChoice
+{
+  std::uint32_t piece = 0;
+  /** The side to ask; empty: the origin. */
+  std::string vm;
+};
+
+/**
+ * The next piece and where it comes from; empty if there is nothing to do
+ * but wait. Within a region the rarest piece comes first, from any side that
+ * has it. Into a region, and from the origin, one side brings each piece;
+ * others step in, one after the other, where it does not.
+ */
+std::optional<PieceChoice>
+PickPiece(const PickQuery& aQuery);
+
+} // namespace waxwingyoke::fleet
+
+#endif // waxwingyoke_fleet_PiecePicker_h
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -1,7 +1,9 @@
 #include <fleet/Side.h>
 
 #include <algorithm>
+#include <map>
 #include <optional>
+#include <utility>
 
 #include <net/HttpServer.h>
 #include <schema/fleet.pb.h>
@@ -25,6 +27,8 @@
 constexpr Millis kConfigWait(8000);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(150);
+// A piece takes 40 ms on a side's link.
+constexpr Millis kPieceNoticeInterval(50);
 // Said again without a change; entries forget a side's word after several.
 constexpr Millis kNoticeRepeat(400);
 constexpr Millis kPauseAfterFailure(200);
@@ -60,9 +64,10 @@
   NamedVersion GetTarget(const std::string& aModel);
   std::uint64_t GetHeld(const platform::EngineTraits& aEngine) const;
 
+  void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void ReportLoop();
   void ReadReport();
-  void SendNotice();
+  void SendNotice(PeerRole aTo);
   void LoadLoop();
   bool EnsureLoaded();
   bool Stage(const platform::EngineTraits& aEngine,
@@ -93,6 +98,9 @@
   std::uint64_t noticedVersion = 0;
   bool noticedAccepting = false;
   Millis noticedAt;
+  /** Start of each side's process, as it says. */
+  std::map<std::string, std::uint64_t> startOf;
+  bool noticeDue = false;
 };
 
 Side::Side(net::Runtime& aRuntime,
@@ -132,8 +140,11 @@
                     impl.router.Handle(aRequest, aWriter);
                   })
                   .Build(aReason);
-  if (!impl.server ||
-      !impl.peers.Start([](const auto&, const auto&) {}, aReason)) {
+  auto handler = [&impl](const Peer& aFrom,
+                         const schema::FleetNotice& aNotice) {
+    impl.TakeNotice(aFrom, aNotice);
+  };
+  if (!impl.server || !impl.peers.Start(handler, aReason)) {
     return false;
   }
   impl.config.Start(impl.runtime, {});
@@ -168,12 +179,33 @@
                 : 0;
 }
 
+// A side that has just started learns what the others have.
+void
+Side::Impl::TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice)
+{
+  if (!aNotice.has_side()) {
+    return;
+  }
+  auto& known = startOf[aFrom.vm];
+  bool isNew = std::exchange(known, aNotice.started_ms()) != known;
+  pieces.TakeNotice(aFrom, aNotice.side());
+  if (isNew) {
+    noticeDue = true;
+  }
+}
+
 void
 Side::Impl::ReportLoop()
 {
   while (true) {
     ReadReport();
-    net::Runtime::Sleep(kReportInterval);
+    auto until = clock.Now() + kReportInterval;
+    while (clock.Now() < until) {
+      net::Runtime::Sleep(kPieceNoticeInterval);
+      if (pieces.TakeChange() || std::exchange(noticeDue, false)) {
+        SendNotice(PeerRole::Side);
+      }
+    }
   }
 }
 
@@ -197,27 +229,37 @@
   auto version = GetHeld(*engine);
   bool accepting = version > 0 && !closed;
   bool changed = version != noticedVersion || accepting != noticedAccepting;
-  if (changed || clock.Now() - noticedAt >= kNoticeRepeat) {
-    SendNotice();
+  bool repeat = clock.Now() - noticedAt >= kNoticeRepeat;
+  if (changed || repeat) {
+    SendNotice(PeerRole::Entry);
+  }
+  if (repeat) {
+    noticedAt = clock.Now();
+    SendNotice(PeerRole::Side);
   }
 }
 
 void
-Side::Impl::SendNotice()
+Side::Impl::SendNotice(PeerRole aTo)
 {
   const auto* engine = FindEngine();
   schema::FleetNotice notice;
   auto& side = *notice.mutable_side();
   side.set_upstream(settings.localUpstream->ToString());
-  noticedVersion = engine != nullptr ? GetHeld(*engine) : 0;
-  noticedAccepting = noticedVersion > 0 && !closed;
-  noticedAt = clock.Now();
-  side.set_version(noticedVersion);
-  side.set_accepting(noticedAccepting);
+  auto version = engine != nullptr ? GetHeld(*engine) : 0;
+  bool accepting = version > 0 && !closed;
+  if (aTo == PeerRole::Entry) {
+    noticedVersion = version;
+    noticedAccepting = accepting;
+  } else {
+    pieces.FillNotice(side);
+  }
+  side.set_version(version);
+  side.set_accepting(accepting);
   side.set_running(report ? report->running : 0);
   side.set_queued(report ? report->queued : 0);
   side.set_pace(report ? report->pace : 1);
-  peers.Send(PeerRole::Entry, notice);
+  peers.Send(aTo, notice);
 }
 
 void
@@ -264,23 +306,30 @@
                   const NamedVersion& aTarget)
 {
   utils::Error reason;
-  auto origin = current->FindOrigin();
+  auto keep = current;
+  FetchOrder order;
+  order.origin = keep->FindOrigin();
+  order.isNew = aTarget.learntLive;
+  order.isWanted = [this, model = aEngine.model, version = aTarget.version] {
+    return IsCurrent(model, version);
+  };
   const auto& list = store.GetList();
   if (list.model != aEngine.model || list.version != aTarget.version) {
     auto begun = clock.Now();
-    auto fresh = pieces.GetList(origin, aEngine.model, aTarget.version, reason);
+    auto fresh =
+      pieces.GetList(order, aEngine.model, aTarget.version, reason);
     if (!fresh) {
       logger.Report(reason, { { "step", "list" } });
       return false;
     }
     store.Begin(*fresh);
+    noticeDue = true;
     logger.Info("staging",
                 { { "version", std::to_string(aTarget.version) },
                   { "missing", std::to_string(store.GetMissing().size()) },
                   { "list_ms", std::to_string((clock.Now() - begun).value) } });
   }
-  return pieces.FetchMissing(origin, aTarget.learntLive) &&
-         IsCurrent(aEngine.model, aTarget.version);
+  return pieces.FetchMissing(order) && order.isWanted();
 }
 
 Millis
@@ -313,7 +362,7 @@
     return false;
   }
   closed = true;
-  SendNotice();
+  SendNotice(PeerRole::Entry);
   net::Runtime::Sleep(kAnnounceTime);
   utils::Error reason;
   auto result = upstream.OrderLoad(aEngine.model, aTarget.version, reason);
@@ -329,7 +378,7 @@
   // An order without an answer may have been accepted: the state tells.
   bool loaded = AwaitLoaded(aEngine, aTarget.version);
   closed = false;
-  SendNotice();
+  SendNotice(PeerRole::Entry);
   return loaded;
 }
 
--- a/libs/platform/include/platform/FleetConfig.h
+++ b/libs/platform/include/platform/FleetConfig.h
@@ -97,6 +97,8 @@
   std::optional<EngineTraits> engine;
   /** Set for the service that hands out weights. */
   std::optional<net::Endpoint> origin;
+  /** Where the origin stands; empty for other services. */
+  std::string originDataCentre;
 };
 
 struct Organisation
@@ -140,8 +142,8 @@
 
   const ServiceInfo* FindService(std::string_view aName) const;
 
-  /** Where weights come from; empty if no service hands them out. */
-  std::optional<net::Endpoint> FindOrigin() const;
+  /** The service that hands out weights; null if there is none. */
+  const ServiceInfo* FindOrigin() const;
 
 private:
   // Indices into the vectors above, so that a copy stays whole.
--- a/libs/platform/src/FleetConfig.cpp
+++ b/libs/platform/src/FleetConfig.cpp
@@ -50,12 +50,12 @@
   return found == services.end() ? nullptr : &*found;
 }
 
-std::optional<net::Endpoint>
+const ServiceInfo*
 FleetConfig::FindOrigin() const
 {
   auto found = std::ranges::find_if(
     services, [](const auto& aService) { return aService.origin.has_value(); });
-  return found == services.end() ? std::nullopt : found->origin;
+  return found == services.end() ? nullptr : &*found;
 }
 
 } // namespace waxwingyoke::platform
