Pace pieces below the link's rate; the pacer moves to libs/net

Cause: uploads filled the sides' links and those between regions, and events waited behind them: half of the streams were late while pieces travelled.

--- a/bench/burst/src/Agent.cpp
+++ b/bench/burst/src/Agent.cpp
@@ -11,7 +11,7 @@
 #include <ChunkStore.h>
 #include <Content.h>
 #include <Fetcher.h>
-#include <Pacer.h>
+#include <net/Pacer.h>
 
 namespace waxwingyoke::burst {
 
@@ -92,7 +92,7 @@
   const utils::Digest version_;
   net::HttpClient http_;
   weights::ChunkStore chunkStore_;
-  weights::Pacer link_;
+  net::Pacer link_;
   weights::ChunkRoutes routes_;
   weights::Fetcher fetcher_;
 };
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -20,8 +20,16 @@
 constexpr std::size_t kBitsPerByte = 8;
 // Enough to fill a side's link while one answer is on its way.
 constexpr int kFetchers = 4;
-// More at a time would hold up the upstream's events on the same link.
-constexpr int kMaxUploads = 2;
+// Uploads share the paced link; more at a time only make each slower.
+constexpr int kMaxUploads = 3;
+// Of the VM's link, for pieces: the rest is for the upstream's events.
+constexpr double kNearLinkShare = 0.7;
+// Links between regions are shared by all sides and by live answers, and no
+// setting says what they carry.
+constexpr double kFarLinkShare = 0.3;
+// What may stand before an event on the link at a time: some ms.
+constexpr std::size_t kPartBytes = 8 * 1024;
+constexpr const char* kRegionQuery = "region";
 // About the time that an upload takes.
 constexpr Millis kBusyPause(40);
 constexpr Millis kPickInterval(25);
@@ -46,6 +54,13 @@
   aWriter.Send(response);
 }
 
+std::uint64_t
+Scale(std::uint64_t aBytesPerSecond, double aShare)
+{
+  return static_cast<std::uint64_t>(static_cast<double>(aBytesPerSecond) *
+                                    aShare);
+}
+
 std::vector<bool>
 ReadBits(const std::string& aBytes)
 {
@@ -83,6 +98,8 @@
   , peers_(aPeers)
   , store_(aStore)
   , origin_(aOrigin)
+  , nearLink_(Scale(aSettings.linkBytesPerSecond, kNearLinkShare))
+  , farLink_(Scale(aSettings.linkBytesPerSecond, kFarLinkShare))
 {
 }
 
@@ -148,15 +165,35 @@
   }
   ++uploads_;
   auto bytes = store_.Get(*digest);
+  auto region = net::FindQuery(aRequest.target, kRegionQuery);
   if (bytes) {
     sSent.Add();
-    aWriter.Send(MakeBytes(std::move(*bytes)));
+    SendPaced(
+      *bytes, region == settings_.region ? nearLink_ : farLink_, aWriter);
   } else {
     SendStatus(aWriter, kNotFound);
   }
   --uploads_;
 }
 
+// A part at a time, so that the upstream's events wait behind one part at most.
+bool
+PieceExchange::SendPaced(const std::string& aBytes,
+                         net::Pacer& aLink,
+                         net::ResponseWriter& aWriter)
+{
+  bool sent =
+    aWriter.Start(kOk, { { "Content-Type", "application/octet-stream" } });
+  std::string_view rest = aBytes;
+  while (sent && !rest.empty()) {
+    auto part = rest.substr(0, kPartBytes);
+    aLink.Wait(part.size());
+    sent = aWriter.Write(part);
+    rest.remove_prefix(part.size());
+  }
+  return sent && aWriter.Finish();
+}
+
 // The size of a piece, then one line a digest.
 void
 PieceExchange::ServeList(const net::HttpRequest& aRequest,
@@ -299,7 +336,8 @@
   }
   auto& row = announcements_[aChoice.vm];
   net::HttpRequest request;
-  request.target = kPiecePath + list.digests[aChoice.piece].ToHex();
+  request.target = kPiecePath + list.digests[aChoice.piece].ToHex() + "?" +
+                   kRegionQuery + "=" + settings_.region;
   auto response =
     client_.Call(row.peer.endpoint,
                  request,
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -13,6 +13,7 @@
 #include <boost/fiber/mutex.hpp>
 
 #include <net/HttpClient.h>
+#include <net/Pacer.h>
 #include <net/Router.h>
 #include <platform/FleetConfig.h>
 #include <platform/FleetSettings.h>
@@ -88,6 +89,9 @@
                                        utils::Error& aReason);
   void ServePiece(const net::HttpRequest& aRequest,
                   net::ResponseWriter& aWriter);
+  bool SendPaced(const std::string& aBytes,
+                 net::Pacer& aLink,
+                 net::ResponseWriter& aWriter);
   void ServeList(const net::HttpRequest& aRequest,
                  net::ResponseWriter& aWriter);
   std::optional<platform::PieceList> AskPeerForList(const Peer& aPeer,
@@ -108,6 +112,9 @@
   bool changedHere_ = false;
   int fetchers_ = 0;
   int uploads_ = 0;
+  /** Uploads within the region, and those to other regions. */
+  net::Pacer nearLink_;
+  net::Pacer farLink_;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
   telemetry::Logger logger_{ "pieces" };
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -29,6 +29,8 @@
 constexpr Millis kReportInterval(150);
 // A piece takes 40 ms on a side's link.
 constexpr Millis kPieceNoticeInterval(50);
+// To other sides, which hear of each piece as it comes.
+constexpr Millis kAnnounceRepeat(2000);
 // Said again without a change; entries forget a side's word after several.
 constexpr Millis kNoticeRepeat(400);
 constexpr Millis kPauseAfterFailure(200);
@@ -98,6 +100,7 @@
   std::uint64_t noticedVersion = 0;
   bool noticedAccepting = false;
   Millis noticedAt;
+  Millis announcedAt;
   /** Start of each side's process, as it says. */
   std::map<std::string, std::uint64_t> startOf;
   bool noticeDue = false;
@@ -229,12 +232,10 @@
   auto version = GetHeld(*engine);
   bool accepting = version > 0 && !closed;
   bool changed = version != noticedVersion || accepting != noticedAccepting;
-  bool repeat = clock.Now() - noticedAt >= kNoticeRepeat;
-  if (changed || repeat) {
+  if (changed || clock.Now() - noticedAt >= kNoticeRepeat) {
     SendNotice(PeerRole::Entry);
   }
-  if (repeat) {
-    noticedAt = clock.Now();
+  if (clock.Now() - announcedAt >= kAnnounceRepeat) {
     SendNotice(PeerRole::Side);
   }
 }
@@ -249,9 +250,11 @@
   auto version = engine != nullptr ? GetHeld(*engine) : 0;
   bool accepting = version > 0 && !closed;
   if (aTo == PeerRole::Entry) {
+    noticedAt = clock.Now();
     noticedVersion = version;
     noticedAccepting = accepting;
   } else {
+    announcedAt = clock.Now();
     pieces.FillNotice(side);
   }
   side.set_version(version);
--- a/libs/weights/src/Pacer.h
+++ b/libs/net/include/net/Pacer.h
@@ -1,5 +1,5 @@
-#ifndef waxwingyoke_weights_Pacer_h
-#define waxwingyoke_weights_Pacer_h
+#ifndef waxwingyoke_net_Pacer_h
+#define waxwingyoke_net_Pacer_h
 
 #include <atomic>
 #include <cstddef>
@@ -8,7 +8,7 @@
 
 #include <utils/Time.h>
 
-namespace waxwingyoke::weights {
+namespace waxwingyoke::net {
 
 /**
  * A token bucket of bytes: tells how long to wait before each part. Pure of
@@ -42,10 +42,10 @@
   /** Takes aBytes and returns the wait before they may move. */
   utils::Millis Take(std::size_t aBytes);
 
-  /** Suspends the fiber until aBytes of chunks may move. */
+  /** Suspends the fiber until aBytes of background transfer may move. */
   void Wait(std::size_t aBytes);
 
-  /** Takes live bytes at once, without a lock; chunks wait the longer. */
+  /** Takes live bytes at once, without a lock; background bytes wait longer. */
   void Charge(std::size_t aBytes);
 
   /** Another budget from now on; 0 is unlimited. */
@@ -62,6 +62,6 @@
   TokenBucket bucket_;
 };
 
-} // namespace waxwingyoke::weights
+} // namespace waxwingyoke::net
 
-#endif // waxwingyoke_weights_Pacer_h
+#endif // waxwingyoke_net_Pacer_h
--- a/libs/weights/src/Pacer.cpp
+++ b/libs/net/src/Pacer.cpp
@@ -1,11 +1,11 @@
-#include "Pacer.h"
+#include <net/Pacer.h>
 
 #include <algorithm>
 #include <utility>
 
 #include <net/Runtime.h>
 
-namespace waxwingyoke::weights {
+namespace waxwingyoke::net {
 
 namespace {
 
@@ -48,7 +48,7 @@
 {
   auto wait = Take(aBytes);
   if (wait > utils::Millis(0)) {
-    net::Runtime::Sleep(wait);
+    Runtime::Sleep(wait);
   }
 }
 
@@ -80,4 +80,4 @@
   return bucket_.Take(aBytes + charged, clock_.Now());
 }
 
-} // namespace waxwingyoke::weights
+} // namespace waxwingyoke::net
--- a/libs/platform/include/platform/FleetSettings.h
+++ b/libs/platform/include/platform/FleetSettings.h
@@ -41,6 +41,8 @@
   std::map<std::string, std::string> regions;
   std::optional<net::Endpoint> callers;
   std::optional<net::Endpoint> readiness;
+  /** The VM's own link, bytes a second each way; 0: unknown. */
+  std::uint64_t linkBytesPerSecond = 0;
   /** First port for what our processes say to each other. */
   std::uint16_t firstPeerPort = 0;
   /** Addresses of a few entries; they may be gone. */
--- a/libs/weights/src/ChunkRoutes.cpp
+++ b/libs/weights/src/ChunkRoutes.cpp
@@ -60,7 +60,7 @@
 
 } // namespace
 
-ChunkRoutes::ChunkRoutes(const ChunkStore& aChunkStore, Pacer& aLink)
+ChunkRoutes::ChunkRoutes(const ChunkStore& aChunkStore, net::Pacer& aLink)
   : chunkStore_(aChunkStore)
   , link_(aLink)
 {
--- a/libs/weights/src/ChunkRoutes.h
+++ b/libs/weights/src/ChunkRoutes.h
@@ -5,9 +5,9 @@
 #include <string>
 
 #include <net/Router.h>
+#include <net/Pacer.h>
 
 #include "ChunkStore.h"
-#include "Pacer.h"
 #include "UploadLimit.h"
 
 namespace waxwingyoke::weights {
@@ -16,7 +16,7 @@
 class ChunkRoutes
 {
 public:
-  ChunkRoutes(const ChunkStore& aChunkStore, Pacer& aLink);
+  ChunkRoutes(const ChunkStore& aChunkStore, net::Pacer& aLink);
 
   /** For peers: whatever is checked, paced, a few answers at once. */
   void AddPeerRoutes(net::Router& aRouter, const std::string& aSecret);
@@ -39,7 +39,7 @@
   void WritePaced(const std::string& aBytes, net::ResponseWriter& aWriter);
 
   const ChunkStore& chunkStore_;
-  Pacer& link_;
+  net::Pacer& link_;
   utils::Clock clock_;
   boost::fibers::mutex mutex_;
   UploadLimit limit_;
--- a/libs/weights/src/Fetcher.cpp
+++ b/libs/weights/src/Fetcher.cpp
@@ -69,7 +69,7 @@
     GetUsualTime(aBytes) * kPatience, kMinDeadline, kMaxDeadline);
 }
 
-Fetcher::Fetcher(net::HttpClient& aHttp, Pacer& aLink)
+Fetcher::Fetcher(net::HttpClient& aHttp, net::Pacer& aLink)
   : http_(aHttp)
   , link_(aLink)
 {
--- a/libs/weights/src/Fetcher.h
+++ b/libs/weights/src/Fetcher.h
@@ -7,11 +7,11 @@
 #include <string>
 
 #include <net/HttpClient.h>
+#include <net/Pacer.h>
 #include <utils/Digest.h>
 #include <utils/Error.h>
 #include <utils/Time.h>
 
-#include "Pacer.h"
 
 namespace waxwingyoke::weights {
 
@@ -43,7 +43,7 @@
   std::uint64_t maxBytes = 0;
   utils::Millis deadline;
   /** The budget between regions; null within the region. */
-  Pacer* regionLink = nullptr;
+  net::Pacer* regionLink = nullptr;
   /** Asked between parts; false ends the fetch. */
   std::function<bool()> goOn;
   /** Told the bytes of each part. */
@@ -56,7 +56,7 @@
 class Fetcher
 {
 public:
-  Fetcher(net::HttpClient& aHttp, Pacer& aLink);
+  Fetcher(net::HttpClient& aHttp, net::Pacer& aLink);
 
   /**
    * The body, unchecked but for its length. NotFound, Overloaded,
@@ -73,7 +73,7 @@
                                       utils::Error& aReason);
 
   net::HttpClient& http_;
-  Pacer& link_;
+  net::Pacer& link_;
   utils::Clock clock_;
 };
 
--- a/libs/weights/src/Replicator.cpp
+++ b/libs/weights/src/Replicator.cpp
@@ -58,8 +58,8 @@
   const schema::DaemonSettings settings;
   ChunkStore chunkStore;
   RolloutLog rollout;
-  Pacer link;
-  Pacer regionLink;
+  net::Pacer link;
+  net::Pacer regionLink;
   RegionShare regionShare;
   ChunkRoutes routes;
   Offers offers;
--- a/libs/weights/src/Swarm.h
+++ b/libs/weights/src/Swarm.h
@@ -8,6 +8,7 @@
 
 #include <membership/Node.h>
 #include <net/HttpClient.h>
+#include <net/Pacer.h>
 #include <rpc/RpcClient.h>
 #include <schema/settings.pb.h>
 
@@ -15,7 +16,6 @@
 #include "Content.h"
 #include "Fetcher.h"
 #include "Offers.h"
-#include "Pacer.h"
 #include "PeerBook.h"
 #include "Picker.h"
 #include "RegionShare.h"
@@ -31,9 +31,9 @@
   rpc::RpcClient& rpc;
   ChunkStore& chunkStore;
   Offers& offers;
-  Pacer& link;
+  net::Pacer& link;
   /** Holds fetches from other regions to regionShare. */
-  Pacer& regionLink;
+  net::Pacer& regionLink;
   RegionShare& regionShare;
 };
 
--- a/libs/weights/tests/SwarmTest.cpp
+++ b/libs/weights/tests/SwarmTest.cpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include <ChunkSet.h>
-#include <Pacer.h>
+#include <net/Pacer.h>
 #include <PeerBook.h>
 #include <Picker.h>
 #include <RegionShare.h>
@@ -188,14 +188,14 @@
 
 TEST_CASE("a link's bytes wait by its rate, and live bytes push chunks back")
 {
-  TokenBucket bucket(1000);
+  net::TokenBucket bucket(1000);
   CHECK(bucket.Take(20, Millis(1000)) == Millis(0));
   CHECK(bucket.Take(100, Millis(1000)) == Millis(100));
   CHECK(bucket.Take(100, Millis(1000)) == Millis(200));
   CHECK(bucket.Take(100, Millis(1250)) == Millis(80));
-  CHECK(TokenBucket(0).Take(1 << 30, Millis(0)) == Millis(0));
+  CHECK(net::TokenBucket(0).Take(1 << 30, Millis(0)) == Millis(0));
 
-  Pacer pacer(1000, utils::Clock([] { return Millis(5000); }));
+  net::Pacer pacer(1000, utils::Clock([] { return Millis(5000); }));
   CHECK(pacer.Take(20) == Millis(0));
   pacer.Charge(300);
   pacer.Charge(200);
