Pieces take nine tenths of a side's link; old versions are used longer

Seen: upstreams that are added at second 5 take 7 s until they serve: sides that hold the first version never looked at what lies staged with them, so that all came from the origin.

--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -16,9 +16,9 @@
 // asked for a connection.
 constexpr Millis kProbeDelay(30);
 constexpr Millis kProbeTimeout(400);
-// Of the time in which all must be on a named version: work that is sent
-// before it begins a moment later.
-constexpr double kVersionShare = 0.8;
+// Before the time at which nothing may begin on an older version: work begins
+// a moment after it was sent, and the name took a moment to get here.
+constexpr Millis kVersionMargin(900);
 // Of the fleet's slack, for all entries together: a second send may arrive in
 // another window than it was counted in.
 constexpr double kSlackShare = 0.6;
@@ -103,9 +103,8 @@
   if (!named) {
     return 0;
   }
-  auto limit = static_cast<double>(settings_.bounds.version.value);
   auto age = utils::Clock::CountingSuspension().Now() - named->learntAt;
-  bool due = static_cast<double>(age.value) > limit * kVersionShare;
+  bool due = age > settings_.bounds.version - kVersionMargin;
   return due || !named->learntLive ? named->version : 0;
 }
 
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -23,7 +23,7 @@
 // Uploads share the paced link; more at a time only make each slower.
 constexpr int kMaxUploads = 3;
 // Of the VM's link, for pieces: the rest is for the upstream's events.
-constexpr double kNearLinkShare = 0.7;
+constexpr double kOwnLinkShare = 0.9;
 // Links between regions are shared by all sides and by live answers, and no
 // setting says what they carry.
 constexpr double kFarLinkShare = 0.3;
@@ -98,7 +98,7 @@
   , peers_(aPeers)
   , store_(aStore)
   , origin_(aOrigin)
-  , nearLink_(Scale(aSettings.linkBytesPerSecond, kNearLinkShare))
+  , ownLink_(Scale(aSettings.linkBytesPerSecond, kOwnLinkShare))
   , farLink_(Scale(aSettings.linkBytesPerSecond, kFarLinkShare))
 {
 }
@@ -168,8 +168,7 @@
   auto region = net::FindQuery(aRequest.target, kRegionQuery);
   if (bytes) {
     sSent.Add();
-    SendPaced(
-      *bytes, region == settings_.region ? nearLink_ : farLink_, aWriter);
+    SendPaced(*bytes, region, aWriter);
   } else {
     SendStatus(aWriter, kNotFound);
   }
@@ -179,15 +178,19 @@
 // A part at a time, so that the upstream's events wait behind one part at most.
 bool
 PieceExchange::SendPaced(const std::string& aBytes,
-                         net::Pacer& aLink,
+                         std::string_view aRegion,
                          net::ResponseWriter& aWriter)
 {
+  bool isFar = aRegion != settings_.region;
   bool sent =
     aWriter.Start(kOk, { { "Content-Type", "application/octet-stream" } });
   std::string_view rest = aBytes;
   while (sent && !rest.empty()) {
     auto part = rest.substr(0, kPartBytes);
-    aLink.Wait(part.size());
+    if (isFar) {
+      farLink_.Wait(part.size());
+    }
+    ownLink_.Wait(part.size());
     sent = aWriter.Write(part);
     rest.remove_prefix(part.size());
   }
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -90,7 +90,7 @@
   void ServePiece(const net::HttpRequest& aRequest,
                   net::ResponseWriter& aWriter);
   bool SendPaced(const std::string& aBytes,
-                 net::Pacer& aLink,
+                 std::string_view aRegion,
                  net::ResponseWriter& aWriter);
   void ServeList(const net::HttpRequest& aRequest,
                  net::ResponseWriter& aWriter);
@@ -112,8 +112,8 @@
   bool changedHere_ = false;
   int fetchers_ = 0;
   int uploads_ = 0;
-  /** Uploads within the region, and those to other regions. */
-  net::Pacer nearLink_;
+  /** All uploads, and those to other regions by themselves. */
+  net::Pacer ownLink_;
   net::Pacer farLink_;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
