Sides announce what lies staged from the start

Cause: sides whose upstream held the first version never read what lay staged, so sides of added upstreams took it from the origin, in 5 s.

--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -72,8 +72,12 @@
   void SendNotice(PeerRole aTo);
   void LoadLoop();
   bool EnsureLoaded();
-  bool Stage(const platform::EngineTraits& aEngine,
-             const NamedVersion& aTarget);
+  FetchOrder MakeOrder(const platform::EngineTraits& aEngine,
+                       const NamedVersion& aTarget);
+  bool BeginStaging(const platform::EngineTraits& aEngine,
+                    const NamedVersion& aTarget);
+  bool FetchStaged(const platform::EngineTraits& aEngine,
+                   const NamedVersion& aTarget);
   bool IsCurrent(const std::string& aModel, std::uint64_t aVersion);
   Millis GetSwitchDelay(const NamedVersion& aTarget) const;
   bool Switch(const platform::EngineTraits& aEngine,
@@ -285,9 +289,10 @@
   auto target = GetTarget(engine->model);
   if (GetHeld(*engine) >= target.version) {
     closed = false;
-    return true;
+    // What lies staged here others may want.
+    return BeginStaging(*engine, target);
   }
-  if (!Stage(*engine, target)) {
+  if (!BeginStaging(*engine, target) || !FetchStaged(*engine, target)) {
     return false;
   }
   auto delay = GetSwitchDelay(target);
@@ -304,34 +309,52 @@
   return GetTarget(aModel).version == aVersion;
 }
 
-bool
-Side::Impl::Stage(const platform::EngineTraits& aEngine,
-                  const NamedVersion& aTarget)
+FetchOrder
+Side::Impl::MakeOrder(const platform::EngineTraits& aEngine,
+                      const NamedVersion& aTarget)
 {
-  utils::Error reason;
-  auto keep = current;
   FetchOrder order;
-  order.origin = keep->FindOrigin();
+  order.origin = current->FindOrigin();
   order.isNew = aTarget.learntLive;
   order.isWanted = [this, model = aEngine.model, version = aTarget.version] {
     return IsCurrent(model, version);
   };
+  return order;
+}
+
+// Learns what the version consists of and what of it lies here.
+bool
+Side::Impl::BeginStaging(const platform::EngineTraits& aEngine,
+                         const NamedVersion& aTarget)
+{
   const auto& list = store.GetList();
-  if (list.model != aEngine.model || list.version != aTarget.version) {
-    auto begun = clock.Now();
-    auto fresh =
-      pieces.GetList(order, aEngine.model, aTarget.version, reason);
-    if (!fresh) {
-      logger.Report(reason, { { "step", "list" } });
-      return false;
-    }
-    store.Begin(*fresh);
-    noticeDue = true;
-    logger.Info("staging",
-                { { "version", std::to_string(aTarget.version) },
-                  { "missing", std::to_string(store.GetMissing().size()) },
-                  { "list_ms", std::to_string((clock.Now() - begun).value) } });
+  if (list.model == aEngine.model && list.version == aTarget.version) {
+    return true;
   }
+  utils::Error reason;
+  auto begun = clock.Now();
+  auto keep = current;
+  auto fresh = pieces.GetList(
+    MakeOrder(aEngine, aTarget), aEngine.model, aTarget.version, reason);
+  if (!fresh) {
+    logger.Report(reason, { { "step", "list" } });
+    return false;
+  }
+  store.Begin(*fresh);
+  noticeDue = true;
+  logger.Info("staging",
+              { { "version", std::to_string(aTarget.version) },
+                { "missing", std::to_string(store.GetMissing().size()) },
+                { "list_ms", std::to_string((clock.Now() - begun).value) } });
+  return true;
+}
+
+bool
+Side::Impl::FetchStaged(const platform::EngineTraits& aEngine,
+                        const NamedVersion& aTarget)
+{
+  auto keep = current;
+  auto order = MakeOrder(aEngine, aTarget);
   return pieces.FetchMissing(order) && order.isWanted();
 }
 
