--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -13,6 +13,8 @@
 constexpr Millis kPauseAfterFailure(200);
 // Several changes in a row are read together.
 constexpr Millis kPauseAfterChange(80);
+// A version is out of date seconds after the next is named.
+constexpr std::size_t kMaxVersions = 8;
 
 } // namespace
 
@@ -129,19 +131,53 @@
     return;
   }
   auto& named = versions_[aModel];
-  if (*version > named.version) {
-    named = { *version, clock_.Now(), started_ };
-    logger_.Info(
-      "version named",
-      { { "model", aModel }, { "version", std::to_string(*version) } });
+  if (!named.empty() && *version <= named.back().version) {
+    return;
+  }
+  if (named.size() == kMaxVersions) {
+    named.erase(named.begin());
   }
+  named.push_back({ *version, clock_.Now(), started_ });
+  logger_.Info(
+    "version named",
+    { { "model", aModel }, { "version", std::to_string(*version) } });
 }
 
 std::optional<NamedVersion>
 ConfigFollower::FindVersion(const std::string& aModel) const
 {
   auto row = versions_.find(aModel);
-  return row == versions_.end() ? std::nullopt : std::optional(row->second);
+  return row == versions_.end() ? std::nullopt
+                                : std::optional(row->second.back());
+}
+
+std::optional<NamedVersion>
+ConfigFollower::FindNextVersion(const std::string& aModel,
+                                std::uint64_t aHeld) const
+{
+  auto row = versions_.find(aModel);
+  if (row == versions_.end()) {
+    return std::nullopt;
+  }
+  auto next = std::ranges::upper_bound(
+    row->second, aHeld, {}, &NamedVersion::version);
+  return next == row->second.end() ? std::nullopt : std::optional(*next);
+}
+
+// What stood there at the start may have been named long before.
+std::uint64_t
+ConfigFollower::FindVersionOfAge(const std::string& aModel, Millis aAge) const
+{
+  auto row = versions_.find(aModel);
+  if (row == versions_.end()) {
+    return 0;
+  }
+  auto now = clock_.Now();
+  auto found = std::find_if(
+    row->second.rbegin(), row->second.rend(), [&](const NamedVersion& aNamed) {
+      return !aNamed.learntLive || now - aNamed.learntAt >= aAge;
+    });
+  return found == row->second.rend() ? 0 : found->version;
 }
 
 Millis
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <net/Runtime.h>
 #include <platform/FleetCodecs.h>
@@ -16,7 +17,7 @@
 
 namespace waxwingyoke::fleet {
 
-/** The newest version of a model that the operator named. */
+/** A version of a model that the operator named. */
 struct NamedVersion
 {
   std::uint64_t version = 0;
@@ -58,7 +59,14 @@
   {
     return config_;
   }
+  /** The newest version; empty while none is named. */
   std::optional<NamedVersion> FindVersion(const std::string& aModel) const;
+  /** The first version after aHeld; each has a time limit of its own. */
+  std::optional<NamedVersion> FindNextVersion(const std::string& aModel,
+                                              std::uint64_t aHeld) const;
+  /** The newest version that was learnt aAge ago or before; 0: none. */
+  std::uint64_t FindVersionOfAge(const std::string& aModel,
+                                 utils::Millis aAge) const;
 
   /** Since the configuration was last proved the newest. */
   utils::Millis GetAge() const;
@@ -85,7 +93,8 @@
   std::shared_ptr<const platform::FleetConfig> config_;
   std::string text_;
   std::uint64_t offset_ = 0;
-  std::map<std::string, NamedVersion> versions_;
+  /** By model, in ascending order. */
+  std::map<std::string, std::vector<NamedVersion>> versions_;
   bool started_ = false;
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -99,13 +99,8 @@
 std::uint64_t
 EntryServices::FindMinVersion(const std::string& aModel) const
 {
-  auto named = config_.FindVersion(aModel);
-  if (!named) {
-    return 0;
-  }
-  auto age = utils::Clock::CountingSuspension().Now() - named->learntAt;
-  bool due = age > settings_.bounds.version - kVersionMargin;
-  return due || !named->learntLive ? named->version : 0;
+  return config_.FindVersionOfAge(aModel,
+                                  settings_.bounds.version - kVersionMargin);
 }
 
 void
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -79,7 +79,9 @@
   bool FetchStaged(const platform::EngineTraits& aEngine,
                    const NamedVersion& aTarget);
   bool IsCurrent(const std::string& aModel, std::uint64_t aVersion);
-  Millis GetSwitchDelay(const NamedVersion& aTarget) const;
+  Millis GetSwitchDelay(const std::string& aModel,
+                        std::uint64_t aHeld,
+                        const NamedVersion& aTarget) const;
   bool Switch(const platform::EngineTraits& aEngine,
               const NamedVersion& aTarget);
   bool AwaitLoaded(const platform::EngineTraits& aEngine,
@@ -295,7 +297,7 @@
   if (!BeginStaging(*engine, target) || !FetchStaged(*engine, target)) {
     return false;
   }
-  auto delay = GetSwitchDelay(target);
+  auto delay = GetSwitchDelay(engine->model, GetHeld(*engine), target);
   logger.Info("staged",
               { { "version", std::to_string(target.version) },
                 { "switch_in_ms", std::to_string(delay.value) } });
@@ -359,7 +361,9 @@
 }
 
 Millis
-Side::Impl::GetSwitchDelay(const NamedVersion& aTarget) const
+Side::Impl::GetSwitchDelay(const std::string& aModel,
+                           std::uint64_t aHeld,
+                           const NamedVersion& aTarget) const
 {
   SwitchTerms terms;
   std::vector<std::string> vms{ settings.vm };
@@ -371,7 +375,9 @@
   terms.rank = static_cast<std::size_t>(std::ranges::find(ranked, settings.vm) -
                                         ranked.begin());
   terms.idle = !report || report->held.empty() || !aTarget.learntLive;
-  terms.age = clock.Now() - aTarget.learntAt;
+  // With two versions named in a row the first one's limit binds.
+  auto next = config.FindNextVersion(aModel, aHeld).value_or(aTarget);
+  terms.age = clock.Now() - next.learntAt;
   terms.limit = settings.bounds.version;
   return PlanSwitch(terms);
 }
