Unit tests of the adapter, the decisions and the followers; a busy pass reads too

Cause: two engines with three and one requests were predicted alike, found by the test that work goes where least runs.

--- a/libs/dispatch/include/dispatch/EngineModel.h
+++ b/libs/dispatch/include/dispatch/EngineModel.h
@@ -29,6 +29,9 @@
   /** One pass of the batch with that many writers, without reading, ms. */
   double GetPassMs(std::uint32_t aWriters) const;
 
+  /** The same with the reading that it usually does besides, ms. */
+  double GetBusyPassMs(std::uint32_t aWriters) const;
+
   /** Reading a prompt, ms. */
   double GetReadMs(double aPromptTokens) const;
 
--- a/libs/dispatch/src/EngineModel.cpp
+++ b/libs/dispatch/src/EngineModel.cpp
@@ -27,6 +27,14 @@
   return stepsPerPass_ * (stepMs_ + stepMsPerRequest_ * writers);
 }
 
+// Each writer that ends is followed by one whose prompt is read in between.
+double
+EngineModel::GetBusyPassMs(std::uint32_t aWriters) const
+{
+  auto writers = std::min(aWriters, slots_);
+  return GetPassMs(aWriters) + usualReadMs_ * writers / usualPasses_;
+}
+
 double
 EngineModel::GetReadMs(double aPromptTokens) const
 {
@@ -36,21 +44,19 @@
          pairMsPerMillion_ * pairs / kMillion;
 }
 
-// A full batch ends one request in each share of a request's passes, and
-// reads one prompt for each that ends.
+// A full batch ends one request in each share of a request's passes.
 double
 EngineModel::GetTurnoverMs() const
 {
-  return GetPassMs(slots_) * usualPasses_ / slots_ + usualReadMs_;
+  return GetBusyPassMs(slots_) * usualPasses_ / slots_;
 }
 
 double
 EngineModel::PredictFirstEventMs(const EngineLoad& aLoad,
                                  std::uint32_t aPromptTokens) const
 {
-  double pass = GetPassMs(aLoad.requests);
   // A pass that runs is half done on average.
-  double wait = aLoad.requests > 0 ? pass / 2 : 0;
+  double wait = aLoad.requests > 0 ? GetBusyPassMs(aLoad.requests) / 2 : 0;
   if (aLoad.requests >= slots_) {
     wait += GetTurnoverMs() * (aLoad.requests - slots_ + 1);
   }
--- /dev/null
+++ b/libs/dispatch/tests/LoadPatternsTest.cpp
@@ -0,0 +1,197 @@
+// Loads that the placement must stand, played on models of the upstreams
+// with a clock that is stepped by hand.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+#include <dispatch/ReturnPlanner.h>
+#include <dispatch/UpstreamBook.h>
+#include <dispatch/WaitingLine.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::dispatch;
+using utils::Millis;
+
+namespace {
+
+constexpr std::uint32_t kSlots = 16;
+
+platform::EngineTraits
+MakeTraits()
+{
+  platform::EngineTraits traits;
+  traits.slots = kSlots;
+  traits.stepsPerPass = 5;
+  traits.stepMs = 9;
+  traits.stepMsPerRequest = 0.04;
+  traits.readTokensPerMs = 20;
+  traits.usualPromptTokens = 1000;
+  traits.usualAnswerTokens = 100;
+  return traits;
+}
+
+/** Upstreams that hold each request for a fixed time. */
+class Fleet
+{
+public:
+  explicit Fleet(int aUpstreams)
+  {
+    for (int i = 0; i < aUpstreams; ++i) {
+      Add("up" + std::to_string(i));
+    }
+  }
+
+  void Add(const std::string& aId)
+  {
+    platform::Upstream upstream;
+    upstream.id = aId;
+    upstream.service = "engines";
+    upstream.slots = kSlots;
+    upstream.dataCentre = "dc1";
+    upstream.held = { { "model", 1, 0, 1 } };
+    book.Put(upstream);
+  }
+
+  bool Offer(Millis aNow)
+  {
+    Finish(aNow);
+    PlaceQuery query;
+    query.service = "engines";
+    query.engine = &model;
+    query.model = "model";
+    query.layers = 1;
+    query.promptTokens = 1000;
+    query.dataCentre = "dc1";
+    query.timeLeft = Millis(450);
+    auto place = book.FindPlace(query, aNow);
+    if (place) {
+      ++place->upstream->own.running;
+      running.push_back({ aNow + kHold, place->upstream });
+    }
+    return place.has_value();
+  }
+
+  std::uint32_t GetMost() const
+  {
+    std::uint32_t most = 0;
+    for (const auto& [id, state] : book.GetAll()) {
+      most = std::max(most, state->own.running);
+    }
+    return most;
+  }
+
+  EngineModel model{ MakeTraits() };
+  UpstreamBook book;
+
+private:
+  static constexpr Millis kHold{ 2000 };
+
+  struct Running
+  {
+    Millis until;
+    UpstreamPointer upstream;
+  };
+
+  void Finish(Millis aNow)
+  {
+    while (!running.empty() && running.front().until <= aNow) {
+      --running.front().upstream->own.running;
+      running.pop_front();
+    }
+  }
+
+  std::deque<Running> running;
+};
+
+} // namespace
+
+TEST_CASE("flash crowd: upstreams fill up evenly and no queue hides")
+{
+  Fleet fleet(4);
+  int taken = 0;
+  for (int i = 0; i < 500; ++i) {
+    taken += fleet.Offer(Millis(1000)) ? 1 : 0;
+  }
+  CHECK(taken >= 4 * static_cast<int>(kSlots));
+  CHECK(fleet.GetMost() <= kSlots + 2);
+}
+
+TEST_CASE("overload: half of twice the capacity is taken, all the time")
+{
+  Fleet fleet(4);
+  int offered = 0;
+  int taken = 0;
+  // 64 slots held for 2 s make 32 a second; 64 are offered.
+  for (std::int64_t ms = 0; ms < 20000; ms += 1000 / 64) {
+    ++offered;
+    taken += fleet.Offer(Millis(ms)) ? 1 : 0;
+  }
+  CHECK(taken > offered * 45 / 100);
+  CHECK(fleet.GetMost() <= kSlots + 2);
+}
+
+TEST_CASE("cold fleet: an added upstream takes work at once")
+{
+  Fleet fleet(1);
+  while (fleet.Offer(Millis(1000))) {
+  }
+  fleet.Add("added");
+  CHECK(fleet.Offer(Millis(1000)));
+  CHECK(fleet.book.Find("added")->own.running == 1);
+}
+
+TEST_CASE("slow upstream: its pace sends work elsewhere")
+{
+  Fleet fleet(2);
+  fleet.book.TakeSideReport("up0", { 1, true, 6 }, Millis(1000));
+  for (int i = 0; i < 8; ++i) {
+    fleet.Offer(Millis(1000));
+  }
+  CHECK(fleet.book.Find("up0")->own.running == 0);
+  CHECK(fleet.book.Find("up1")->own.running == 8);
+}
+
+TEST_CASE("retry storm: refused callers get moments of their own")
+{
+  ReturnPlanner planner;
+  for (std::int64_t ms = 1000; ms < 3000; ms += 20) {
+    planner.NoteRelease(Millis(ms));
+  }
+  std::vector<Millis> returns;
+  for (int i = 0; i < 20; ++i) {
+    returns.push_back(planner.PlanReturn(Millis(3000)));
+  }
+  CHECK(std::ranges::is_sorted(returns));
+  // A quarter of 50 releases a second is one place in 80 ms.
+  CHECK((returns.back() - returns.front()) >= Millis(19 * 70));
+  CHECK(returns.front() >= Millis(100));
+}
+
+TEST_CASE("thundering herd: those who wait are served by rank, then by age")
+{
+  WaitingLine line;
+  std::vector<int> served;
+  int free = 0;
+  auto join = [&](int aName, int aPriority, bool aReturned, Millis aAt) {
+    Waiter waiter;
+    waiter.priority = aPriority;
+    waiter.returned = aReturned;
+    waiter.arrived = aAt;
+    waiter.tryTake = [&free] { return free > 0 && free-- > 0; };
+    waiter.wake = [&served, aName] { served.push_back(aName); };
+    return line.Join(std::move(waiter));
+  };
+  join(1, 2, false, Millis(1));
+  join(2, 1, false, Millis(3));
+  join(3, 1, true, Millis(4));
+  join(4, 1, false, Millis(2));
+  free = 2;
+  line.Serve();
+  CHECK(served == std::vector<int>{ 3, 4 });
+  free = 5;
+  line.Serve();
+  CHECK(served == std::vector<int>{ 3, 4, 2, 1 });
+}
--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -159,8 +159,8 @@
   if (row == versions_.end()) {
     return std::nullopt;
   }
-  auto next = std::ranges::upper_bound(
-    row->second, aHeld, {}, &NamedVersion::version);
+  auto next =
+    std::ranges::upper_bound(row->second, aHeld, {}, &NamedVersion::version);
   return next == row->second.end() ? std::nullopt : std::optional(*next);
 }
 
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -224,11 +224,10 @@
   net::HttpRequest request;
   request.target = kListPath + aModel + "/" + std::to_string(aVersion);
   utils::Error reason;
-  auto response =
-    client_.Call(aPeer.endpoint,
-                 request,
-                 { kConnectTimeout, kListTimeout, kListTimeout },
-                 reason);
+  auto response = client_.Call(aPeer.endpoint,
+                               request,
+                               { kConnectTimeout, kListTimeout, kListTimeout },
+                               reason);
   if (!response || response->status != kOk) {
     return std::nullopt;
   }
@@ -299,9 +298,8 @@
   query.ownVm = settings_.vm;
   query.isNearOrigin = settings_.region == originRegion;
   query.missing = store_.GetMissing();
-  std::ranges::for_each(onTheWay_, [&query](std::uint32_t aPiece) {
-    query.missing.erase(aPiece);
-  });
+  std::ranges::for_each(
+    onTheWay_, [&query](std::uint32_t aPiece) { query.missing.erase(aPiece); });
   query.running = downloads_;
   query.elapsed = clock_.Now() - begunAt_;
   query.isNew = aOrder.isNew;
@@ -331,11 +329,8 @@
     static auto& sFromOrigin =
       telemetry::Metrics::Get().GetCounter("fleet_pieces_from_origin_total");
     sFromOrigin.Add();
-    return origin_.GetPiece(*aOrder.origin->origin,
-                            list.model,
-                            list.version,
-                            aChoice.piece,
-                            aReason);
+    return origin_.GetPiece(
+      *aOrder.origin->origin, list.model, list.version, aChoice.piece, aReason);
   }
   auto& row = announcements_[aChoice.vm];
   net::HttpRequest request;
@@ -376,9 +371,10 @@
     return true;
   }
   if (reason.IsSet() && reason.kind != utils::ErrorKind::Overloaded) {
-    logger_.Report(reason,
-                   { { "piece", std::to_string(aChoice.piece) },
-                     { "source", aChoice.vm.empty() ? "origin" : aChoice.vm } });
+    logger_.Report(
+      reason,
+      { { "piece", std::to_string(aChoice.piece) },
+        { "source", aChoice.vm.empty() ? "origin" : aChoice.vm } });
   }
   return false;
 }
@@ -388,8 +384,7 @@
 {
   while (aOrder.isWanted() && !store_.GetMissing().empty()) {
     auto choice = PickPiece(MakeQuery(aOrder));
-    bool possible =
-      choice && (!choice->vm.empty() || aOrder.origin != nullptr);
+    bool possible = choice && (!choice->vm.empty() || aOrder.origin != nullptr);
     if (!possible) {
       std::unique_lock lock(mutex_);
       changed_.wait_for(lock, kPickInterval.ToChrono());
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -72,9 +72,9 @@
         continue;
       }
       ++holders;
-      bool better =
-        source == nullptr || utils::StableHash(side.vm, OwnOrder(aQuery, piece)) <
-                               utils::StableHash(source->vm, OwnOrder(aQuery, piece));
+      bool better = source == nullptr ||
+                    utils::StableHash(side.vm, OwnOrder(aQuery, piece)) <
+                      utils::StableHash(source->vm, OwnOrder(aQuery, piece));
       if (CanAsk(aQuery, side) && better) {
         source = &side;
       }
@@ -106,8 +106,8 @@
         aQuery.elapsed < kFarRankDelay * GetRank(aQuery, piece, false)) {
       continue;
     }
-    auto source = std::ranges::find_if(
-      aQuery.sides, [&](const PieceHolder& aSide) {
+    auto source =
+      std::ranges::find_if(aQuery.sides, [&](const PieceHolder& aSide) {
         return !aSide.isNear && Has(aSide, piece) && CanAsk(aQuery, aSide);
       });
     if (source != aQuery.sides.end()) {
--- /dev/null
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -0,0 +1,221 @@
+#include <doctest/doctest.h>
+
+#include <ConfigFollower.h>
+#include <DirectoryFollower.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::fleet;
+using platform::KeyedPage;
+using platform::Topic;
+using utils::Millis;
+
+namespace {
+
+/** A log whose answers the test sets. */
+class ScriptedLog : public platform::KeyedLog
+{
+public:
+  std::optional<KeyedPage> ReadNewest(Topic, utils::Error& aReason) override
+  {
+    if (!answers) {
+      aReason.Set(utils::ErrorKind::LogUnavailable, "away");
+      return std::nullopt;
+    }
+    return newest;
+  }
+
+  std::optional<KeyedPage> Read(Topic,
+                                std::uint64_t,
+                                Millis,
+                                utils::Error& aReason) override
+  {
+    if (trimmed) {
+      trimmed = false;
+      aReason.Set(utils::ErrorKind::LogTrimmed, "trimmed");
+      return std::nullopt;
+    }
+    if (!answers) {
+      aReason.Set(utils::ErrorKind::LogUnavailable, "away");
+      return std::nullopt;
+    }
+    return news;
+  }
+
+  bool Append(Topic,
+              const std::string&,
+              const std::string&,
+              utils::Error&) override
+  {
+    return answers;
+  }
+
+  bool answers = true;
+  bool trimmed = false;
+  KeyedPage newest;
+  KeyedPage news;
+};
+
+// Configurations are "VERSION", named versions "vNUMBER", upstreams their
+// state.
+platform::FleetCodecs
+MakeCodecs()
+{
+  platform::FleetCodecs codecs;
+  codecs.parseOperatorKey = [](std::string_view aKey) {
+    platform::OperatorKey key;
+    key.isConfig = aKey == "config";
+    key.model = key.isConfig ? "" : std::string(aKey);
+    return key;
+  };
+  codecs.parseConfig =
+    [](std::string_view aText,
+       utils::Error& aReason) -> std::optional<platform::FleetConfig> {
+    if (aText == "broken") {
+      aReason.Set(utils::ErrorKind::BadRequest, "broken");
+      return std::nullopt;
+    }
+    platform::FleetConfig config;
+    config.version = std::strtoull(std::string(aText).c_str(), nullptr, 10);
+    return config;
+  };
+  codecs.parseNamedVersion = [](std::string_view aText, utils::Error&) {
+    return std::optional<std::uint64_t>(
+      std::strtoull(std::string(aText).c_str(), nullptr, 10));
+  };
+  codecs.parseUpstream =
+    [](std::string_view aId,
+       std::string_view aText,
+       utils::Error& aReason) -> std::optional<platform::Upstream> {
+    if (aText == "broken") {
+      aReason.Set(utils::ErrorKind::BadRequest, "broken");
+      return std::nullopt;
+    }
+    platform::Upstream upstream;
+    upstream.id = aId;
+    upstream.draining = aText == "draining";
+    return upstream;
+  };
+  return codecs;
+}
+
+KeyedPage
+MakePage(std::vector<platform::KeyedRecord> aRecords, std::uint64_t aEnd)
+{
+  return { std::move(aRecords), aEnd };
+}
+
+} // namespace
+
+TEST_CASE("a configuration never goes back, and a broken one changes nothing")
+{
+  ScriptedLog log;
+  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  CHECK(follower.Poll());
+  REQUIRE(follower.GetConfig());
+  CHECK(follower.GetConfig()->version == 5);
+  log.news = MakePage({ { "config", "3", 1, false } }, 2);
+  follower.Poll();
+  CHECK(follower.GetConfig()->version == 5);
+  log.news = MakePage({ { "config", "broken", 2, false } }, 3);
+  follower.Poll();
+  CHECK(follower.GetConfig()->version == 5);
+  log.news = MakePage({ { "config", "9", 3, false } }, 4);
+  follower.Poll();
+  CHECK(follower.GetConfig()->version == 9);
+}
+
+TEST_CASE("without a log nothing is known, and the age says so")
+{
+  ScriptedLog log;
+  log.answers = false;
+  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  CHECK_FALSE(follower.Poll());
+  CHECK_FALSE(follower.GetConfig());
+  CHECK(follower.GetAge() > Millis(1000000));
+}
+
+TEST_CASE("another entry's record counts with its age")
+{
+  ScriptedLog log;
+  log.answers = false;
+  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  follower.Take({ "7", 4, Millis(1500) });
+  REQUIRE(follower.GetConfig());
+  CHECK(follower.GetConfig()->version == 7);
+  CHECK(follower.GetAge() >= Millis(1500));
+  CHECK(follower.GetAge() < Millis(60000));
+  // An older proof does not make it older.
+  follower.Take({ "7", 4, Millis(90000) });
+  CHECK(follower.GetAge() < Millis(60000));
+}
+
+TEST_CASE("each named version keeps its own time")
+{
+  ScriptedLog log;
+  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  log.newest = MakePage({ { "model", "1", 0, false } }, 1);
+  follower.Poll();
+  CHECK_FALSE(follower.FindVersion("model")->learntLive);
+  log.news =
+    MakePage({ { "model", "2", 1, false }, { "model", "3", 2, false } }, 3);
+  follower.Poll();
+  CHECK(follower.FindVersion("model")->version == 3);
+  CHECK(follower.FindVersion("model")->learntLive);
+  CHECK(follower.FindNextVersion("model", 1)->version == 2);
+  CHECK_FALSE(follower.FindNextVersion("model", 3));
+  // Version 1 stood there at the start; the others are young.
+  CHECK(follower.FindVersionOfAge("model", Millis(5000)) == 1);
+  CHECK(follower.FindVersionOfAge("model", Millis(0)) == 3);
+}
+
+TEST_CASE("a trimmed topic is read anew")
+{
+  ScriptedLog log;
+  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  follower.Poll();
+  log.trimmed = true;
+  CHECK_FALSE(follower.Poll());
+  log.newest = MakePage({ { "config", "6", 9, false } }, 10);
+  CHECK(follower.Poll());
+  CHECK(follower.GetConfig()->version == 6);
+}
+
+TEST_CASE("the directory: draining, dropped and unreadable entries")
+{
+  ScriptedLog log;
+  dispatch::UpstreamBook book;
+  DirectoryFollower directory(log, MakeCodecs(), book);
+  log.newest = MakePage({ { "a", "ready", 0, false },
+                          { "b", "ready", 1, false },
+                          { "c", "broken", 2, false } },
+                        3);
+  directory.Poll();
+  CHECK(book.Find("a"));
+  CHECK(book.Find("b"));
+  CHECK_FALSE(book.Find("c"));
+  log.news =
+    MakePage({ { "a", "draining", 3, false }, { "b", "", 4, true } }, 5);
+  directory.Poll();
+  CHECK(book.Find("a")->record.draining);
+  CHECK_FALSE(book.Find("b"));
+}
+
+TEST_CASE("entries that lapsed while the log was away stay for a while")
+{
+  ScriptedLog log;
+  dispatch::UpstreamBook book;
+  DirectoryFollower directory(log, MakeCodecs(), book);
+  log.newest = MakePage({ { "a", "ready", 0, false } }, 1);
+  directory.Poll();
+  log.answers = false;
+  directory.Poll();
+  log.answers = true;
+  log.news = MakePage({ { "a", "", 1, true } }, 2);
+  directory.Poll();
+  CHECK(book.Find("a"));
+  log.news = MakePage({ { "a", "ready", 2, false } }, 3);
+  directory.Poll();
+  CHECK(book.Find("a"));
+}
--- /dev/null
+++ b/libs/fleet/tests/WeightLoaderTest.cpp
@@ -0,0 +1,240 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+#include <PiecePicker.h>
+#include <PieceStore.h>
+#include <WeightLoader.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::fleet;
+using utils::Millis;
+
+namespace {
+
+/** A staging area in memory. */
+class StagingArea : public platform::LocalUpstream
+{
+public:
+  std::optional<platform::UpstreamReport> GetReport(utils::Error&) override
+  {
+    return platform::UpstreamReport();
+  }
+  std::optional<std::vector<std::uint32_t>> ListStaged(const std::string&,
+                                                       utils::Error&) override
+  {
+    std::vector<std::uint32_t> numbers;
+    for (const auto& [number, bytes] : staged) {
+      numbers.push_back(number);
+    }
+    return numbers;
+  }
+  std::optional<std::string> GetStaged(const std::string&,
+                                       std::uint32_t aPiece,
+                                       utils::Error& aReason) override
+  {
+    auto row = staged.find(aPiece);
+    if (row == staged.end()) {
+      aReason.Set(utils::ErrorKind::NotFound, "not staged");
+      return std::nullopt;
+    }
+    return row->second;
+  }
+  bool PutStaged(const std::string&,
+                 std::uint32_t aPiece,
+                 const std::string& aBytes,
+                 utils::Error&) override
+  {
+    staged[aPiece] = aBytes;
+    return true;
+  }
+  std::optional<platform::OrderResult> OrderLoad(const std::string&,
+                                                 std::uint64_t,
+                                                 utils::Error&) override
+  {
+    return platform::OrderResult::Begun;
+  }
+
+  std::map<std::uint32_t, std::string> staged;
+};
+
+platform::PieceList
+MakeList(std::uint64_t aVersion, const std::vector<std::string>& aPieces)
+{
+  platform::PieceList list;
+  list.model = "model";
+  list.version = aVersion;
+  std::ranges::transform(
+    aPieces, std::back_inserter(list.digests), [](const auto& aBytes) {
+      return utils::Digest::Of(aBytes);
+    });
+  return list;
+}
+
+PieceHolder
+MakeSide(const std::string& aVm, std::vector<bool> aPieces, bool aNear = true)
+{
+  PieceHolder side;
+  side.vm = aVm;
+  side.isNear = aNear;
+  side.isNearOrigin = aNear;
+  side.pieces = std::move(aPieces);
+  return side;
+}
+
+} // namespace
+
+TEST_CASE("only bytes with the wanted digest are staged")
+{
+  StagingArea area;
+  PieceStore store(area);
+  store.Begin(MakeList(1, { "zero", "one" }));
+  CHECK(store.GetMissing().size() == 2);
+  utils::Error reason;
+  CHECK_FALSE(store.Put(0, "damaged", reason));
+  CHECK(reason.kind == utils::ErrorKind::DigestMismatch);
+  CHECK(store.Put(0, "zero", reason));
+  CHECK(store.GetMissing() == std::set<std::uint32_t>{ 1 });
+  CHECK(store.Get(utils::Digest::Of("zero")) == "zero");
+}
+
+TEST_CASE("pieces that lie there are kept if they are whole")
+{
+  StagingArea area;
+  area.staged = { { 0, "zero" }, { 1, "damaged" } };
+  PieceStore store(area);
+  store.Begin(MakeList(1, { "zero", "one" }));
+  CHECK(store.GetMissing() == std::set<std::uint32_t>{ 1 });
+}
+
+TEST_CASE("a piece that was damaged where it lies is missing again")
+{
+  StagingArea area;
+  PieceStore store(area);
+  store.Begin(MakeList(1, { "zero", "one" }));
+  utils::Error reason;
+  store.Put(0, "zero", reason);
+  store.Put(1, "one", reason);
+  CHECK(store.GetMissing().empty());
+  area.staged[1] = "rotten";
+  store.Verify();
+  CHECK(store.GetMissing() == std::set<std::uint32_t>{ 1 });
+  CHECK_FALSE(store.Get(utils::Digest::Of("one")));
+}
+
+TEST_CASE("the next version keeps the pieces that it shares")
+{
+  StagingArea area;
+  PieceStore store(area);
+  utils::Error reason;
+  store.Begin(MakeList(1, { "zero", "one" }));
+  store.Put(0, "zero", reason);
+  store.Put(1, "one", reason);
+  store.Begin(MakeList(2, { "zero", "new one" }));
+  CHECK(store.GetMissing() == std::set<std::uint32_t>{ 1 });
+}
+
+TEST_CASE("within a region the rarest piece comes first")
+{
+  PickQuery query;
+  query.ownVm = "me";
+  query.missing = { 0, 1 };
+  query.sides = { MakeSide("a", { true, true }),
+                  MakeSide("b", { true, false }) };
+  auto choice = PickPiece(query);
+  REQUIRE(choice);
+  CHECK(choice->piece == 1);
+  CHECK(choice->vm == "a");
+}
+
+TEST_CASE("a busy side, and one that uploads to us already, is not asked")
+{
+  PickQuery query;
+  query.ownVm = "me";
+  query.missing = { 0 };
+  query.sides = { MakeSide("a", { true }) };
+  query.sides[0].isBusy = true;
+  CHECK_FALSE(PickPiece(query));
+  query.sides[0].isBusy = false;
+  query.running["a"] = 1;
+  CHECK_FALSE(PickPiece(query));
+  query.running.clear();
+  CHECK(PickPiece(query));
+}
+
+TEST_CASE("of a new version one side at first takes each piece of the origin")
+{
+  std::vector<std::string> vms{ "a", "b", "c", "d" };
+  std::map<std::uint32_t, int> askers;
+  for (const auto& own : vms) {
+    PickQuery query;
+    query.ownVm = own;
+    query.isNearOrigin = true;
+    query.isNew = true;
+    for (const auto& vm : vms) {
+      if (vm != own) {
+        query.sides.push_back(MakeSide(vm, {}));
+      }
+    }
+    for (std::uint32_t piece = 0; piece < 48; ++piece) {
+      query.missing = { piece };
+      auto choice = PickPiece(query);
+      askers[piece] += choice && choice->vm.empty() ? 1 : 0;
+    }
+  }
+  CHECK(std::ranges::all_of(askers,
+                            [](const auto& aRow) { return aRow.second == 1; }));
+}
+
+TEST_CASE("others step in for a piece that nobody brings")
+{
+  PickQuery query;
+  query.ownVm = "me";
+  query.isNearOrigin = true;
+  query.isNew = true;
+  query.sides = { MakeSide("a", {}), MakeSide("b", {}), MakeSide("c", {}) };
+  query.elapsed = Millis(10000);
+  for (std::uint32_t piece = 0; piece < 48; ++piece) {
+    query.missing = { piece };
+    CHECK(PickPiece(query));
+  }
+}
+
+TEST_CASE("of a version that is not new others are heard before the origin")
+{
+  PickQuery query;
+  query.ownVm = "me";
+  query.isNearOrigin = true;
+  query.missing = { 0 };
+  CHECK_FALSE(PickPiece(query));
+  query.elapsed = Millis(5000);
+  CHECK(PickPiece(query));
+}
+
+TEST_CASE("upstreams switch in waves, and all before the limit")
+{
+  SwitchTerms terms;
+  terms.sides = 12;
+  terms.limit = Millis(8000);
+  terms.age = Millis(2000);
+  std::vector<Millis> delays;
+  for (terms.rank = 0; terms.rank < terms.sides; ++terms.rank) {
+    delays.push_back(PlanSwitch(terms));
+  }
+  CHECK(std::ranges::is_sorted(delays));
+  CHECK(delays.front() < delays.back());
+  CHECK(terms.age + delays.back() < terms.limit);
+  // No wave takes more than half of the upstreams.
+  CHECK(std::ranges::count(delays, delays.front()) <= 6);
+}
+
+TEST_CASE("an upstream that serves nothing switches at once")
+{
+  SwitchTerms terms;
+  terms.rank = 11;
+  terms.sides = 12;
+  terms.limit = Millis(8000);
+  terms.idle = true;
+  CHECK(PlanSwitch(terms) == Millis(0));
+}
--- a/libs/weights/src/ChunkRoutes.h
+++ b/libs/weights/src/ChunkRoutes.h
@@ -4,8 +4,8 @@
 #include <atomic>
 #include <string>
 
-#include <net/Router.h>
 #include <net/Pacer.h>
+#include <net/Router.h>
 
 #include "ChunkStore.h"
 #include "UploadLimit.h"
--- a/libs/weights/src/Fetcher.h
+++ b/libs/weights/src/Fetcher.h
@@ -12,7 +12,6 @@
 #include <utils/Error.h>
 #include <utils/Time.h>
 
-
 namespace waxwingyoke::weights {
 
 /** The rate at which chunks came lately, and the deadlines that follow. */
--- a/libs/weights/tests/SwarmTest.cpp
+++ b/libs/weights/tests/SwarmTest.cpp
@@ -5,12 +5,12 @@
 #include <vector>
 
 #include <ChunkSet.h>
-#include <net/Pacer.h>
 #include <PeerBook.h>
 #include <Picker.h>
 #include <RegionShare.h>
 #include <StepIn.h>
 #include <UploadLimit.h>
+#include <net/Pacer.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::weights;
