--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -12,7 +12,9 @@
 
 // Upstreams write every second or so and a read returns at once; half of the
 // two seconds in which a leaving upstream must get no more work.
-constexpr Millis kPollInterval(800);
+constexpr Millis kPollInterval(700);
+// A lost answer must not cost a leaving upstream's time.
+constexpr Millis kPauseAfterFailure(40);
 // Upstreams that live register again within about two seconds of the log's
 // return.
 constexpr Millis kReturnTime(2500);
@@ -40,23 +42,20 @@
 DirectoryFollower::Loop()
 {
   while (true) {
-    Poll();
-    net::Runtime::Sleep(kPollInterval);
+    bool answered = Poll();
+    net::Runtime::Sleep(answered ? kPollInterval : kPauseAfterFailure);
   }
 }
 
-void
+bool
 DirectoryFollower::Poll()
 {
-  if (started_) {
-    ReadNews();
-  } else {
-    ReadAll();
-  }
+  bool answered = started_ ? ReadNews() : ReadAll();
   RemoveOverdue();
   if (onChange_) {
     onChange_();
   }
+  return answered;
 }
 
 void
@@ -74,14 +73,14 @@
   }
 }
 
-void
+bool
 DirectoryFollower::ReadAll()
 {
   utils::Error reason;
   auto page = log_.ReadNewest(Topic::Upstreams, reason);
   NoteLog(page.has_value());
   if (!page) {
-    return;
+    return false;
   }
   std::set<std::string> there;
   for (const auto& record : page->records) {
@@ -95,9 +94,10 @@
   });
   end_ = page->end;
   started_ = true;
+  return true;
 }
 
-void
+bool
 DirectoryFollower::ReadNews()
 {
   utils::Error reason;
@@ -106,15 +106,15 @@
   NoteLog(page.has_value() || trimmed);
   if (trimmed) {
     started_ = false;
-    ReadAll();
-    return;
+    return ReadAll();
   }
   if (!page) {
-    return;
+    return false;
   }
   std::ranges::for_each(page->records,
                         [this](const auto& aRecord) { Apply(aRecord); });
   end_ = page->end;
+  return true;
 }
 
 void
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -29,13 +29,13 @@
 
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
-  /** Reads once and applies what is due. */
-  void Poll();
+  /** Reads once and applies what is due; false where the log is silent. */
+  bool Poll();
 
 private:
   void Loop();
-  void ReadAll();
-  void ReadNews();
+  bool ReadAll();
+  bool ReadNews();
   void Apply(const platform::KeyedRecord& aRecord);
   void Remove(const std::string& aId, bool aAtOnce);
   void RemoveOverdue();
