--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -33,6 +33,8 @@
 // About the time that an upload takes.
 constexpr Millis kBusyPause(40);
 constexpr Millis kPickInterval(25);
+// Each side tries an origin that does not answer this often.
+constexpr Millis kOriginPause(250);
 constexpr Millis kConnectTimeout(500);
 constexpr Millis kPieceTimeout(2500);
 constexpr Millis kListTimeout(800);
@@ -303,6 +305,8 @@
   query.running = downloads_;
   query.elapsed = clock_.Now() - begunAt_;
   query.isNew = aOrder.isNew;
+  query.originUsable =
+    aOrder.origin != nullptr && clock_.Now() >= originUsableFrom_;
   for (const auto& peer : peers_.List(PeerRole::Side)) {
     PieceHolder side;
     side.vm = peer.vm;
@@ -319,6 +323,39 @@
   return query;
 }
 
+// Told once when it stops and once when it answers again.
+void
+PieceExchange::NoteOrigin(bool aAnswers, const utils::Error& aReason)
+{
+  if (!aAnswers) {
+    originUsableFrom_ = clock_.Now() + kOriginPause;
+  }
+  if (std::exchange(originAnswers_, aAnswers) == aAnswers) {
+    return;
+  }
+  if (aAnswers) {
+    logger_.Info("the origin answers again");
+  } else {
+    logger_.Warn("the origin does not answer",
+                 { { "reason", aReason.detail } });
+  }
+}
+
+std::optional<std::string>
+PieceExchange::FetchFromOrigin(const PieceChoice& aChoice,
+                               const FetchOrder& aOrder,
+                               utils::Error& aReason)
+{
+  static auto& sFromOrigin =
+    telemetry::Metrics::Get().GetCounter("fleet_pieces_from_origin_total");
+  sFromOrigin.Add();
+  const auto& list = store_.GetList();
+  auto bytes = origin_.GetPiece(
+    *aOrder.origin->origin, list.model, list.version, aChoice.piece, aReason);
+  NoteOrigin(bytes.has_value(), aReason);
+  return bytes;
+}
+
 std::optional<std::string>
 PieceExchange::FetchFrom(const PieceChoice& aChoice,
                          const FetchOrder& aOrder,
@@ -326,11 +363,7 @@
 {
   const auto& list = store_.GetList();
   if (aChoice.vm.empty()) {
-    static auto& sFromOrigin =
-      telemetry::Metrics::Get().GetCounter("fleet_pieces_from_origin_total");
-    sFromOrigin.Add();
-    return origin_.GetPiece(
-      *aOrder.origin->origin, list.model, list.version, aChoice.piece, aReason);
+    return FetchFromOrigin(aChoice, aOrder, aReason);
   }
   auto& row = announcements_[aChoice.vm];
   net::HttpRequest request;
@@ -370,7 +403,9 @@
     changedHere_ = true;
     return true;
   }
-  if (reason.IsSet() && reason.kind != utils::ErrorKind::Overloaded) {
+  bool known = reason.kind == utils::ErrorKind::Overloaded ||
+               (aChoice.vm.empty() && !originAnswers_);
+  if (reason.IsSet() && !known) {
     logger_.Report(
       reason,
       { { "piece", std::to_string(aChoice.piece) },
@@ -384,8 +419,7 @@
 {
   while (aOrder.isWanted() && !store_.GetMissing().empty()) {
     auto choice = PickPiece(MakeQuery(aOrder));
-    bool possible = choice && (!choice->vm.empty() || aOrder.origin != nullptr);
-    if (!possible) {
+    if (!choice) {
       std::unique_lock lock(mutex_);
       changed_.wait_for(lock, kPickInterval.ToChrono());
       continue;
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -67,6 +67,11 @@
   /** Says what lies here. */
   void FillNotice(schema::SideNotice& aNotice) const;
 
+  bool IsOriginAnswering() const { return originAnswers_; }
+
+  /** Other sides are to hear soon what lies here. */
+  void NoteChange() { changedHere_ = true; }
+
   /** Whether what lies here changed since the last call. */
   bool TakeChange() { return std::exchange(changedHere_, false); }
 
@@ -83,6 +88,10 @@
 
   PickQuery MakeQuery(const FetchOrder& aOrder) const;
   void FetchLoop(const FetchOrder& aOrder);
+  std::optional<std::string> FetchFromOrigin(const PieceChoice& aChoice,
+                                             const FetchOrder& aOrder,
+                                             utils::Error& aReason);
+  void NoteOrigin(bool aAnswers, const utils::Error& aReason);
   bool FetchOne(const PieceChoice& aChoice, const FetchOrder& aOrder);
   std::optional<std::string> FetchFrom(const PieceChoice& aChoice,
                                        const FetchOrder& aOrder,
@@ -110,6 +119,9 @@
   std::map<std::string, int> downloads_;
   utils::Millis begunAt_;
   bool changedHere_ = false;
+  /** The origin did not answer; until then it is left alone. */
+  utils::Millis originUsableFrom_;
+  bool originAnswers_ = true;
   int fetchers_ = 0;
   int uploads_ = 0;
   /** All uploads, and those to other regions by themselves. */
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -120,7 +120,8 @@
 std::optional<PieceChoice>
 PickFromOrigin(const PickQuery& aQuery)
 {
-  if (!aQuery.isNew && aQuery.elapsed < kHearFirst) {
+  bool hearing = !aQuery.isNew && aQuery.elapsed < kHearFirst;
+  if (!aQuery.originUsable || hearing) {
     return std::nullopt;
   }
   auto found = std::ranges::find_if(aQuery.missing, [&](std::uint32_t aPiece) {
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -40,6 +40,7 @@
   utils::Millis elapsed;
   /** The version was named just now, so that nobody had it. */
   bool isNew = false;
+  bool originUsable = true;
 };
 
 struct PieceChoice
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -26,7 +26,7 @@
 // Versions are named seldom; a read returns as soon as one is.
 constexpr Millis kConfigWait(8000);
 // A report costs nothing on the own VM but this process's time.
-constexpr Millis kReportInterval(150);
+constexpr Millis kReportInterval(100);
 // A piece takes 40 ms on a side's link.
 constexpr Millis kPieceNoticeInterval(50);
 // To other sides, which hear of each piece as it comes.
@@ -35,13 +35,6 @@
 constexpr Millis kNoticeRepeat(400);
 constexpr Millis kPauseAfterFailure(200);
 constexpr Millis kLogInterval(500);
-// A load takes well under a second once work has ended.
-constexpr Millis kLoadPoll(40);
-constexpr Millis kLoadTimeout(12000);
-// Before the order, for entries to hear that no new work is taken.
-constexpr Millis kAnnounceTime(40);
-// Before any version is named the fleet serves the first one.
-constexpr std::uint64_t kFirstVersion = 1;
 
 } // namespace
 
@@ -59,52 +52,32 @@
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , store(aUpstream)
     , pieces(aRuntime, aSettings, aPorts.client, peers, store, aOrigin)
+    , loader(aSettings, aUpstream, config, peers, store, pieces, [this] {
+      SendNotice(PeerRole::Entry);
+    })
   {
   }
 
-  const platform::EngineTraits* FindEngine();
-  NamedVersion GetTarget(const std::string& aModel);
-  std::uint64_t GetHeld(const platform::EngineTraits& aEngine) const;
-
   void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void ReportLoop();
   void ReadReport();
   void SendNotice(PeerRole aTo);
   void LoadLoop();
-  bool EnsureLoaded();
-  FetchOrder MakeOrder(const platform::EngineTraits& aEngine,
-                       const NamedVersion& aTarget);
-  bool BeginStaging(const platform::EngineTraits& aEngine,
-                    const NamedVersion& aTarget);
-  bool FetchStaged(const platform::EngineTraits& aEngine,
-                   const NamedVersion& aTarget);
-  bool IsCurrent(const std::string& aModel, std::uint64_t aVersion);
-  Millis GetSwitchDelay(const std::string& aModel,
-                        std::uint64_t aHeld,
-                        const NamedVersion& aTarget) const;
-  bool Switch(const platform::EngineTraits& aEngine,
-              const NamedVersion& aTarget);
-  bool AwaitLoaded(const platform::EngineTraits& aEngine,
-                   std::uint64_t aVersion);
   void LogLoop();
 
   net::Runtime& runtime;
   const platform::FleetSettings& settings;
   platform::LocalUpstream& upstream;
   ConfigFollower config;
-  std::shared_ptr<const platform::FleetConfig> current;
   PeerLink peers;
   PieceStore store;
   PieceExchange pieces;
+  WeightLoader loader;
   net::Router router;
   std::unique_ptr<net::HttpServer> server;
   telemetry::Logger logger{ "side" };
-  utils::Clock clock = utils::Clock::CountingSuspension();
+  utils::Clock clock;
   std::optional<platform::UpstreamReport> report;
-  /** Entries are told to send nothing new. */
-  bool closed = false;
-  std::uint64_t noticedVersion = 0;
-  bool noticedAccepting = false;
   Millis noticedAt;
   Millis announcedAt;
   /** Start of each side's process, as it says. */
@@ -163,31 +136,6 @@
   return true;
 }
 
-// Null while nothing is known of the service, or if it runs no engine.
-const platform::EngineTraits*
-Side::Impl::FindEngine()
-{
-  current = config.GetConfig();
-  const auto* service =
-    current ? current->FindService(settings.localService) : nullptr;
-  return service != nullptr && service->engine ? &*service->engine : nullptr;
-}
-
-NamedVersion
-Side::Impl::GetTarget(const std::string& aModel)
-{
-  return config.FindVersion(aModel).value_or(
-    NamedVersion{ kFirstVersion, {}, false });
-}
-
-std::uint64_t
-Side::Impl::GetHeld(const platform::EngineTraits& aEngine) const
-{
-  return report ? platform::FindCompleteVersion(
-                    report->held, aEngine.model, aEngine.layers)
-                : 0;
-}
-
 // A side that has just started learns what the others have.
 void
 Side::Impl::TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice)
@@ -222,23 +170,13 @@
 Side::Impl::ReadReport()
 {
   utils::Error reason;
-  auto before = report.has_value();
-  auto startedBefore = report ? report->startedMs : 0;
-  report = upstream.GetReport(reason);
-  if (before && !report) {
+  auto fresh = upstream.GetReport(reason);
+  if (report && !fresh) {
     logger.Report(reason, { { "step", "report" } });
   }
-  if (report && startedBefore != 0 && report->startedMs != startedBefore) {
-    logger.Info("the upstream started anew");
-  }
-  const auto* engine = FindEngine();
-  if (engine == nullptr) {
-    return;
-  }
-  auto version = GetHeld(*engine);
-  bool accepting = version > 0 && !closed;
-  bool changed = version != noticedVersion || accepting != noticedAccepting;
-  if (changed || clock.Now() - noticedAt >= kNoticeRepeat) {
+  report = std::move(fresh);
+  loader.TakeReport(report);
+  if (clock.Now() - noticedAt >= kNoticeRepeat) {
     SendNotice(PeerRole::Entry);
   }
   if (clock.Now() - announcedAt >= kAnnounceRepeat) {
@@ -249,22 +187,18 @@
 void
 Side::Impl::SendNotice(PeerRole aTo)
 {
-  const auto* engine = FindEngine();
   schema::FleetNotice notice;
   auto& side = *notice.mutable_side();
   side.set_upstream(settings.localUpstream->ToString());
-  auto version = engine != nullptr ? GetHeld(*engine) : 0;
-  bool accepting = version > 0 && !closed;
   if (aTo == PeerRole::Entry) {
     noticedAt = clock.Now();
-    noticedVersion = version;
-    noticedAccepting = accepting;
   } else {
     announcedAt = clock.Now();
     pieces.FillNotice(side);
   }
-  side.set_version(version);
-  side.set_accepting(accepting);
+  auto serving = loader.GetServing();
+  side.set_version(serving.version);
+  side.set_accepting(serving.accepting);
   side.set_running(report ? report->running : 0);
   side.set_queued(report ? report->queued : 0);
   side.set_pace(report ? report->pace : 1);
@@ -275,167 +209,8 @@
 Side::Impl::LoadLoop()
 {
   while (true) {
-    net::Runtime::Sleep(EnsureLoaded() ? kReportInterval : kPauseAfterFailure);
-  }
-}
-
-// True if the upstream is on the version that it should be on.
-bool
-Side::Impl::EnsureLoaded()
-{
-  const auto* engine = FindEngine();
-  if (engine == nullptr || !report) {
-    return false;
-  }
-  auto keep = current;
-  auto target = GetTarget(engine->model);
-  if (GetHeld(*engine) >= target.version) {
-    closed = false;
-    // What lies staged here others may want.
-    return BeginStaging(*engine, target);
-  }
-  if (!BeginStaging(*engine, target) || !FetchStaged(*engine, target)) {
-    return false;
-  }
-  auto delay = GetSwitchDelay(engine->model, GetHeld(*engine), target);
-  logger.Info("staged",
-              { { "version", std::to_string(target.version) },
-                { "switch_in_ms", std::to_string(delay.value) } });
-  net::Runtime::Sleep(delay);
-  return IsCurrent(engine->model, target.version) && Switch(*engine, target);
-}
-
-bool
-Side::Impl::IsCurrent(const std::string& aModel, std::uint64_t aVersion)
-{
-  return GetTarget(aModel).version == aVersion;
-}
-
-FetchOrder
-Side::Impl::MakeOrder(const platform::EngineTraits& aEngine,
-                      const NamedVersion& aTarget)
-{
-  FetchOrder order;
-  order.origin = current->FindOrigin();
-  order.isNew = aTarget.learntLive;
-  order.isWanted = [this, model = aEngine.model, version = aTarget.version] {
-    return IsCurrent(model, version);
-  };
-  return order;
-}
-
-// Learns what the version consists of and what of it lies here.
-bool
-Side::Impl::BeginStaging(const platform::EngineTraits& aEngine,
-                         const NamedVersion& aTarget)
-{
-  const auto& list = store.GetList();
-  if (list.model == aEngine.model && list.version == aTarget.version) {
-    return true;
-  }
-  utils::Error reason;
-  auto begun = clock.Now();
-  auto keep = current;
-  auto fresh = pieces.GetList(
-    MakeOrder(aEngine, aTarget), aEngine.model, aTarget.version, reason);
-  if (!fresh) {
-    logger.Report(reason, { { "step", "list" } });
-    return false;
-  }
-  store.Begin(*fresh);
-  noticeDue = true;
-  logger.Info("staging",
-              { { "version", std::to_string(aTarget.version) },
-                { "missing", std::to_string(store.GetMissing().size()) },
-                { "list_ms", std::to_string((clock.Now() - begun).value) } });
-  return true;
-}
-
-bool
-Side::Impl::FetchStaged(const platform::EngineTraits& aEngine,
-                        const NamedVersion& aTarget)
-{
-  auto keep = current;
-  auto order = MakeOrder(aEngine, aTarget);
-  return pieces.FetchMissing(order) && order.isWanted();
-}
-
-Millis
-Side::Impl::GetSwitchDelay(const std::string& aModel,
-                           std::uint64_t aHeld,
-                           const NamedVersion& aTarget) const
-{
-  SwitchTerms terms;
-  std::vector<std::string> vms{ settings.vm };
-  std::ranges::transform(
-    peers.List(PeerRole::Side), std::back_inserter(vms), &Peer::vm);
-  auto ranked =
-    utils::RankMembers(std::to_string(aTarget.version), std::move(vms));
-  terms.sides = ranked.size();
-  terms.rank = static_cast<std::size_t>(std::ranges::find(ranked, settings.vm) -
-                                        ranked.begin());
-  terms.idle = !report || report->held.empty() || !aTarget.learntLive;
-  // With two versions named in a row the first one's limit binds.
-  auto next = config.FindNextVersion(aModel, aHeld).value_or(aTarget);
-  terms.age = clock.Now() - next.learntAt;
-  terms.limit = settings.bounds.version;
-  return PlanSwitch(terms);
-}
-
-// What lies staged may have been damaged since it was checked.
-bool
-Side::Impl::Switch(const platform::EngineTraits& aEngine,
-                   const NamedVersion& aTarget)
-{
-  store.Verify();
-  if (!store.GetMissing().empty()) {
-    logger.Warn("staged pieces were damaged",
-                { { "pieces", std::to_string(store.GetMissing().size()) } });
-    return false;
-  }
-  closed = true;
-  SendNotice(PeerRole::Entry);
-  net::Runtime::Sleep(kAnnounceTime);
-  utils::Error reason;
-  auto result = upstream.OrderLoad(aEngine.model, aTarget.version, reason);
-  if (!result) {
-    logger.Report(reason, { { "step", "order" } });
-  } else {
-    logger.Info(
-      "load ordered",
-      { { "version", std::to_string(aTarget.version) },
-        { "conflict",
-          *result == platform::OrderResult::Conflict ? "yes" : "no" } });
-  }
-  // An order without an answer may have been accepted: the state tells.
-  bool loaded = AwaitLoaded(aEngine, aTarget.version);
-  closed = false;
-  SendNotice(PeerRole::Entry);
-  return loaded;
-}
-
-bool
-Side::Impl::AwaitLoaded(const platform::EngineTraits& aEngine,
-                        std::uint64_t aVersion)
-{
-  auto begun = clock.Now();
-  auto until = begun + kLoadTimeout;
-  while (clock.Now() < until) {
-    net::Runtime::Sleep(kLoadPoll);
-    ReadReport();
-    if (GetHeld(aEngine) == aVersion) {
-      logger.Info(
-        "loaded",
-        { { "version", std::to_string(aVersion) },
-          { "took_ms", std::to_string((clock.Now() - begun).value) } });
-      return true;
-    }
-    if (report && !report->busy) {
-      break;
-    }
+    net::Runtime::Sleep(loader.Step() ? kReportInterval : kPauseAfterFailure);
   }
-  logger.Warn("not loaded", { { "version", std::to_string(aVersion) } });
-  return false;
 }
 
 void
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -2,31 +2,93 @@
 #define waxwingyoke_fleet_WeightLoader_h
 
 #include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
 
+#include <platform/FleetConfig.h>
+#include <platform/FleetSettings.h>
+#include <platform/UpstreamCalls.h>
+#include <telemetry/Logger.h>
 #include <utils/Time.h>
 
+#include "ConfigFollower.h"
+#include "PeerLink.h"
+#include "PieceExchange.h"
+#include "PieceStore.h"
+
 namespace waxwingyoke::fleet {
 
-/** What decides when an upstream may switch to new weights. */
-struct SwitchTerms
+/** What the upstream on this VM serves. */
+struct Serving
 {
-  /** This side's place among those of the fleet, and how many there are. */
-  std::size_t rank = 0;
-  std::size_t sides = 1;
-  /** It serves nothing now, so that waiting saves nothing. */
-  bool idle = false;
-  /** Since the version was named. */
-  utils::Millis age;
-  /** When only the new version may begin work. */
-  utils::Millis limit;
+  /** Complete weights; 0: none. */
+  std::uint64_t version = 0;
+  /** False while it loads or is about to. */
+  bool accepting = false;
 };
 
 /**
- * How long the switch is put off, so that most upstreams serve at any time
- * and all have switched before the limit.
+ * Brings the upstream on this VM to the newest version: stages the pieces,
+ * waits for its wave, orders the load and watches it.
  */
-utils::Millis
-PlanSwitch(const SwitchTerms& aTerms);
+class WeightLoader
+{
+public:
+  /** aOnServing runs when what GetServing says has changed. */
+  WeightLoader(const platform::FleetSettings& aSettings,
+               platform::LocalUpstream& aUpstream,
+               ConfigFollower& aConfig,
+               PeerLink& aPeers,
+               PieceStore& aStore,
+               PieceExchange& aPieces,
+               std::function<void()> aOnServing);
+
+  /** Takes the next step; true if the upstream is where it should be. */
+  bool Step();
+
+  /** A new report of the upstream; empty if it does not answer. */
+  void TakeReport(const std::optional<platform::UpstreamReport>& aReport);
+
+  Serving GetServing() const;
+
+private:
+  /** A load that was ordered and is not seen to be done. */
+  struct Loading
+  {
+    std::uint64_t version = 0;
+    utils::Millis orderedAt;
+  };
+
+  const platform::EngineTraits* FindEngine() const;
+  std::uint64_t GetHeld() const;
+  std::uint64_t GetHeldSoon() const;
+  NamedVersion ChooseTarget(const platform::EngineTraits& aEngine) const;
+  bool IsWorthFinishing(const NamedVersion& aNewest) const;
+  FetchOrder MakeOrder(const platform::FleetConfig& aConfig,
+                       const platform::EngineTraits& aEngine,
+                       const NamedVersion& aTarget) const;
+  bool BeginStaging(const FetchOrder& aOrder,
+                    const platform::EngineTraits& aEngine,
+                    const NamedVersion& aTarget);
+  utils::Millis GetSwitchDelay(const platform::EngineTraits& aEngine,
+                               const NamedVersion& aTarget) const;
+  bool Switch(const platform::EngineTraits& aEngine,
+              const NamedVersion& aTarget);
+  void EndLoading(bool aDone);
+
+  const platform::FleetSettings& settings_;
+  platform::LocalUpstream& upstream_;
+  ConfigFollower& config_;
+  PeerLink& peers_;
+  PieceStore& store_;
+  PieceExchange& pieces_;
+  std::function<void()> onServing_;
+  utils::Clock clock_ = utils::Clock::CountingSuspension();
+  telemetry::Logger logger_{ "weights" };
+  std::optional<platform::UpstreamReport> report_;
+  std::optional<Loading> loading_;
+};
 
 } // namespace waxwingyoke::fleet
 
--- a/libs/fleet/tests/WeightLoaderTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -5,7 +5,7 @@
 
 #include <PiecePicker.h>
 #include <PieceStore.h>
-#include <WeightLoader.h>
+#include <SwitchPlan.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::fleet;
