Returning callers are known by the digests of what was refused

Cause: callers state patience that differs by 15 in 100 from caller to caller, so that nearly all requests were taken for returning ones and queued deep. Newcomers now go before those whose answer is late already: the other order kept every caller late after a recovery.

--- a/libs/dispatch/include/dispatch/WaitingLine.h
+++ b/libs/dispatch/include/dispatch/WaitingLine.h
@@ -25,7 +25,7 @@
 
 /**
  * Requests that wait for a place, in the order in which they get one: by
- * priority, then callers who were told to return, then by arrival.
+ * priority, then those that can still be in time, then by arrival.
  */
 class WaitingLine
 {
--- a/libs/dispatch/src/WaitingLine.cpp
+++ b/libs/dispatch/src/WaitingLine.cpp
@@ -13,8 +13,10 @@
   if (aLeft.priority != aRight.priority) {
     return aLeft.priority < aRight.priority;
   }
+  // A returning caller's answer is late already. Were it first, newcomers
+  // would be refused in its place and be late in turn, for good.
   if (aLeft.returned != aRight.returned) {
-    return aLeft.returned;
+    return aRight.returned;
   }
   return aLeft.arrived < aRight.arrived;
 }
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -258,6 +258,12 @@
     report.set_request(crash.request);
     report.set_upstream(crash.upstream);
   }
+  for (const auto& refusal : services.GetRefusals().TakeNews()) {
+    auto& refused = *entry.add_refused();
+    refused.set_request(refusal.request);
+    auto age = services.Now() - refusal.firstCame;
+    refused.set_age_ms(static_cast<std::uint32_t>(age.value));
+  }
   peers.Send(PeerRole::Entry, notice);
 }
 
@@ -299,6 +305,11 @@
     services.GetCrashes().Note({ crash.request(), crash.upstream() },
                                services.Now());
   }
+  for (const auto& refused : aNotice.refused()) {
+    services.GetRefusals().Note(
+      { refused.request(), services.Now() - Millis(refused.age_ms()) },
+      services.Now());
+  }
   services.ServeLines();
 }
 
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -9,6 +9,7 @@
 
 #include <dispatch/CrashLedger.h>
 #include <dispatch/Freshness.h>
+#include <dispatch/RefusalMemory.h>
 #include <dispatch/ReturnPlanner.h>
 #include <dispatch/UpstreamBook.h>
 #include <dispatch/WaitingLine.h>
@@ -18,7 +19,6 @@
 #include <telemetry/Metrics.h>
 #include <utils/Time.h>
 
-#include "CallerClock.h"
 #include "ConfigFollower.h"
 
 namespace waxwingyoke::fleet {
@@ -63,7 +63,7 @@
   ConfigFollower& GetConfig() { return config_; }
   dispatch::UpstreamBook& GetBook() { return book_; }
   dispatch::CrashLedger& GetCrashes() { return crashes_; }
-  CallerClock& GetCallerClock() { return callerClock_; }
+  dispatch::RefusalMemory& GetRefusals() { return refusals_; }
   EntryMetrics& GetMetrics() { return metrics_; }
   const telemetry::Logger& GetLogger() const { return logger_; }
   utils::Millis Now() const { return clock_.Now(); }
@@ -107,7 +107,7 @@
   ConfigFollower config_;
   dispatch::UpstreamBook book_;
   dispatch::CrashLedger crashes_;
-  CallerClock callerClock_;
+  dispatch::RefusalMemory refusals_;
   EntryMetrics metrics_;
   std::map<std::string, ServiceState> services_;
   /** Of the configuration that it was made from. */
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -128,16 +128,25 @@
     }
     return false;
   }
-  callerTime_ = services_.GetCallerClock().Read(route_->name, caller_.patience);
   auto patience = caller_.patience.value_or(route_->timeout);
   deadline_ = arrivedAt_ + std::min(patience, route_->timeout);
-  digest_ = utils::StableHash(
-    request_.body,
-    utils::StableHash(request_.target, utils::StableHash(caller_.apiKey)));
+  digest_ = MakeDigest();
+  auto firstCame = services_.GetRefusals().Find(digest_);
+  elapsedBefore_ = firstCame ? arrivedAt_ - *firstCame : Millis(0);
   PickService();
   return service_ != nullptr;
 }
 
+// The same for each attempt of a caller, at any entry.
+std::uint64_t
+Exchange::MakeDigest() const
+{
+  auto digest = utils::StableHash(caller_.apiKey);
+  digest = utils::StableHash(request_.target, digest);
+  digest = utils::StableHash(caller_.promptParts, digest);
+  return utils::StableHash(request_.body, digest);
+}
+
 bool
 Exchange::CheckKey()
 {
@@ -223,16 +232,16 @@
 Exchange::GetWaitLimit() const
 {
   return Scale(route_->objective,
-               callerTime_.returned ? kReturnedWaitShare : kWaitShare);
+               HasReturned() ? kReturnedWaitShare : kWaitShare);
 }
 
 bool
 Exchange::TakePlace(bool aMustMeetObjective)
 {
   auto now = services_.Now();
-  auto toObjective = route_->objective - callerTime_.elapsed - GetElapsed();
+  auto toObjective = route_->objective - elapsedBefore_ - GetElapsed();
   auto late = Scale(GetTimeLeft(), kLateShare);
-  query_.timeLeft = callerTime_.returned ? late : toObjective;
+  query_.timeLeft = HasReturned() ? late : toObjective;
   query_.minVersion = services_.FindMinVersion(query_.model);
   auto& book = services_.GetBook();
   auto place = aMustMeetObjective ? book.FindPlace(query_, now)
@@ -263,7 +272,7 @@
   waiter.priority = organisation_ != nullptr
                       ? organisation_->priority.value_or(route_->priority)
                       : route_->priority;
-  waiter.returned = callerTime_.returned;
+  waiter.returned = HasReturned();
   waiter.arrived = arrivedAt_;
   waiter.tryTake = [this] { return TakePlace(true); };
   waiter.wake = [&] {
@@ -371,7 +380,7 @@
   bool counted = sends_ > 0;
   auto& retries = services_.GetService(query_.service).retries;
   if (allowed && (!counted || retries.Take(services_.Now())) &&
-      TakePlace(!aMayHaveRun && !callerTime_.returned)) {
+      TakePlace(!aMayHaveRun && !HasReturned())) {
     return true;
   }
   if (mayHaveRun_) {
@@ -554,6 +563,10 @@
   }
   auto retryAfter = kRetryUnknown;
   if (service_ != nullptr) {
+    dispatch::Refusal refusal{ digest_, arrivedAt_ - elapsedBefore_ };
+    services_.GetRefusals().Note(refusal, services_.Now());
+    services_.GetRefusals().Announce(refusal);
+    services_.NoteUseChange();
     retryAfter =
       services_.GetService(service_->name).returns.PlanReturn(services_.Now());
   }
@@ -639,7 +652,7 @@
       { "predicted_ms", text(static_cast<std::int64_t>(predictedMs_)) },
       { "first_ms", text(first.value) },
       { "took_ms", text(took.value) },
-      { "elapsed_before_ms", text(callerTime_.elapsed.value) },
+      { "elapsed_before_ms", text(elapsedBefore_.value) },
       { "sends", text(sends_) },
       { "status", text(status_) },
       { "why", why_ } });
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -45,6 +45,7 @@
   bool CheckKey();
   bool CheckTrust();
   bool CheckQuarantine();
+  std::uint64_t MakeDigest() const;
   void PickService();
   void MakeQuery();
 
@@ -73,6 +74,7 @@
 
   utils::Millis GetTimeLeft() const;
   utils::Millis GetElapsed() const;
+  bool HasReturned() const { return elapsedBefore_ > utils::Millis(0); }
   bool IsCallerGone() const { return canceller_.IsCancelled(); }
 
   EntryServices& services_;
@@ -81,7 +83,8 @@
   platform::CallerRequest caller_;
   utils::Millis arrivedAt_;
   utils::Millis deadline_;
-  CallerTime callerTime_;
+  /** Since the caller's first attempt; longer than zero if it was refused. */
+  utils::Millis elapsedBefore_;
 
   std::shared_ptr<const platform::FleetConfig> config_;
   const platform::Route* route_ = nullptr;
--- a/libs/platform/include/platform/RequestDialect.h
+++ b/libs/platform/include/platform/RequestDialect.h
@@ -21,6 +21,8 @@
   /** How long the caller waits; empty: it does not say. */
   std::optional<utils::Millis> patience;
   std::string model;
+  /** Which parts the prompt has, as the caller names them. */
+  std::string promptParts;
   std::uint32_t promptTokens = 0;
   std::uint32_t maxAnswerTokens = 0;
   /** The caller's own estimate; 0: none. */
