Callers that return get the places that new ones would; sides notice a silent store

Causes: (1) a returning caller was placed up to a third of its time behind others, so that queues were as deep as returning callers allow and no new one met its objective. (2) a side's read of the operator's topic waits 8 s for news; where the store goes silent meanwhile the side learnt of versions 7 s after the store's return.

--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -18,7 +18,7 @@
 constexpr double kCrossingMs = 40;
 // Requests beyond an engine's slots: enough that a slot which is freed is
 // taken before an entry hears of it, and no more, as they wait unseen.
-constexpr std::uint32_t kEngineQueue = 2;
+constexpr std::uint32_t kEngineQueue = 1;
 // A plain service's work time until the book learns better; its objective
 // bounds the queue.
 constexpr double kPlainWorkMs = 60;
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -33,8 +33,9 @@
 constexpr double kWaitShare = 0.12;
 // One that was told to return waits longer for its place.
 constexpr double kReturnedWaitShare = 0.6;
-// A returning caller's answer is late already; this share of the time that it
-// has left is its objective.
+// A returning caller's answer is late already. It gets a place where a new one
+// would, so that it never waits in an upstream's queue before those that can
+// still be in time; with little time left, within this share of it.
 constexpr double kLateShare = 0.35;
 // An idempotent request goes elsewhere when an upstream is silent for this
 // many objectives.
@@ -240,8 +241,9 @@
 {
   auto now = services_.Now();
   auto toObjective = route_->objective - elapsedBefore_ - GetElapsed();
-  auto late = Scale(GetTimeLeft(), kLateShare);
-  query_.timeLeft = HasReturned() ? late : toObjective;
+  query_.timeLeft = HasReturned() ? std::min(route_->objective,
+                                             Scale(GetTimeLeft(), kLateShare))
+                                  : toObjective;
   query_.minVersion = services_.FindMinVersion(query_.model);
   auto& book = services_.GetBook();
   auto place = aMustMeetObjective ? book.FindPlace(query_, now)
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -26,7 +26,7 @@
 } };
 
 // Members change rarely; a read returns as soon as one does.
-constexpr Millis kMembersWait(15000);
+constexpr Millis kMembersWait(5000);
 constexpr Millis kPauseAfterFailure(500);
 // Members that start together are read together.
 constexpr Millis kPauseAfterChange(400);
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -23,8 +23,9 @@
 using utils::Millis;
 
 constexpr int kOk = 200;
-// Versions are named seldom; a read returns as soon as one is.
-constexpr Millis kConfigWait(8000);
+// A read returns as soon as a version is named; one that hangs on a store that
+// went silent takes as long to be noticed.
+constexpr Millis kConfigWait(1500);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(100);
 // A piece takes 40 ms on a side's link.
