--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -85,9 +85,10 @@
     place.predictedMs =
       aQuery.engine->PredictFirstEventMs(load, aQuery.promptTokens);
   } else {
-    auto slots = std::max<std::uint32_t>(aState->record.slots, 1);
-    place.predictedMs = kPlainWorkMs * (1.0 + use.running / slots) +
-                        kPlainWorkMs * use.running / slots;
+    double slots = std::max<std::uint32_t>(aState->record.slots, 1);
+    double share = use.running / slots;
+    // Work slows down as slots fill, and waits for a turn beyond them.
+    place.predictedMs = kPlainWorkMs * (1 + share + std::max(share - 1, 0.0));
     // Failures cost a second send or the answer.
     place.predictedMs *= 1 + 2 * aState->health.GetFailedShare();
   }
--- a/libs/dispatch/tests/LoadPatternsTest.cpp
+++ b/libs/dispatch/tests/LoadPatternsTest.cpp
@@ -69,7 +69,7 @@
     auto place = book.FindPlace(query, aNow);
     if (place) {
       ++place->upstream->own.running;
-      running.push_back({ aNow + kHold, place->upstream });
+      running_.push_back({ aNow + kHold, place->upstream });
     }
     return place.has_value();
   }
@@ -97,13 +97,13 @@
 
   void Finish(Millis aNow)
   {
-    while (!running.empty() && running.front().until <= aNow) {
-      --running.front().upstream->own.running;
-      running.pop_front();
+    while (!running_.empty() && running_.front().until <= aNow) {
+      --running_.front().upstream->own.running;
+      running_.pop_front();
     }
   }
 
-  std::deque<Running> running;
+  std::deque<Running> running_;
 };
 
 } // namespace
@@ -160,10 +160,9 @@
   for (std::int64_t ms = 1000; ms < 3000; ms += 20) {
     planner.NoteRelease(Millis(ms));
   }
-  std::vector<Millis> returns;
-  for (int i = 0; i < 20; ++i) {
-    returns.push_back(planner.PlanReturn(Millis(3000)));
-  }
+  std::vector<Millis> returns(20);
+  std::ranges::generate(
+    returns, [&planner] { return planner.PlanReturn(Millis(3000)); });
   CHECK(std::ranges::is_sorted(returns));
   // A quarter of 50 releases a second is one place in 80 ms.
   CHECK((returns.back() - returns.front()) >= Millis(19 * 70));
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -88,14 +88,12 @@
 
 } // namespace
 
-PieceExchange::PieceExchange(net::Runtime& aRuntime,
-                             const platform::FleetSettings& aSettings,
+PieceExchange::PieceExchange(const platform::FleetSettings& aSettings,
                              net::HttpClient& aClient,
                              PeerLink& aPeers,
                              PieceStore& aStore,
                              platform::WeightOrigin& aOrigin)
-  : runtime_(aRuntime)
-  , settings_(aSettings)
+  : settings_(aSettings)
   , client_(aClient)
   , peers_(aPeers)
   , store_(aStore)
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -43,8 +43,7 @@
 class PieceExchange
 {
 public:
-  PieceExchange(net::Runtime& aRuntime,
-                const platform::FleetSettings& aSettings,
+  PieceExchange(const platform::FleetSettings& aSettings,
                 net::HttpClient& aClient,
                 PeerLink& aPeers,
                 PieceStore& aStore,
@@ -107,7 +106,6 @@
                                                     const std::string& aModel,
                                                     std::uint64_t aVersion);
 
-  net::Runtime& runtime_;
   const platform::FleetSettings& settings_;
   net::HttpClient& client_;
   PeerLink& peers_;
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -52,7 +52,7 @@
     , config(aPorts.log, aPorts.codecs, kConfigWait)
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , store(aUpstream)
-    , pieces(aRuntime, aSettings, aPorts.client, peers, store, aOrigin)
+    , pieces(aSettings, aPorts.client, peers, store, aOrigin)
     , loader(aSettings, aUpstream, config, peers, store, pieces, [this] {
       SendNotice(PeerRole::Entry);
     })
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -23,8 +23,10 @@
 } // namespace
 
 void
-ResponseWriter::OnPeerGone(std::function<void()>)
+ResponseWriter::OnPeerGone(std::function<void()> aHook)
 {
+  // Dropped: there is no connection to watch.
+  std::exchange(aHook, nullptr);
 }
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl>
--- a/libs/platform/src/FleetConfig.cpp
+++ b/libs/platform/src/FleetConfig.cpp
@@ -11,9 +11,10 @@
     routesByHost_[routes[i].host].push_back(i);
   }
   for (auto& [host, indices] : routesByHost_) {
-    std::ranges::stable_sort(indices, std::ranges::greater{}, [this](auto i) {
-      return routes[i].pathPrefix.size();
-    });
+    std::ranges::stable_sort(
+      indices, std::ranges::greater{}, [this](std::size_t aIndex) {
+        return routes[aIndex].pathPrefix.size();
+      });
   }
   for (std::size_t i = 0; i < organisations.size(); ++i) {
     for (const auto& key : organisations[i].keys) {
