--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -20,10 +20,10 @@
 
 ConfigFollower::ConfigFollower(platform::KeyedLog& aLog,
                                const platform::FleetCodecs& aCodecs,
-                               Millis aWait)
+                               const Pace& aPace)
   : log_(aLog)
   , codecs_(aCodecs)
-  , wait_(aWait)
+  , pace_(aPace)
 {
 }
 
@@ -43,17 +43,39 @@
       net::Runtime::Sleep(kPauseAfterFailure);
     } else if (end_ != before) {
       net::Runtime::Sleep(kPauseAfterChange);
+    } else {
+      AwaitNews();
     }
   }
 }
 
+void
+ConfigFollower::AwaitNews()
+{
+  if (pace_.interval == Millis(0)) {
+    return;
+  }
+  std::unique_lock lock(mutex_);
+  newsKnown_.wait_for(
+    lock, pace_.interval.ToChrono(), [this] { return endElsewhere_ > end_; });
+}
+
+void
+ConfigFollower::NoteEnd(std::uint64_t aEnd)
+{
+  endElsewhere_ = std::max(endElsewhere_, aEnd);
+  if (started_ && endElsewhere_ > end_) {
+    newsKnown_.notify_all();
+  }
+}
+
 bool
 ConfigFollower::Poll()
 {
   // An answer proves the state of the log when the question was sent.
   auto sentAt = clock_.Now();
   utils::Error reason;
-  auto page = started_ ? log_.Read(Topic::Operator, end_, wait_, reason)
+  auto page = started_ ? log_.Read(Topic::Operator, end_, pace_.wait, reason)
                        : log_.ReadNewest(Topic::Operator, reason);
   NoteLog(page.has_value(), reason);
   if (!page) {
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -9,6 +9,9 @@
 #include <string>
 #include <vector>
 
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
 #include <net/Runtime.h>
 #include <platform/FleetCodecs.h>
 #include <platform/KeyedLog.h>
@@ -43,10 +46,18 @@
 class ConfigFollower
 {
 public:
-  /** How long one read waits for news; bounds the age of what is known. */
+  /** How the topic is read. */
+  struct Pace
+  {
+    /** One read waits that long for news. */
+    utils::Millis wait;
+    /** Between two reads without news, unless there is word of some. */
+    utils::Millis interval;
+  };
+
   ConfigFollower(platform::KeyedLog& aLog,
                  const platform::FleetCodecs& aCodecs,
-                 utils::Millis aWait);
+                 const Pace& aPace);
 
   /** Starts to follow; the hook runs after each change. */
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
@@ -54,6 +65,12 @@
   /** Reads once; false where the log gave nothing. */
   bool Poll();
 
+  /** Another process has read up to there: reads now if that is news. */
+  void NoteEnd(std::uint64_t aEnd);
+
+  /** How far the topic was read. */
+  std::uint64_t GetEnd() const { return end_; }
+
   /** Null until one is known. */
   std::shared_ptr<const platform::FleetConfig> GetConfig() const
   {
@@ -79,6 +96,7 @@
 
 private:
   void Loop();
+  void AwaitNews();
   void Apply(const platform::KeyedRecord& aRecord);
   void ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
@@ -86,7 +104,7 @@
 
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
-  utils::Millis wait_;
+  Pace pace_;
   utils::Clock clock_ = utils::Clock::CountingSuspension();
   telemetry::Logger logger_{ "config" };
   std::function<void()> onChange_;
@@ -99,6 +117,9 @@
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
   bool logAnswers_ = true;
+  boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable newsKnown_;
+  std::uint64_t endElsewhere_ = 0;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -25,6 +25,8 @@
 constexpr Millis kNoticeInterval(60);
 // Said again without a change, so that a lost notice does not last.
 constexpr Millis kNoticeRepeat(500);
+// Sides that missed it, or started since, hear of the operator's topic again.
+constexpr Millis kEndRepeat(1000);
 // An entry that is silent for this long has no requests that count.
 constexpr Millis kEntrySilence(1500);
 constexpr Millis kCrashRepeat(2000);
@@ -75,6 +77,7 @@
   net::HttpLimits GetLimits();
   void NoticeLoop();
   void SendNotice();
+  void TellSides(std::uint64_t aEnd);
   void ForgetSilentEntries();
   void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void TakeEntry(const Peer& aFrom, const schema::EntryNotice& aNotice);
@@ -95,6 +98,9 @@
   std::unique_ptr<net::HttpServer> peerServer;
   telemetry::Logger logger{ "entry" };
   std::map<std::string, Millis> entriesHeardAt;
+  /** How far the sides know that this entry has read. */
+  std::uint64_t toldEnd = 0;
+  Millis toldSidesAt;
   bool draining = false;
   bool wasReady = false;
 };
@@ -236,6 +242,10 @@
       sentAt = now;
       ForgetSilentEntries();
     }
+    auto end = services.GetConfig().GetEnd();
+    if (end != toldEnd || now - toldSidesAt >= kEndRepeat) {
+      TellSides(end);
+    }
   }
 }
 
@@ -267,6 +277,16 @@
   peers.Send(PeerRole::Entry, notice);
 }
 
+void
+Entry::Impl::TellSides(std::uint64_t aEnd)
+{
+  toldEnd = aEnd;
+  toldSidesAt = services.Now();
+  schema::FleetNotice notice;
+  notice.mutable_entry()->set_operator_end(aEnd);
+  peers.Send(PeerRole::Side, notice);
+}
+
 void
 Entry::Impl::ForgetSilentEntries()
 {
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -46,7 +46,7 @@
   : runtime_(aRuntime)
   , settings_(aSettings)
   , ports_(aPorts)
-  , config_(ports_.log, ports_.codecs, kConfigWait)
+  , config_(ports_.log, ports_.codecs, { kConfigWait, Millis(0) })
   , metrics_(EntryMetrics::Make())
 {
 }
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
+#include <utility>
 
 #include <schema/Json.h>
 #include <telemetry/Metrics.h>
@@ -25,11 +25,14 @@
   { PeerRole::Side, "side" },
 } };
 
-// Members change rarely; a read returns as soon as one does.
-constexpr Millis kMembersWait(5000);
+// Processes greet those that were there before them; the topic is looked at
+// for greetings that were lost.
+constexpr Millis kMembersInterval(10000);
 constexpr Millis kPauseAfterFailure(500);
-// Members that start together are read together.
-constexpr Millis kPauseAfterChange(400);
+// Members that start together register within this time.
+constexpr Millis kFirstLook(1500);
+// A greeting may be lost, and a process may restart without its peers.
+constexpr Millis kHelloInterval(2500);
 
 std::string_view
 GetName(PeerRole aRole)
@@ -82,11 +85,12 @@
     return false;
   }
   runtime_.Spawn([this] { MembersLoop(); });
+  runtime_.Spawn([this] { HelloLoop(); });
   return true;
 }
 
-void
-PeerLink::Register()
+schema::FleetMember
+PeerLink::MakeMember() const
 {
   schema::FleetMember member;
   member.set_vm(settings_.vm);
@@ -94,9 +98,16 @@
   member.set_role(std::string(GetName(role_)));
   member.set_data_centre(settings_.dataCentre);
   member.set_region(settings_.region);
+  return member;
+}
+
+void
+PeerLink::Register()
+{
   utils::Error reason;
   auto key = settings_.vm + "/" + std::string(GetName(role_));
-  while (!log_.Append(Topic::Members, key, schema::ToJson(member), reason)) {
+  while (
+    !log_.Append(Topic::Members, key, schema::ToJson(MakeMember()), reason)) {
     logger_.Report(reason, { { "step", "register" } });
     net::Runtime::Sleep(kPauseAfterFailure);
   }
@@ -110,18 +121,29 @@
   std::uint64_t end = 0;
   while (true) {
     utils::Error reason;
-    auto page = started ? log_.Read(Topic::Members, end, kMembersWait, reason)
+    auto page = started ? log_.Read(Topic::Members, end, Millis(0), reason)
                         : log_.ReadNewest(Topic::Members, reason);
     if (!page) {
       started = started && reason.kind != utils::ErrorKind::LogTrimmed;
       net::Runtime::Sleep(kPauseAfterFailure);
       continue;
     }
-    started = true;
+    bool first = !std::exchange(started, true);
     end = page->end;
     std::ranges::for_each(page->records,
                           [this](const auto& aRecord) { Apply(aRecord); });
-    net::Runtime::Sleep(kPauseAfterChange);
+    net::Runtime::Sleep(first ? kFirstLook : kMembersInterval);
+  }
+}
+
+void
+PeerLink::HelloLoop()
+{
+  while (true) {
+    schema::FleetNotice notice;
+    *notice.mutable_hello() = MakeMember();
+    SendToAll(notice);
+    net::Runtime::Sleep(kHelloInterval);
   }
 }
 
@@ -134,31 +156,53 @@
     peers_.erase(aRecord.key);
     return;
   }
-  auto endpoint = net::Endpoint::Parse(member.address());
-  auto role = std::ranges::find(kRoles, member.role(), &RoleName::name);
+  TakeMember(aRecord.key, member);
+}
+
+void
+PeerLink::TakeMember(const std::string& aKey,
+                     const schema::FleetMember& aMember)
+{
+  auto endpoint = net::Endpoint::Parse(aMember.address());
+  auto role = std::ranges::find(kRoles, aMember.role(), &RoleName::name);
   if (!endpoint || role == kRoles.end() || *endpoint == own_) {
     return;
   }
   // A seed that is now known by name.
   std::erase_if(peers_, [&](const auto& aRow) {
-    return aRow.second.endpoint == *endpoint && aRow.first != aRecord.key;
+    return aRow.second.endpoint == *endpoint && aRow.first != aKey;
   });
-  auto& peer = peers_[aRecord.key];
-  peer.vm = member.vm();
+  auto& peer = peers_[aKey];
+  peer.vm = aMember.vm();
   peer.endpoint = *endpoint;
   peer.role = role->role;
-  peer.dataCentre = member.data_centre();
-  peer.region = member.region();
+  peer.dataCentre = aMember.data_centre();
+  peer.region = aMember.region();
 }
 
 void
-PeerLink::Send(PeerRole aTo, schema::FleetNotice& aNotice)
+PeerLink::Stamp(schema::FleetNotice& aNotice)
 {
   aNotice.set_vm(settings_.vm);
   aNotice.set_started_ms(startedMs_);
   aNotice.set_sequence(++sequence_);
-  std::string bytes;
-  aNotice.SerializeToString(&bytes);
+}
+
+void
+PeerLink::SendToAll(schema::FleetNotice& aNotice)
+{
+  Stamp(aNotice);
+  std::string bytes = aNotice.SerializeAsString();
+  std::ranges::for_each(peers_, [&](const auto& aRow) {
+    socket_->Send(aRow.second.endpoint, bytes);
+  });
+}
+
+void
+PeerLink::Send(PeerRole aTo, schema::FleetNotice& aNotice)
+{
+  Stamp(aNotice);
+  std::string bytes = aNotice.SerializeAsString();
   for (const auto& [key, peer] : peers_) {
     if (peer.role == aTo) {
       socket_->Send(peer.endpoint, bytes);
@@ -191,15 +235,16 @@
   auto row = std::ranges::find_if(peers_, [&aFrom](const auto& aRow) {
     return aRow.second.endpoint == aFrom;
   });
+  if (notice.has_hello()) {
+    TakeMember(notice.vm() + "/" + notice.hello().role(), notice.hello());
+    return;
+  }
   if (row == peers_.end()) {
-    // A process that the members' topic has not shown yet.
-    Peer peer;
-    peer.vm = notice.vm();
-    peer.endpoint = aFrom;
-    peer.role = notice.has_side() ? PeerRole::Side : PeerRole::Entry;
-    row =
-      peers_.emplace(notice.vm() + "/" + std::string(GetName(peer.role)), peer)
-        .first;
+    // Its greeting was lost; the next one tells who it is.
+    static auto& sUnknown =
+      telemetry::Metrics::Get().GetCounter("peer_notices_unknown_total");
+    sUnknown.Add();
+    return;
   }
   auto& peer = row->second;
   bool older = notice.started_ms() < peer.startedMs ||
--- a/libs/fleet/src/PeerLink.h
+++ b/libs/fleet/src/PeerLink.h
@@ -40,8 +40,9 @@
 };
 
 /**
- * Knows the other processes by the members' topic and exchanges notices
- * with them. A peer that is gone costs a datagram now and then.
+ * Knows the other processes and exchanges notices with them: those that were
+ * there before from the members' topic, later ones by the greeting that they
+ * send. A peer that is gone costs a datagram now and then.
  */
 class PeerLink
 {
@@ -66,7 +67,12 @@
 
 private:
   void MembersLoop();
+  void HelloLoop();
   void Register();
+  schema::FleetMember MakeMember() const;
+  void SendToAll(schema::FleetNotice& aNotice);
+  void Stamp(schema::FleetNotice& aNotice);
+  void TakeMember(const std::string& aKey, const schema::FleetMember& aMember);
   void Apply(const platform::KeyedRecord& aRecord);
   void Receive(const net::Endpoint& aFrom, std::string_view aBytes);
 
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -23,9 +23,8 @@
 using utils::Millis;
 
 constexpr int kOk = 200;
-// A read returns as soon as a version is named; one that hangs on a store that
-// went silent takes as long to be noticed.
-constexpr Millis kConfigWait(1500);
+// Entries say when there is something new; each read is charged.
+constexpr Millis kConfigInterval(8000);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(100);
 // A piece takes 40 ms on a side's link.
@@ -49,7 +48,7 @@
     : runtime(aRuntime)
     , settings(aSettings)
     , upstream(aUpstream)
-    , config(aPorts.log, aPorts.codecs, kConfigWait)
+    , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , store(aUpstream)
     , pieces(aSettings, aPorts.client, peers, store, aOrigin)
@@ -141,6 +140,9 @@
 void
 Side::Impl::TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice)
 {
+  if (aNotice.has_entry()) {
+    config.NoteEnd(aNotice.entry().operator_end());
+  }
   if (!aNotice.has_side()) {
     return;
   }
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -109,7 +109,7 @@
 TEST_CASE("a configuration never goes back, and a broken one changes nothing")
 {
   ScriptedLog log;
-  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  ConfigFollower follower(log, MakeCodecs(), {});
   log.newest = MakePage({ { "config", "5", 0, false } }, 1);
   CHECK(follower.Poll());
   REQUIRE(follower.GetConfig());
@@ -129,7 +129,7 @@
 {
   ScriptedLog log;
   log.answers = false;
-  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  ConfigFollower follower(log, MakeCodecs(), {});
   CHECK_FALSE(follower.Poll());
   CHECK_FALSE(follower.GetConfig());
   CHECK(follower.GetAge() > Millis(1000000));
@@ -139,7 +139,7 @@
 {
   ScriptedLog log;
   log.answers = false;
-  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  ConfigFollower follower(log, MakeCodecs(), {});
   follower.Take({ "7", 4, Millis(1500) });
   REQUIRE(follower.GetConfig());
   CHECK(follower.GetConfig()->version == 7);
@@ -153,7 +153,7 @@
 TEST_CASE("each named version keeps its own time")
 {
   ScriptedLog log;
-  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  ConfigFollower follower(log, MakeCodecs(), {});
   log.newest = MakePage({ { "model", "1", 0, false } }, 1);
   follower.Poll();
   CHECK_FALSE(follower.FindVersion("model")->learntLive);
@@ -172,7 +172,7 @@
 TEST_CASE("a trimmed topic is read anew")
 {
   ScriptedLog log;
-  ConfigFollower follower(log, MakeCodecs(), Millis(0));
+  ConfigFollower follower(log, MakeCodecs(), {});
   log.newest = MakePage({ { "config", "5", 0, false } }, 1);
   follower.Poll();
   log.trimmed = true;
