--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -285,7 +285,7 @@
 }
 
 PickQuery
-PieceExchange::MakeQuery(const FetchOrder& aOrder) const
+PieceExchange::MakeQuery(const FetchOrder& aOrder)
 {
   auto regionOf = [this](const std::string& aDataCentre) {
     auto row = settings_.regions.find(aDataCentre);
@@ -318,6 +318,12 @@
     }
     query.sides.push_back(std::move(side));
   }
+  auto pieces = list.digests.size();
+  if (ranks_.size() != pieces || rankedSides_ != query.sides.size()) {
+    ranks_ = RankPieces(query, static_cast<std::uint32_t>(pieces));
+    rankedSides_ = query.sides.size();
+  }
+  query.ranks = ranks_;
   return query;
 }
 
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -85,7 +85,7 @@
     utils::Millis busyUntil;
   };
 
-  PickQuery MakeQuery(const FetchOrder& aOrder) const;
+  PickQuery MakeQuery(const FetchOrder& aOrder);
   void FetchLoop(const FetchOrder& aOrder);
   std::optional<std::string> FetchFromOrigin(const PieceChoice& aChoice,
                                              const FetchOrder& aOrder,
@@ -113,6 +113,9 @@
   platform::WeightOrigin& origin_;
   utils::Clock clock_;
   std::map<std::string, Announcement> announcements_;
+  /** Of the sides and the version that they were worked out for. */
+  std::vector<PieceRank> ranks_;
+  std::size_t rankedSides_ = 0;
   std::set<std::uint32_t> onTheWay_;
   std::map<std::string, int> downloads_;
   utils::Millis begunAt_;
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -14,6 +14,8 @@
 // rank brings a piece that the one before has not brought after a few dozen.
 constexpr Millis kFarRankDelay(900);
 constexpr Millis kOriginRankDelay(1400);
+// Ranks that a side of another region stands behind those of the origin's.
+constexpr std::int64_t kBehind = 2;
 // Sides say what they have several times in this; until then it is not known
 // that none has a piece of a version that is not new.
 constexpr Millis kHearFirst(900);
@@ -34,23 +36,13 @@
          (row == aQuery.running.end() || row->second < kMaxFromOne);
 }
 
-// This side's place among those that may bring a piece from afar.
 std::int64_t
-GetRank(const PickQuery& aQuery, std::uint32_t aPiece, bool aForOrigin)
+FindRank(const std::string& aOwnVm,
+         const std::vector<std::string>& aVms,
+         std::uint32_t aPiece)
 {
-  std::vector<std::string> vms;
-  for (const auto& side : aQuery.sides) {
-    if (aForOrigin ? side.isNearOrigin : side.isNear) {
-      vms.push_back(side.vm);
-    }
-  }
-  vms.push_back(aQuery.ownVm);
-  auto ranked = utils::RankMembers(std::to_string(aPiece), std::move(vms));
-  auto rank = std::ranges::find(ranked, aQuery.ownVm) - ranked.begin();
-  bool others = aForOrigin && !aQuery.isNearOrigin &&
-                std::ranges::any_of(aQuery.sides, &PieceHolder::isNearOrigin);
-  // Sides in the origin's region go first: their bytes cross no border.
-  return rank + (others ? 2 : 0);
+  auto ranked = utils::RankMembers(std::to_string(aPiece), aVms);
+  return std::ranges::find(ranked, aOwnVm) - ranked.begin();
 }
 
 std::uint64_t
@@ -103,7 +95,7 @@
 {
   for (auto piece : aQuery.missing) {
     if (IsHeld(aQuery, piece, true) ||
-        aQuery.elapsed < kFarRankDelay * GetRank(aQuery, piece, false)) {
+        aQuery.elapsed < kFarRankDelay * aQuery.ranks[piece].region) {
       continue;
     }
     auto source =
@@ -126,7 +118,7 @@
   }
   auto found = std::ranges::find_if(aQuery.missing, [&](std::uint32_t aPiece) {
     return !IsHeld(aQuery, aPiece, true) && !IsHeld(aQuery, aPiece, false) &&
-           aQuery.elapsed >= kOriginRankDelay * GetRank(aQuery, aPiece, true);
+           aQuery.elapsed >= kOriginRankDelay * aQuery.ranks[aPiece].origin;
   });
   return found == aQuery.missing.end()
            ? std::nullopt
@@ -135,6 +127,30 @@
 
 } // namespace
 
+std::vector<PieceRank>
+RankPieces(const PickQuery& aQuery, std::uint32_t aPieces)
+{
+  std::vector<std::string> ofRegion{ aQuery.ownVm };
+  std::vector<std::string> ofOrigin{ aQuery.ownVm };
+  for (const auto& side : aQuery.sides) {
+    if (side.isNear) {
+      ofRegion.push_back(side.vm);
+    }
+    if (side.isNearOrigin) {
+      ofOrigin.push_back(side.vm);
+    }
+  }
+  // Sides in the origin's region go first: their bytes cross no border.
+  bool isBehind = !aQuery.isNearOrigin && ofOrigin.size() > 1;
+  std::vector<PieceRank> ranks(aPieces);
+  for (std::uint32_t piece = 0; piece < aPieces; ++piece) {
+    ranks[piece].region = FindRank(aQuery.ownVm, ofRegion, piece);
+    ranks[piece].origin =
+      FindRank(aQuery.ownVm, ofOrigin, piece) + (isBehind ? kBehind : 0);
+  }
+  return ranks;
+}
+
 std::optional<PieceChoice>
 PickPiece(const PickQuery& aQuery)
 {
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -26,6 +26,15 @@
   bool isBusy = false;
 };
 
+/** This side's place among those that may bring a piece from afar. */
+struct PieceRank
+{
+  /** Into its region. */
+  std::int64_t region = 0;
+  /** From the origin. */
+  std::int64_t origin = 0;
+};
+
 /** What the choice of the next piece depends on. */
 struct PickQuery
 {
@@ -34,6 +43,8 @@
   /** Neither here nor on their way. */
   std::set<std::uint32_t> missing;
   std::vector<PieceHolder> sides;
+  /** By piece; from RankPieces. */
+  std::vector<PieceRank> ranks;
   /** Downloads that run, by side. */
   std::map<std::string, int> running;
   /** Since this side began to stage the version. */
@@ -50,6 +61,13 @@
   std::string vm;
 };
 
+/**
+ * This side's ranks for that many pieces among aQuery's sides. They change
+ * only as sides come and go, and are dear to work out for each choice.
+ */
+std::vector<PieceRank>
+RankPieces(const PickQuery& aQuery, std::uint32_t aPieces);
+
 /**
  * The next piece and where it comes from; empty if there is nothing to do
  * but wait. Within a region the rarest piece comes first, from any side that
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -83,6 +83,14 @@
   return side;
 }
 
+std::optional<PieceChoice>
+Pick(PickQuery aQuery)
+{
+  constexpr std::uint32_t kPieces = 48;
+  aQuery.ranks = RankPieces(aQuery, kPieces);
+  return PickPiece(aQuery);
+}
+
 } // namespace
 
 TEST_CASE("only bytes with the wanted digest are staged")
@@ -142,7 +150,7 @@
   query.missing = { 0, 1 };
   query.sides = { MakeSide("a", { true, true }),
                   MakeSide("b", { true, false }) };
-  auto choice = PickPiece(query);
+  auto choice = Pick(query);
   REQUIRE(choice);
   CHECK(choice->piece == 1);
   CHECK(choice->vm == "a");
@@ -155,12 +163,12 @@
   query.missing = { 0 };
   query.sides = { MakeSide("a", { true }) };
   query.sides[0].isBusy = true;
-  CHECK_FALSE(PickPiece(query));
+  CHECK_FALSE(Pick(query));
   query.sides[0].isBusy = false;
   query.running["a"] = 1;
-  CHECK_FALSE(PickPiece(query));
+  CHECK_FALSE(Pick(query));
   query.running.clear();
-  CHECK(PickPiece(query));
+  CHECK(Pick(query));
 }
 
 TEST_CASE("of a new version one side at first takes each piece of the origin")
@@ -179,7 +187,7 @@
     }
     for (std::uint32_t piece = 0; piece < 48; ++piece) {
       query.missing = { piece };
-      auto choice = PickPiece(query);
+      auto choice = Pick(query);
       askers[piece] += choice && choice->vm.empty() ? 1 : 0;
     }
   }
@@ -197,7 +205,7 @@
   query.elapsed = Millis(10000);
   for (std::uint32_t piece = 0; piece < 48; ++piece) {
     query.missing = { piece };
-    CHECK(PickPiece(query));
+    CHECK(Pick(query));
   }
 }
 
@@ -207,9 +215,9 @@
   query.ownVm = "me";
   query.isNearOrigin = true;
   query.missing = { 0 };
-  CHECK_FALSE(PickPiece(query));
+  CHECK_FALSE(Pick(query));
   query.elapsed = Millis(5000);
-  CHECK(PickPiece(query));
+  CHECK(Pick(query));
 }
 
 TEST_CASE("upstreams switch in waves, and all before the limit")
