--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -96,6 +96,7 @@
 void
 ConfigFollower::NoteLog(bool aAnswers, const utils::Error& aReason)
 {
+  sawFailure_ = sawFailure_ || !aAnswers;
   if (aAnswers == logAnswers_) {
     return;
   }
@@ -152,17 +153,27 @@
     logger_.Report(reason, { { "model", aModel } });
     return;
   }
+  // What stood there at a start may be old, unless the log was away until now:
+  // then a version's limit counts from its return.
+  bool live = started_ || sawFailure_;
+  AddVersion(aModel, { *version, clock_.Now(), live });
+}
+
+void
+ConfigFollower::AddVersion(const std::string& aModel,
+                           const NamedVersion& aNamed)
+{
   auto& named = versions_[aModel];
-  if (!named.empty() && *version <= named.back().version) {
+  if (!named.empty() && aNamed.version <= named.back().version) {
     return;
   }
   if (named.size() == kMaxVersions) {
     named.erase(named.begin());
   }
-  named.push_back({ *version, clock_.Now(), started_ });
+  named.push_back(aNamed);
   logger_.Info(
     "version named",
-    { { "model", aModel }, { "version", std::to_string(*version) } });
+    { { "model", aModel }, { "version", std::to_string(aNamed.version) } });
 }
 
 std::optional<NamedVersion>
@@ -210,27 +221,56 @@
   return confirmedAt_ ? clock_.Now() - *confirmedAt_ : kUnknown;
 }
 
-std::optional<ConfigRecord>
-ConfigFollower::GetRecord() const
+std::optional<schema::OperatorRecord>
+ConfigFollower::MakeRecord() const
 {
   if (!config_) {
     return std::nullopt;
   }
-  return ConfigRecord{ text_, offset_, GetAge() };
+  schema::OperatorRecord record;
+  record.set_config(text_);
+  record.set_offset(offset_);
+  record.set_end(std::max(end_, takenEnd_));
+  record.set_age_ms(static_cast<std::uint64_t>(GetAge().value));
+  for (const auto& [model, versions] : versions_) {
+    for (const auto& named : versions) {
+      auto& row = *record.add_versions();
+      row.set_model(model);
+      row.set_version(named.version);
+      auto age = clock_.Now() - named.learntAt;
+      row.set_age_ms(static_cast<std::uint64_t>(age.value));
+      row.set_learnt_live(named.learntLive);
+    }
+  }
+  return record;
 }
 
 void
-ConfigFollower::Take(const ConfigRecord& aRecord)
+ConfigFollower::Take(const schema::OperatorRecord& aRecord, Millis aDelay)
 {
-  auto provedAt = clock_.Now() - aRecord.age;
-  if (confirmedAt_ && provedAt <= *confirmedAt_) {
-    return;
+  auto now = clock_.Now();
+  auto since = [&](std::uint64_t aAge) {
+    return now - aDelay - Millis(static_cast<std::int64_t>(aAge));
+  };
+  for (const auto& row : aRecord.versions()) {
+    NamedVersion named{ row.version(), since(row.age_ms()), row.learnt_live() };
+    // The giver can't tell its age. Whoever needs this record is cut off from
+    // the log, and a version's limit counts from the log's return.
+    if (!named.learntLive) {
+      named.learntAt = now;
+      named.learntLive = true;
+    }
+    AddVersion(row.model(), named);
   }
-  ApplyConfig(aRecord.text, aRecord.offset);
-  // What was read from the log later than the other's record is not proved
-  // by it.
-  if (config_ && offset_ <= aRecord.offset) {
-    confirmedAt_ = provedAt;
+  takenEnd_ = std::max(takenEnd_, aRecord.end());
+  auto provedAt = since(aRecord.age_ms());
+  if (!confirmedAt_ || provedAt > *confirmedAt_) {
+    ApplyConfig(aRecord.config(), aRecord.offset());
+    // What was read from the log later than the other's record is not proved
+    // by it.
+    if (config_ && offset_ <= aRecord.offset()) {
+      confirmedAt_ = provedAt;
+    }
   }
   if (onChange_) {
     onChange_();
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -1,6 +1,7 @@
 #ifndef waxwingyoke_fleet_ConfigFollower_h
 #define waxwingyoke_fleet_ConfigFollower_h
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,6 +16,7 @@
 #include <net/Runtime.h>
 #include <platform/FleetCodecs.h>
 #include <platform/KeyedLog.h>
+#include <schema/fleet.pb.h>
 #include <telemetry/Logger.h>
 #include <utils/Time.h>
 
@@ -30,15 +32,6 @@
   bool learntLive = false;
 };
 
-/** A configuration with its proof, as one entry tells it to another. */
-struct ConfigRecord
-{
-  std::string text;
-  std::uint64_t offset = 0;
-  /** Since the read was sent that found it the newest. */
-  utils::Millis age;
-};
-
 /**
  * Follows the operator's topic: the configuration in force and the versions
  * that are named. Neither ever goes back in the life of the process.
@@ -88,11 +81,17 @@
   /** Since the configuration was last proved the newest. */
   utils::Millis GetAge() const;
 
-  /** What Take of another entry reads; empty while none is known. */
-  std::optional<ConfigRecord> GetRecord() const;
+  /** What Take of another process reads; empty while nothing is known. */
+  std::optional<schema::OperatorRecord> MakeRecord() const;
+
+  /**
+   * Another process's record, aDelay after it was made; used where it is
+   * newer or better proved.
+   */
+  void Take(const schema::OperatorRecord& aRecord, utils::Millis aDelay);
 
-  /** Another entry's record; used if it is newer or better confirmed. */
-  void Take(const ConfigRecord& aRecord);
+  /** Another process has read further than what is known here. */
+  bool IsBehind() const { return endElsewhere_ > std::max(end_, takenEnd_); }
 
 private:
   void Loop();
@@ -100,6 +99,7 @@
   void Apply(const platform::KeyedRecord& aRecord);
   void ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
+  void AddVersion(const std::string& aModel, const NamedVersion& aNamed);
   void NoteLog(bool aAnswers, const utils::Error& aReason);
 
   platform::KeyedLog& log_;
@@ -117,9 +117,13 @@
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
   bool logAnswers_ = true;
+  /** A read failed since the start. */
+  bool sawFailure_ = false;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable newsKnown_;
   std::uint64_t endElsewhere_ = 0;
+  /** How far the giver of the last record taken had read. */
+  std::uint64_t takenEnd_ = 0;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -7,6 +7,7 @@
 #include <net/Router.h>
 #include <schema/fleet.pb.h>
 
+#include "ConfigSharing.h"
 #include "DirectoryFollower.h"
 #include "EntryServices.h"
 #include "Exchange.h"
@@ -39,11 +40,13 @@
 // Other entries are asked for the configuration when it is older than this
 // share of what a key may be trusted for.
 constexpr double kAskPeersShare = 0.4;
-constexpr Millis kAskInterval(300);
-constexpr Millis kAskTimeout(400);
-constexpr const char* kConfigPath = "/fleet/config";
-constexpr const char* kOffsetField = "Config-Offset";
-constexpr const char* kAgeField = "Config-Age-Ms";
+
+Millis
+Scale(Millis aTime, double aShare)
+{
+  return Millis(
+    static_cast<std::int64_t>(static_cast<double>(aTime.value) * aShare));
+}
 
 net::HttpResponse
 MakeText(int aStatus, std::string aText)
@@ -68,6 +71,10 @@
     , services(aRuntime, aSettings, aPorts)
     , directory(aPorts.log, aPorts.codecs, services.GetBook())
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Entry)
+    , sharing(aPorts.client,
+              services.GetConfig(),
+              peers,
+              Scale(aSettings.bounds.revoke, kAskPeersShare))
   {
   }
 
@@ -82,8 +89,6 @@
   void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void TakeEntry(const Peer& aFrom, const schema::EntryNotice& aNotice);
   void TakeSide(const schema::SideNotice& aNotice);
-  void AskPeersLoop();
-  void AskPeer(const Peer& aPeer);
   void LogLoop();
 
   net::Runtime& runtime;
@@ -92,6 +97,7 @@
   EntryServices services;
   DirectoryFollower directory;
   PeerLink peers;
+  ConfigSharing sharing;
   net::Router peerRouter;
   std::unique_ptr<net::HttpServer> callerServer;
   std::unique_ptr<net::HttpServer> readinessServer;
@@ -129,7 +135,7 @@
   impl.services.GetConfig().Start(impl.runtime, serve);
   impl.directory.Start(impl.runtime, serve);
   impl.runtime.Spawn([&impl] { impl.NoticeLoop(); });
-  impl.runtime.Spawn([&impl] { impl.AskPeersLoop(); });
+  impl.sharing.Start(impl.runtime);
   impl.runtime.Spawn([&impl] { impl.LogLoop(); });
   return true;
 }
@@ -141,9 +147,7 @@
   auto& impl = *impl_;
   impl.draining = true;
   utils::Clock clock;
-  auto grace = static_cast<double>(impl.settings.bounds.grace.value);
-  auto end =
-    clock.Now() + Millis(static_cast<std::int64_t>(grace * kGraceShare));
+  auto end = clock.Now() + Scale(impl.settings.bounds.grace, kGraceShare);
   net::Runtime::Sleep(kUnreadyNotice);
   impl.callerServer->Close();
   while (impl.callerServer->GetActiveCount() > 0 && clock.Now() < end) {
@@ -196,17 +200,7 @@
   peerRouter.Add("GET", "/metrics", [](const auto&, auto& aWriter) {
     aWriter.Send(MakeText(kOk, telemetry::Metrics::Get().Show()));
   });
-  peerRouter.Add("GET", kConfigPath, [this](const auto&, auto& aWriter) {
-    auto record = services.GetConfig().GetRecord();
-    if (!record) {
-      aWriter.Send(MakeText(kUnavailable, "no configuration\n"));
-      return;
-    }
-    auto response = MakeText(kOk, std::move(record->text));
-    response.fields.Set(kOffsetField, std::to_string(record->offset));
-    response.fields.Set(kAgeField, std::to_string(record->age.value));
-    aWriter.Send(response);
-  });
+  sharing.AddRoute(peerRouter);
 }
 
 // One that knows no configuration, or can't tell whose keys still hold, has
@@ -350,51 +344,6 @@
   services.ServeLines();
 }
 
-void
-Entry::Impl::AskPeersLoop()
-{
-  auto limit = Millis(static_cast<std::int64_t>(
-    static_cast<double>(settings.bounds.revoke.value) * kAskPeersShare));
-  std::size_t next = 0;
-  while (true) {
-    net::Runtime::Sleep(kAskInterval);
-    auto entries = peers.List(PeerRole::Entry);
-    if (services.GetConfig().GetAge() > limit && !entries.empty()) {
-      AskPeer(entries[next++ % entries.size()]);
-    }
-  }
-}
-
-// The record's age counts from before the question: the answer may have been
-// on its way for as long as the call took.
-void
-Entry::Impl::AskPeer(const Peer& aPeer)
-{
-  net::HttpRequest request;
-  request.target = kConfigPath;
-  utils::Error reason;
-  auto askedAt = services.Now();
-  auto response = ports.client.Call(
-    aPeer.endpoint, request, { kAskTimeout, kAskTimeout, kAskTimeout }, reason);
-  if (!response || response->status != kOk) {
-    return;
-  }
-  auto read = [&response](const char* aName) {
-    return std::strtoull(
-      std::string(response->fields.Find(aName)).c_str(), nullptr, 10);
-  };
-  ConfigRecord record;
-  record.text = std::move(response->body);
-  record.offset = read(kOffsetField);
-  record.age = Millis(static_cast<std::int64_t>(read(kAgeField))) +
-               (services.Now() - askedAt);
-  logger.Info("configuration from another entry",
-              { { "peer", aPeer.vm },
-                { "offset", std::to_string(record.offset) },
-                { "age_ms", std::to_string(record.age.value) } });
-  services.GetConfig().Take(record);
-}
-
 void
 Entry::Impl::LogLoop()
 {
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -11,6 +11,7 @@
 #include <utils/Hash.h>
 
 #include "ConfigFollower.h"
+#include "ConfigSharing.h"
 #include "PeerLink.h"
 #include "PieceExchange.h"
 #include "PieceStore.h"
@@ -25,6 +26,8 @@
 constexpr int kOk = 200;
 // Entries say when there is something new; each read is charged.
 constexpr Millis kConfigInterval(8000);
+// Two reads failed.
+constexpr Millis kMaxConfigAge(18000);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(100);
 // A piece takes 40 ms on a side's link.
@@ -50,6 +53,7 @@
     , upstream(aUpstream)
     , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
+    , sharing(aPorts.client, config, peers, kMaxConfigAge)
     , store(aUpstream)
     , pieces(aSettings, aPorts.client, peers, store, aOrigin)
     , loader(aSettings, aUpstream, config, peers, store, pieces, [this] {
@@ -70,6 +74,7 @@
   platform::LocalUpstream& upstream;
   ConfigFollower config;
   PeerLink peers;
+  ConfigSharing sharing;
   PieceStore store;
   PieceExchange pieces;
   WeightLoader loader;
@@ -130,6 +135,7 @@
     return false;
   }
   impl.config.Start(impl.runtime, {});
+  impl.sharing.Start(impl.runtime);
   impl.runtime.Spawn([&impl] { impl.ReportLoop(); });
   impl.runtime.Spawn([&impl] { impl.LoadLoop(); });
   impl.runtime.Spawn([&impl] { impl.LogLoop(); });
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -140,14 +140,64 @@
   ScriptedLog log;
   log.answers = false;
   ConfigFollower follower(log, MakeCodecs(), {});
-  follower.Take({ "7", 4, Millis(1500) });
+  auto makeRecord = [](std::uint64_t aAge) {
+    schema::OperatorRecord record;
+    record.set_config("7");
+    record.set_offset(4);
+    record.set_end(6);
+    record.set_age_ms(aAge);
+    auto& named = *record.add_versions();
+    named.set_model("model");
+    named.set_version(2);
+    named.set_age_ms(3000);
+    named.set_learnt_live(true);
+    return record;
+  };
+  follower.NoteEnd(6);
+  CHECK(follower.IsBehind());
+  follower.Take(makeRecord(1400), Millis(100));
+  CHECK_FALSE(follower.IsBehind());
   REQUIRE(follower.GetConfig());
   CHECK(follower.GetConfig()->version == 7);
   CHECK(follower.GetAge() >= Millis(1500));
   CHECK(follower.GetAge() < Millis(60000));
   // An older proof does not make it older.
-  follower.Take({ "7", 4, Millis(90000) });
+  follower.Take(makeRecord(90000), Millis(0));
   CHECK(follower.GetAge() < Millis(60000));
+  // A named version counts from when the giver learnt of it.
+  CHECK(follower.FindVersion("model")->version == 2);
+  CHECK(follower.FindVersionOfAge("model", Millis(3000)) == 2);
+  CHECK(follower.FindVersionOfAge("model", Millis(60000)) == 0);
+}
+
+TEST_CASE("versions that are there when the log returns count from then")
+{
+  ScriptedLog log;
+  log.answers = false;
+  ConfigFollower follower(log, MakeCodecs(), {});
+  follower.Poll();
+  log.answers = true;
+  log.newest = MakePage({ { "model", "3", 0, false } }, 1);
+  follower.Poll();
+  CHECK(follower.FindVersion("model")->learntLive);
+  CHECK(follower.FindVersionOfAge("model", Millis(5000)) == 0);
+}
+
+TEST_CASE("a version of unknown age counts from when another told of it")
+{
+  ScriptedLog log;
+  ConfigFollower follower(log, MakeCodecs(), {});
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  follower.Poll();
+  schema::OperatorRecord record;
+  record.set_end(3);
+  auto& named = *record.add_versions();
+  named.set_model("model");
+  named.set_version(2);
+  follower.Take(record, Millis(0));
+  CHECK(follower.FindVersion("model")->version == 2);
+  // It may not be the only one at once: others have just begun to load it.
+  CHECK(follower.FindVersionOfAge("model", Millis(5000)) == 0);
 }
 
 TEST_CASE("each named version keeps its own time")
