--- a/libs/fleet/include/fleet/Entry.h
+++ b/libs/fleet/include/fleet/Entry.h
@@ -20,8 +20,6 @@
   platform::KeyedLog& log;
   platform::FleetCodecs codecs;
   const platform::RequestDialect* dialect = nullptr;
-  /** Where the balancer asks whether an entry takes callers. */
-  const char* readinessPath = "";
 };
 
 /**
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -175,6 +175,7 @@
     callerServer
       ? net::HttpServer::Builder(runtime)
           .SetEndpoint(*settings.readiness)
+          // The balancer asks nothing else at this address.
           .SetHandler([this](const auto&, auto& aWriter) {
             bool ready = IsReady();
             aWriter.Send(MakeText(ready ? kOk : kUnavailable,
--- a/tools/waxwingyoked/src/FleetRole.cpp
+++ b/tools/waxwingyoked/src/FleetRole.cpp
@@ -69,7 +69,6 @@
   telemetry::Logger logger("daemon");
   auto dialect = adapter::MakeRequestDialect();
   aPorts.dialect = dialect.get();
-  aPorts.readinessPath = adapter::kReadinessPath;
   fleet::Entry entry(aRuntime, aSettings, std::move(aPorts));
   utils::Error reason;
   if (!entry.Start(reason)) {
@@ -130,7 +129,7 @@
   net::HttpClient client(settings->address);
   client.SetUnacknowledgedLimit(kUnacknowledgedLimit);
   auto log = adapter::MakeKeyedLog(client, settings->store);
-  fleet::FleetPorts ports{ client, *log, adapter::MakeCodecs(), nullptr, "" };
+  fleet::FleetPorts ports{ client, *log, adapter::MakeCodecs(), nullptr };
   return runtime.Run([&] {
     return aRole == FleetRole::Entry ? ServeEntry(runtime, *settings, ports)
                                      : ServeSide(runtime, *settings, ports);
