--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -31,6 +31,9 @@
   void Run();
 
 private:
+  /** Under this much time no upstream can do anything. */
+  static constexpr utils::Millis kMinTimeLeft{ 30 };
+
   /** What a request came to, for the log. */
   enum class End
   {
