--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -10,8 +10,9 @@
 using platform::Topic;
 using utils::Millis;
 
-// Upstreams write every second or so and a read returns at once; half of the
-// two seconds in which a leaving upstream must get no more work.
+// A leaving upstream must get no more work two seconds after it said so; a
+// poll and its repeat fit into that. Longer reads would return for each
+// heartbeat of each upstream.
 constexpr Millis kPollInterval(700);
 // A lost answer must not cost a leaving upstream's time.
 constexpr Millis kPauseAfterFailure(40);
