Remove what nothing calls; read a side's notice once

Found on reading the whole change: three functions without a caller, and each notice of a side wrote out the address of every upstream to compare it.

--- a/libs/dispatch/include/dispatch/UpstreamBook.h
+++ b/libs/dispatch/include/dispatch/UpstreamBook.h
@@ -79,14 +79,6 @@
   double predictedMs = 0;
 };
 
-/** How crowded a service is. */
-struct ServiceLoad
-{
-  std::uint32_t usable = 0;
-  std::uint32_t slots = 0;
-  std::uint32_t running = 0;
-};
-
 /**
  * The upstreams, what runs there, and who gets the next request. Used by one
  * thread.
@@ -105,8 +97,6 @@
   std::optional<Place> FindAnyPlace(const PlaceQuery& aQuery,
                                     utils::Millis aNow) const;
 
-  ServiceLoad GetLoad(const PlaceQuery& aQuery, utils::Millis aNow) const;
-
   /** Adds or replaces what the directory says of an upstream. */
   void Put(const platform::Upstream& aRecord);
   void Remove(const std::string& aId);
--- a/libs/dispatch/include/dispatch/UpstreamHealth.h
+++ b/libs/dispatch/include/dispatch/UpstreamHealth.h
@@ -35,9 +35,6 @@
   /** Share of the last requests that failed there. */
   double GetFailedShare() const { return failedShare_; }
 
-  /** The upstream proved that it is well, as a side does on a fresh start. */
-  void Reset();
-
 private:
   void Eject(utils::Millis aNow);
 
--- a/libs/dispatch/include/dispatch/WaitingLine.h
+++ b/libs/dispatch/include/dispatch/WaitingLine.h
@@ -39,7 +39,6 @@
   void Serve();
 
   bool IsEmpty() const { return waiters_.empty(); }
-  std::size_t GetSize() const { return waiters_.size(); }
 
 private:
   std::list<Waiter> waiters_;
--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -139,21 +139,6 @@
   return FindBest(aQuery, aNow, false);
 }
 
-ServiceLoad
-UpstreamBook::GetLoad(const PlaceQuery& aQuery, Millis aNow) const
-{
-  ServiceLoad load;
-  for (const auto& [id, state] : upstreams_) {
-    if (IsCandidate(*state, aQuery, aNow)) {
-      ++load.usable;
-      load.slots += aQuery.engine != nullptr ? aQuery.engine->GetSlots()
-                                             : state->record.slots;
-      load.running += state->GetUse().running;
-    }
-  }
-  return load;
-}
-
 void
 UpstreamBook::Put(const platform::Upstream& aRecord)
 {
--- a/libs/dispatch/src/UpstreamHealth.cpp
+++ b/libs/dispatch/src/UpstreamHealth.cpp
@@ -65,10 +65,4 @@
   return aNow >= usableFrom_;
 }
 
-void
-UpstreamHealth::Reset()
-{
-  *this = UpstreamHealth();
-}
-
 } // namespace waxwingyoke::dispatch
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -331,9 +331,10 @@
 void
 Entry::Impl::TakeSide(const schema::SideNotice& aNotice)
 {
+  auto endpoint = net::Endpoint::Parse(aNotice.upstream());
   auto& book = services.GetBook();
   auto row = std::ranges::find_if(book.GetAll(), [&](const auto& aRow) {
-    return aRow.second->record.endpoint.ToString() == aNotice.upstream();
+    return endpoint && aRow.second->record.endpoint == *endpoint;
   });
   if (row == book.GetAll().end()) {
     return;
