Tell changes to those whom they concern: announcements, notices, directory

Cause: on the grown deployments sides and entries spent their time on notices. Each side told all others of each piece (worked out: 1,400 a second to each) and chose anew after each; entries sent all uses 16 times a second to all; each notice tried to place everyone in a long line; all entries polled the directory. Ruled out: the engines (94 in 100 busy), the log.

Change: announcements by region, choices by time and with hashed names; uses as changes; a look along the line ends after four misses; an entry's read of the directory is told to the others; failing reads are repeated less often.

--- a/libs/dispatch/include/dispatch/UpstreamBook.h
+++ b/libs/dispatch/include/dispatch/UpstreamBook.h
@@ -22,6 +22,15 @@
   std::uint32_t running = 0;
   /** Prompt tokens of those that have not sent their first event. */
   std::uint32_t unreadTokens = 0;
+
+  bool operator==(const UseCount&) const = default;
+};
+
+/** Requests of another entry at the upstream with that hash. */
+struct EntryUse
+{
+  std::uint64_t upstream = 0;
+  UseCount use;
 };
 
 /** What a side says first hand of its upstream. */
@@ -39,13 +48,16 @@
   std::uint64_t hash = 0;
   /** This entry's own requests. */
   UseCount own;
-  /** What other entries said of theirs. */
+  /** What other entries said of theirs, and the sum of it. */
   std::map<std::string, UseCount> others;
+  UseCount othersSum;
   UpstreamHealth health;
   std::optional<SideReport> side;
   utils::Millis sideHeardAt;
 
   UseCount GetUse() const;
+  /** Replaces what aEntry said; nothing running: it is forgotten. */
+  void SetOther(const std::string& aEntry, const UseCount& aUse);
 };
 
 using UpstreamPointer = std::shared_ptr<UpstreamState>;
@@ -103,9 +115,12 @@
   UpstreamPointer Find(const std::string& aId) const;
   std::vector<std::string> ListIds() const;
 
-  /** Replaces what aEntry said before. */
+  /** Replaces all that aEntry said before. */
   void TakeEntryUse(const std::string& aEntry,
-                    const std::unordered_map<std::uint64_t, UseCount>& aUses);
+                    const std::vector<EntryUse>& aUses);
+  /** Replaces what aEntry said of these upstreams. */
+  void TakeEntryChanges(const std::string& aEntry,
+                        const std::vector<EntryUse>& aUses);
   /** An entry that has gone silent has no requests that count. */
   void ForgetEntry(const std::string& aEntry);
   void TakeSideReport(const std::string& aId,
@@ -129,6 +144,7 @@
                                 bool aInTime) const;
 
   std::map<std::string, UpstreamPointer> upstreams_;
+  std::unordered_map<std::uint64_t, UpstreamPointer> byHash_;
 };
 
 /** The version that aState serves of the query's model; 0: none. */
--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -12,7 +12,7 @@
 
 // A side's word goes before the directory's while it is fresh: it repeats
 // itself four times in this time.
-constexpr Millis kSideReportAge(1500);
+constexpr Millis kSideReportAge(3200);
 // Another data centre adds its delay twice and its bytes are charged; this
 // many ms of a later first event are taken for that.
 constexpr double kCrossingMs = 40;
@@ -30,12 +30,27 @@
 UseCount
 UpstreamState::GetUse() const
 {
-  UseCount sum = own;
-  for (const auto& [entry, use] : others) {
-    sum.running += use.running;
-    sum.unreadTokens += use.unreadTokens;
+  return { own.running + othersSum.running,
+           own.unreadTokens + othersSum.unreadTokens };
+}
+
+void
+UpstreamState::SetOther(const std::string& aEntry, const UseCount& aUse)
+{
+  auto row = others.find(aEntry);
+  if (row == others.end()) {
+    if (aUse.running == 0) {
+      return;
+    }
+    row = others.try_emplace(aEntry).first;
+  }
+  othersSum.running += aUse.running - row->second.running;
+  othersSum.unreadTokens += aUse.unreadTokens - row->second.unreadTokens;
+  row->second = aUse;
+  if (aUse.running == 0) {
+    othersSum.unreadTokens -= aUse.unreadTokens;
+    others.erase(row);
   }
-  return sum;
 }
 
 std::uint64_t
@@ -102,16 +117,19 @@
 {
   std::optional<Place> best;
   double bestCost = 0;
+  auto limit = static_cast<double>(aQuery.timeLeft.value) * kObjectiveShare;
   for (const auto& [id, state] : upstreams_) {
     if (!IsCandidate(*state, aQuery, aNow)) {
       continue;
     }
-    auto place = Rate(state, aQuery, aNow);
     bool full =
       aQuery.engine != nullptr &&
       state->GetUse().running >= aQuery.engine->GetSlots() + kEngineQueue;
-    auto limit = static_cast<double>(aQuery.timeLeft.value) * kObjectiveShare;
-    if (aInTime && (full || place.predictedMs > limit)) {
+    if (aInTime && full) {
+      continue;
+    }
+    auto place = Rate(state, aQuery, aNow);
+    if (aInTime && place.predictedMs > limit) {
       continue;
     }
     bool crosses = state->record.dataCentre != aQuery.dataCentre;
@@ -147,6 +165,7 @@
   if (!state || restarted) {
     state = std::make_shared<UpstreamState>();
     state->hash = utils::StableHash(aRecord.id);
+    byHash_[state->hash] = state;
   }
   state->record = aRecord;
 }
@@ -154,7 +173,11 @@
 void
 UpstreamBook::Remove(const std::string& aId)
 {
-  upstreams_.erase(aId);
+  auto row = upstreams_.find(aId);
+  if (row != upstreams_.end()) {
+    byHash_.erase(row->second->hash);
+    upstreams_.erase(row);
+  }
 }
 
 UpstreamPointer
@@ -175,16 +198,21 @@
 }
 
 void
-UpstreamBook::TakeEntryUse(
-  const std::string& aEntry,
-  const std::unordered_map<std::uint64_t, UseCount>& aUses)
-{
-  for (auto& [id, state] : upstreams_) {
-    auto use = aUses.find(state->hash);
-    if (use == aUses.end()) {
-      state->others.erase(aEntry);
-    } else {
-      state->others[aEntry] = use->second;
+UpstreamBook::TakeEntryUse(const std::string& aEntry,
+                           const std::vector<EntryUse>& aUses)
+{
+  ForgetEntry(aEntry);
+  TakeEntryChanges(aEntry, aUses);
+}
+
+void
+UpstreamBook::TakeEntryChanges(const std::string& aEntry,
+                               const std::vector<EntryUse>& aUses)
+{
+  for (const auto& change : aUses) {
+    auto row = byHash_.find(change.upstream);
+    if (row != byHash_.end()) {
+      row->second->SetOther(aEntry, change.use);
     }
   }
 }
@@ -192,8 +220,9 @@
 void
 UpstreamBook::ForgetEntry(const std::string& aEntry)
 {
-  std::ranges::for_each(
-    upstreams_, [&aEntry](auto& aRow) { aRow.second->others.erase(aEntry); });
+  std::ranges::for_each(upstreams_, [&aEntry](auto& aRow) {
+    aRow.second->SetOther(aEntry, {});
+  });
 }
 
 void
--- a/libs/dispatch/src/WaitingLine.cpp
+++ b/libs/dispatch/src/WaitingLine.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Of one look along the line.
+constexpr int kMaxMisses = 4;
+
 bool
 GoesBefore(const Waiter& aLeft, const Waiter& aRight)
 {
@@ -38,14 +41,22 @@
   waiters_.erase(aTicket);
 }
 
+// One that can't be placed doesn't hold up another that needs less, but after
+// several there is hardly room for any: a line grows long under overload, and
+// each try costs a look at all upstreams.
 void
 WaitingLine::Serve()
 {
-  // One that can't be placed doesn't hold up another that needs less.
+  int misses = 0;
   for (auto& waiter : waiters_) {
-    if (waiter.tryTake && waiter.tryTake()) {
+    if (!waiter.tryTake) {
+      continue;
+    }
+    if (waiter.tryTake()) {
       waiter.tryTake = nullptr;
       waiter.wake();
+    } else if (++misses == kMaxMisses) {
+      return;
     }
   }
 }
--- a/libs/dispatch/tests/LoadPatternsTest.cpp
+++ b/libs/dispatch/tests/LoadPatternsTest.cpp
@@ -194,3 +194,37 @@
   line.Serve();
   CHECK(served == std::vector<int>{ 4, 2, 3, 1 });
 }
+
+TEST_CASE("overload: a long line costs a few tries, not one a waiter")
+{
+  WaitingLine line;
+  int tries = 0;
+  for (int i = 0; i < 500; ++i) {
+    Waiter waiter;
+    waiter.arrived = Millis(i);
+    waiter.tryTake = [&tries] {
+      ++tries;
+      return false;
+    };
+    line.Join(std::move(waiter));
+  }
+  line.Serve();
+  CHECK(tries < 10);
+}
+
+TEST_CASE("overload: one that needs more does not hold up the next")
+{
+  WaitingLine line;
+  bool isServed = false;
+  Waiter large;
+  large.arrived = Millis(1);
+  large.tryTake = [] { return false; };
+  line.Join(std::move(large));
+  Waiter small;
+  small.arrived = Millis(2);
+  small.tryTake = [] { return true; };
+  small.wake = [&isServed] { isServed = true; };
+  line.Join(std::move(small));
+  line.Serve();
+  CHECK(isServed);
+}
--- a/libs/dispatch/tests/UpstreamBookTest.cpp
+++ b/libs/dispatch/tests/UpstreamBookTest.cpp
@@ -100,6 +100,27 @@
   CHECK(bed.book.FindPlace(bed.MakeQuery(), kNow)->upstream->record.id == "a");
 }
 
+TEST_CASE("changes of another entry's use replace what they name alone")
+{
+  Bed bed;
+  bed.book.Put(MakeUpstream("a"));
+  bed.book.Put(MakeUpstream("b"));
+  auto a = bed.book.Find("a");
+  auto b = bed.book.Find("b");
+  bed.book.TakeEntryUse("other", { { a->hash, { 3, 70 } } });
+  bed.book.TakeEntryUse("third", { { a->hash, { 1, 10 } } });
+  bed.book.TakeEntryChanges("other", { { b->hash, { 2, 0 } } });
+  CHECK(a->GetUse() == UseCount{ 4, 80 });
+  CHECK(b->GetUse() == UseCount{ 2, 0 });
+  bed.book.TakeEntryChanges("other", { { a->hash, { 0, 0 } } });
+  CHECK(a->GetUse() == UseCount{ 1, 10 });
+  // All that there is: what it does not name has ended.
+  bed.book.TakeEntryUse("other", {});
+  CHECK(b->GetUse() == UseCount{ 0, 0 });
+  bed.book.ForgetEntry("third");
+  CHECK(a->GetUse() == UseCount{ 0, 0 });
+}
+
 TEST_CASE("another data centre only when the own one is busier")
 {
   Bed bed;
--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -10,6 +10,7 @@
 using platform::Topic;
 using utils::Millis;
 
+// Doubled with each failure in a row.
 constexpr Millis kPauseAfterFailure(200);
 // Several changes in a row are read together.
 constexpr Millis kPauseAfterChange(80);
@@ -24,6 +25,7 @@
   : log_(aLog)
   , codecs_(aCodecs)
   , pace_(aPace)
+  , pause_(kPauseAfterFailure)
 {
 }
 
@@ -40,7 +42,7 @@
   while (true) {
     auto before = end_;
     if (!Poll()) {
-      net::Runtime::Sleep(kPauseAfterFailure);
+      PauseAfterFailure();
     } else if (end_ != before) {
       net::Runtime::Sleep(kPauseAfterChange);
     } else {
@@ -49,6 +51,16 @@
   }
 }
 
+// Reads that fail are charged like others; the first pause alone where others
+// know of something newer.
+void
+ConfigFollower::PauseAfterFailure()
+{
+  bool isBehind = started_ && IsBehind();
+  net::Runtime::Sleep(isBehind ? kPauseAfterFailure : pause_);
+  pause_ = std::min(pause_ * 2, pace_.longestPause);
+}
+
 void
 ConfigFollower::AwaitNews()
 {
@@ -82,6 +94,7 @@
     started_ = started_ && reason.kind != utils::ErrorKind::LogTrimmed;
     return false;
   }
+  pause_ = kPauseAfterFailure;
   std::ranges::for_each(page->records,
                         [this](const auto& aRecord) { Apply(aRecord); });
   end_ = std::max(end_, page->end);
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -46,6 +46,8 @@
     utils::Millis wait;
     /** Between two reads without news, unless there is word of some. */
     utils::Millis interval;
+    /** Between two reads that fail, after several in a row. */
+    utils::Millis longestPause;
   };
 
   ConfigFollower(platform::KeyedLog& aLog,
@@ -96,6 +98,7 @@
 private:
   void Loop();
   void AwaitNews();
+  void PauseAfterFailure();
   void Apply(const platform::KeyedRecord& aRecord);
   void ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
@@ -117,6 +120,8 @@
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
   bool logAnswers_ = true;
+  /** The next one after a read that failed. */
+  utils::Millis pause_;
   /** A read failed since the start. */
   bool sawFailure_ = false;
   boost::fibers::mutex mutex_;
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -13,9 +13,17 @@
 // A leaving upstream must get no more work two seconds after it said so; a
 // poll and its repeat fit into that. Longer reads would return for each
 // heartbeat of each upstream.
-constexpr Millis kPollInterval(700);
-// A lost answer must not cost a leaving upstream's time.
+constexpr Millis kPollInterval(600);
+// Entries read one after the other, unless another's news come first: one
+// read and its notice fit into a step, all steps into the time above.
+constexpr Millis kTurnStep(50);
+constexpr Millis kLastTurn(500);
+// A lost answer must not cost a leaving upstream's time; doubled with each
+// failure in a row, as reads that fail are charged like others.
 constexpr Millis kPauseAfterFailure(40);
+constexpr Millis kLongestPause(400);
+// News that fit into a datagram; entries read more than that themselves.
+constexpr std::size_t kMaxNewsBytes = 4096;
 // Upstreams that live register again within about two seconds of the log's
 // return.
 constexpr Millis kReturnTime(2500);
@@ -42,16 +50,36 @@
 void
 DirectoryFollower::Loop()
 {
+  auto pause = kPauseAfterFailure;
   while (true) {
-    bool answered = Poll();
-    net::Runtime::Sleep(answered ? kPollInterval : kPauseAfterFailure);
+    auto wait = GetNextTurn() - clock_.Now();
+    if (wait > Millis(0)) {
+      net::Runtime::Sleep(wait);
+      RemoveOverdue();
+    } else if (Poll()) {
+      pause = kPauseAfterFailure;
+    } else {
+      net::Runtime::Sleep(pause);
+      pause = std::min(pause * 2, kLongestPause);
+    }
   }
 }
 
+Millis
+DirectoryFollower::GetNextTurn() const
+{
+  auto turn = std::min(kTurnStep * static_cast<std::int64_t>(turn_), kLastTurn);
+  return confirmedAt_ ? *confirmedAt_ + kPollInterval + turn : Millis(0);
+}
+
 bool
 DirectoryFollower::Poll()
 {
+  auto sentAt = clock_.Now();
   bool answered = started_ ? ReadNews() : ReadAll();
+  if (answered) {
+    confirmedAt_ = sentAt;
+  }
   RemoveOverdue();
   if (onChange_) {
     onChange_();
@@ -112,28 +140,64 @@
   if (!page) {
     return false;
   }
-  std::ranges::for_each(page->records,
-                        [this](const auto& aRecord) { Apply(aRecord); });
+  schema::DirectoryNews news;
+  news.set_from(end_);
+  news.set_end(page->end);
+  for (const auto& record : page->records) {
+    if (Apply(record)) {
+      auto& row = *news.add_records();
+      row.set_key(record.key);
+      row.set_value(record.value);
+      row.set_offset(record.offset);
+      row.set_dropped(record.dropped);
+    }
+  }
   end_ = page->end;
+  if (onNews_ && news.ByteSizeLong() <= kMaxNewsBytes) {
+    onNews_(news);
+  }
   return true;
 }
 
 void
+DirectoryFollower::TakeNews(const schema::DirectoryNews& aNews)
+{
+  // With a gap before them they are not all that is new.
+  if (!started_ || aNews.from() > end_ || aNews.end() <= end_) {
+    return;
+  }
+  for (const auto& row : aNews.records()) {
+    if (row.offset() >= end_) {
+      Apply({ row.key(), row.value(), row.offset(), row.dropped() });
+    }
+  }
+  end_ = aNews.end();
+  confirmedAt_ = clock_.Now();
+  RemoveOverdue();
+  if (onChange_ && aNews.records_size() > 0) {
+    onChange_();
+  }
+}
+
+// False if the record changes nothing, like most heartbeats.
+bool
 DirectoryFollower::Apply(const platform::KeyedRecord& aRecord)
 {
   if (aRecord.dropped) {
-    Remove(aRecord.key, clock_.Now() >= patientUntil_);
-    return;
+    return Remove(aRecord.key, clock_.Now() >= patientUntil_);
   }
   utils::Error reason;
   auto upstream = codecs_.parseUpstream(aRecord.key, aRecord.value, reason);
   if (!upstream) {
     logger_.Report(reason, { { "upstream", aRecord.key } });
     // It names no upstream to use.
-    Remove(aRecord.key, true);
-    return;
+    return Remove(aRecord.key, true);
   }
+  bool isBack = missing_.erase(aRecord.key) > 0;
   auto known = book_.Find(aRecord.key);
+  if (known && known->record == *upstream) {
+    return isBack;
+  }
   bool changed = !known || known->record.startedMs != upstream->startedMs ||
                  known->record.draining != upstream->draining;
   if (changed) {
@@ -143,17 +207,18 @@
                    { "address", upstream->endpoint.ToString() },
                    { "draining", upstream->draining ? "yes" : "no" } });
   }
-  missing_.erase(aRecord.key);
   book_.Put(*upstream);
+  return true;
 }
 
-void
+bool
 DirectoryFollower::Remove(const std::string& aId, bool aAtOnce)
 {
   if (!book_.Find(aId)) {
-    return;
+    return false;
   }
   missing_.try_emplace(aId, aAtOnce ? clock_.Now() : patientUntil_);
+  return true;
 }
 
 void
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -4,12 +4,15 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <dispatch/UpstreamBook.h>
 #include <net/Runtime.h>
 #include <platform/FleetCodecs.h>
 #include <platform/KeyedLog.h>
+#include <schema/fleet.pb.h>
 #include <telemetry/Logger.h>
 #include <utils/Time.h>
 
@@ -27,26 +30,42 @@
                     const platform::FleetCodecs& aCodecs,
                     dispatch::UpstreamBook& aBook);
 
+  using NewsHook = std::function<void(const schema::DirectoryNews&)>;
+
+  /** The hook runs with what a read brought, for other entries. */
+  void OnNews(NewsHook aHook) { onNews_ = std::move(aHook); }
+
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
   /** Reads once and applies what is due; false where the log is silent. */
   bool Poll();
 
+  /** What another entry read; this one need not read it then. */
+  void TakeNews(const schema::DirectoryNews& aNews);
+
+  /** This entry's place among those that read one after the other. */
+  void SetTurn(std::size_t aTurn) { turn_ = aTurn; }
+
 private:
   void Loop();
+  utils::Millis GetNextTurn() const;
   bool ReadAll();
   bool ReadNews();
-  void Apply(const platform::KeyedRecord& aRecord);
-  void Remove(const std::string& aId, bool aAtOnce);
+  bool Apply(const platform::KeyedRecord& aRecord);
+  bool Remove(const std::string& aId, bool aAtOnce);
   void RemoveOverdue();
   void NoteLog(bool aAnswers);
 
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
   dispatch::UpstreamBook& book_;
-  utils::Clock clock_;
+  utils::Clock clock_ = utils::Clock::CountingSuspension();
   telemetry::Logger logger_{ "directory" };
   std::function<void()> onChange_;
+  NewsHook onNews_;
+  std::size_t turn_ = 0;
+  /** When what is known was the newest. */
+  std::optional<utils::Millis> confirmedAt_;
   bool started_ = false;
   std::uint64_t end_ = 0;
   bool logAnswers_ = true;
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -1,6 +1,7 @@
 #include <fleet/Entry.h>
 
 #include <algorithm>
+#include <array>
 #include <unordered_map>
 
 #include <net/HttpServer.h>
@@ -24,8 +25,11 @@
 // Between two notices of what this entry runs where: a slot is held for about
 // two seconds, so a notice that is this late misplaces few requests.
 constexpr Millis kNoticeInterval(60);
-// Said again without a change, so that a lost notice does not last.
-constexpr Millis kNoticeRepeat(500);
+// To entries of other regions, which send here only what their own region has
+// no room for; bytes between regions are dear.
+constexpr Millis kFarNoticeInterval(180);
+// All uses are said again, so that a lost notice does not last.
+constexpr Millis kCompleteInterval(500);
 // Sides that missed it, or started since, hear of the operator's topic again.
 constexpr Millis kEndRepeat(1000);
 // An entry that is silent for this long has no requests that count.
@@ -41,6 +45,17 @@
 // share of what a key may be trusted for.
 constexpr double kAskPeersShare = 0.4;
 
+/** Entries of one reach: what they were told of this one's requests. */
+struct Audience
+{
+  Reach reach;
+  Millis interval;
+  bool isDue = false;
+  Millis toldAt;
+  Millis completeAt;
+  std::unordered_map<std::uint64_t, dispatch::UseCount> told;
+};
+
 Millis
 Scale(Millis aTime, double aShare)
 {
@@ -83,7 +98,10 @@
   bool IsReady() const;
   net::HttpLimits GetLimits();
   void NoticeLoop();
-  void SendNotice();
+  void SendNotice(Audience& aAudience);
+  void AddUses(Audience& aAudience, schema::EntryNotice& aEntry);
+  void AddNews(const Audience& aAudience, schema::EntryNotice& aEntry);
+  void SendDirectoryNews(const schema::DirectoryNews& aNews);
   void TellSides(std::uint64_t aEnd);
   void ForgetSilentEntries();
   void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
@@ -103,6 +121,10 @@
   std::unique_ptr<net::HttpServer> readinessServer;
   std::unique_ptr<net::HttpServer> peerServer;
   telemetry::Logger logger{ "entry" };
+  std::array<Audience, 2> audiences{ {
+    { Reach::Near, kNoticeInterval, false, {}, {}, {} },
+    { Reach::Far, kFarNoticeInterval, false, {}, {}, {} },
+  } };
   std::map<std::string, Millis> entriesHeardAt;
   /** How far the sides know that this entry has read. */
   std::uint64_t toldEnd = 0;
@@ -133,6 +155,8 @@
   }
   auto serve = [&impl] { impl.services.ServeLines(); };
   impl.services.GetConfig().Start(impl.runtime, serve);
+  impl.directory.OnNews(
+    [&impl](const auto& aNews) { impl.SendDirectoryNews(aNews); });
   impl.directory.Start(impl.runtime, serve);
   impl.runtime.Spawn([&impl] { impl.NoticeLoop(); });
   impl.sharing.Start(impl.runtime);
@@ -228,47 +252,88 @@
 void
 Entry::Impl::NoticeLoop()
 {
-  Millis sentAt;
   while (true) {
     net::Runtime::Sleep(kNoticeInterval);
-    auto now = services.Now();
-    if (services.TakeUseChange() || now - sentAt >= kNoticeRepeat) {
-      SendNotice();
-      sentAt = now;
-      ForgetSilentEntries();
+    bool changed = services.TakeUseChange();
+    for (auto& audience : audiences) {
+      audience.isDue = audience.isDue || changed;
+      auto interval = audience.isDue ? audience.interval : kCompleteInterval;
+      if (services.Now() - audience.toldAt >= interval) {
+        SendNotice(audience);
+      }
     }
+    ForgetSilentEntries();
     auto end = services.GetConfig().GetEnd();
-    if (end != toldEnd || now - toldSidesAt >= kEndRepeat) {
+    if (end != toldEnd || services.Now() - toldSidesAt >= kEndRepeat) {
       TellSides(end);
     }
   }
 }
 
 void
-Entry::Impl::SendNotice()
+Entry::Impl::SendNotice(Audience& aAudience)
 {
   schema::FleetNotice notice;
   auto& entry = *notice.mutable_entry();
+  AddUses(aAudience, entry);
+  AddNews(aAudience, entry);
+  aAudience.isDue = false;
+  aAudience.toldAt = services.Now();
+  peers.Send(PeerRole::Entry, notice, aAudience.reach);
+}
+
+// Mostly what changed since the last notice: a request starts or ends at a few
+// of many upstreams in that time.
+void
+Entry::Impl::AddUses(Audience& aAudience, schema::EntryNotice& aEntry)
+{
+  bool complete = services.Now() - aAudience.completeAt >= kCompleteInterval;
+  if (complete) {
+    aAudience.completeAt = services.Now();
+    aAudience.told.clear();
+  }
+  aEntry.set_changes_only(!complete);
   for (const auto& [id, state] : services.GetBook().GetAll()) {
-    if (state->own.running > 0) {
-      auto& use = *entry.add_uses();
-      use.set_upstream(state->hash);
-      use.set_running(state->own.running);
-      use.set_unread_tokens(state->own.unreadTokens);
+    auto& told = aAudience.told[state->hash];
+    if (told == state->own) {
+      continue;
     }
+    told = state->own;
+    auto& use = *aEntry.add_uses();
+    use.set_upstream(state->hash);
+    use.set_running(state->own.running);
+    use.set_unread_tokens(state->own.unreadTokens);
   }
+}
+
+// Callers that return come to an entry of their own region.
+void
+Entry::Impl::AddNews(const Audience& aAudience, schema::EntryNotice& aEntry)
+{
   auto since = services.Now() - kCrashRepeat;
   for (const auto& crash : services.GetCrashes().ListSince(since)) {
-    auto& report = *entry.add_crashes();
+    auto& report = *aEntry.add_crashes();
     report.set_request(crash.request);
     report.set_upstream(crash.upstream);
   }
+  if (aAudience.reach == Reach::Far) {
+    return;
+  }
   for (const auto& refusal : services.GetRefusals().TakeNews()) {
-    auto& refused = *entry.add_refused();
+    auto& refused = *aEntry.add_refused();
     refused.set_request(refusal.request);
     auto age = services.Now() - refusal.firstCame;
     refused.set_age_ms(static_cast<std::uint32_t>(age.value));
   }
+}
+
+void
+Entry::Impl::SendDirectoryNews(const schema::DirectoryNews& aNews)
+{
+  schema::FleetNotice notice;
+  auto& entry = *notice.mutable_entry();
+  entry.set_changes_only(true);
+  *entry.mutable_directory() = aNews;
   peers.Send(PeerRole::Entry, notice);
 }
 
@@ -295,6 +360,9 @@
   });
   services.SetEntryCount(
     std::max(entriesHeardAt.size(), peers.List(PeerRole::Entry).size()) + 1);
+  auto before = entriesHeardAt.lower_bound(settings.vm);
+  directory.SetTurn(static_cast<std::size_t>(
+    std::distance(entriesHeardAt.begin(), before)));
 }
 
 void
@@ -310,12 +378,19 @@
 void
 Entry::Impl::TakeEntry(const Peer& aFrom, const schema::EntryNotice& aNotice)
 {
-  std::unordered_map<std::uint64_t, dispatch::UseCount> uses;
+  std::vector<dispatch::EntryUse> uses;
   for (const auto& use : aNotice.uses()) {
-    uses[use.upstream()] = { use.running(), use.unread_tokens() };
+    uses.push_back({ use.upstream(), { use.running(), use.unread_tokens() } });
+  }
+  if (aNotice.changes_only()) {
+    services.GetBook().TakeEntryChanges(aFrom.vm, uses);
+  } else {
+    services.GetBook().TakeEntryUse(aFrom.vm, uses);
   }
-  services.GetBook().TakeEntryUse(aFrom.vm, uses);
   entriesHeardAt[aFrom.vm] = services.Now();
+  if (aNotice.has_directory()) {
+    directory.TakeNews(aNotice.directory());
+  }
   for (const auto& crash : aNotice.crashes()) {
     services.GetCrashes().Note({ crash.request(), crash.upstream() },
                                services.Now());
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -12,6 +12,9 @@
 // How long a read of the operator's topic waits: once a second is proved that
 // nothing newer stands there.
 constexpr Millis kConfigWait(1000);
+// While the log fails: soon back after its return, as keys are not trusted
+// without it.
+constexpr Millis kLongestPause(400);
 // Requests that fail together come in within this time; then the upstream is
 // asked for a connection.
 constexpr Millis kProbeDelay(30);
@@ -23,6 +26,9 @@
 // another window than it was counted in.
 constexpr double kSlackShare = 0.6;
 constexpr double kRatioShare = 0.8;
+// Notices of other processes come hundreds of times a second; a place that
+// they tell of is tried for once in this time.
+constexpr Millis kServeInterval(10);
 
 } // namespace
 
@@ -46,7 +52,7 @@
   : runtime_(aRuntime)
   , settings_(aSettings)
   , ports_(aPorts)
-  , config_(ports_.log, ports_.codecs, { kConfigWait, Millis(0) })
+  , config_(ports_.log, ports_.codecs, { kConfigWait, Millis(0), kLongestPause })
   , metrics_(EntryMetrics::Make())
 {
 }
@@ -89,9 +95,15 @@
     { settings_.bounds.configApply, settings_.bounds.revoke });
 }
 
+// Each try to place a request looks at all upstreams.
 void
 EntryServices::ServeLines()
 {
+  auto now = Now();
+  if (now - linesServedAt_ < kServeInterval) {
+    return;
+  }
+  linesServedAt_ = now;
   std::ranges::for_each(services_,
                         [](auto& aRow) { aRow.second.line.Serve(); });
 }
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -79,7 +79,7 @@
   /** How many entries share the fleet's retries. */
   void SetEntryCount(std::size_t aCount) { entryCount_ = aCount; }
 
-  /** Gives freed places to requests that wait. */
+  /** Gives places that others freed to requests that wait. */
   void ServeLines();
 
   /** The oldest version that new work may begin on; 0: any. */
@@ -115,6 +115,7 @@
   std::uint64_t enginesVersion_ = 0;
   std::size_t entryCount_ = 1;
   bool useChanged_ = false;
+  utils::Millis linesServedAt_;
   /** Requests whose connections broke, by upstream, while it is probed. */
   std::map<std::string, std::vector<std::uint64_t>> broken_;
 };
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -27,12 +27,17 @@
 
 // Processes greet those that were there before them; the topic is looked at
 // for greetings that were lost.
-constexpr Millis kMembersInterval(10000);
+constexpr Millis kMembersInterval(20000);
 constexpr Millis kPauseAfterFailure(500);
+// Reads that fail are charged as well, and greetings reach most processes.
+constexpr Millis kLongestPause(4000);
 // Members that start together register within this time.
 constexpr Millis kFirstLook(1500);
-// A greeting may be lost, and a process may restart without its peers.
-constexpr Millis kHelloInterval(2500);
+// A greeting may be lost, and a process may restart without its peers: a few
+// come in quick succession, then they are repeated.
+constexpr int kFirstHellos = 3;
+constexpr Millis kFirstHelloInterval(1200);
+constexpr Millis kHelloInterval(10000);
 
 std::string_view
 GetName(PeerRole aRole)
@@ -106,10 +111,12 @@
 {
   utils::Error reason;
   auto key = settings_.vm + "/" + std::string(GetName(role_));
+  auto pause = kPauseAfterFailure;
   while (
     !log_.Append(Topic::Members, key, schema::ToJson(MakeMember()), reason)) {
     logger_.Report(reason, { { "step", "register" } });
-    net::Runtime::Sleep(kPauseAfterFailure);
+    net::Runtime::Sleep(pause);
+    pause = std::min(pause * 2, kLongestPause);
   }
 }
 
@@ -119,15 +126,18 @@
   Register();
   bool started = false;
   std::uint64_t end = 0;
+  auto pause = kPauseAfterFailure;
   while (true) {
     utils::Error reason;
     auto page = started ? log_.Read(Topic::Members, end, Millis(0), reason)
                         : log_.ReadNewest(Topic::Members, reason);
     if (!page) {
       started = started && reason.kind != utils::ErrorKind::LogTrimmed;
-      net::Runtime::Sleep(kPauseAfterFailure);
+      net::Runtime::Sleep(pause);
+      pause = std::min(pause * 2, kLongestPause);
       continue;
     }
+    pause = kPauseAfterFailure;
     bool first = !std::exchange(started, true);
     end = page->end;
     std::ranges::for_each(page->records,
@@ -139,11 +149,12 @@
 void
 PeerLink::HelloLoop()
 {
-  while (true) {
+  for (int sent = 1;; ++sent) {
     schema::FleetNotice notice;
     *notice.mutable_hello() = MakeMember();
     SendToAll(notice);
-    net::Runtime::Sleep(kHelloInterval);
+    net::Runtime::Sleep(sent < kFirstHellos ? kFirstHelloInterval
+                                            : kHelloInterval);
   }
 }
 
@@ -198,28 +209,43 @@
   });
 }
 
+// A seed whose region is not known yet counts as near.
+bool
+PeerLink::IsWithin(const Peer& aPeer, Reach aReach) const
+{
+  bool isNear = aPeer.region.empty() || aPeer.region == settings_.region;
+  return aReach == Reach::All || isNear == (aReach == Reach::Near);
+}
+
 void
-PeerLink::Send(PeerRole aTo, schema::FleetNotice& aNotice)
+PeerLink::Send(PeerRole aTo, schema::FleetNotice& aNotice, Reach aReach)
 {
   Stamp(aNotice);
   std::string bytes = aNotice.SerializeAsString();
-  for (const auto& [key, peer] : peers_) {
-    if (peer.role == aTo) {
-      socket_->Send(peer.endpoint, bytes);
+  Visit(aTo, [&](const Peer& aPeer) {
+    if (IsWithin(aPeer, aReach)) {
+      socket_->Send(aPeer.endpoint, bytes);
     }
-  }
+  });
 }
 
 std::vector<Peer>
 PeerLink::List(PeerRole aRole) const
 {
   std::vector<Peer> peers;
+  Visit(aRole, [&peers](const Peer& aPeer) { peers.push_back(aPeer); });
+  return peers;
+}
+
+void
+PeerLink::Visit(PeerRole aRole,
+                const std::function<void(const Peer&)>& aVisitor) const
+{
   for (const auto& [key, peer] : peers_) {
     if (peer.role == aRole) {
-      peers.push_back(peer);
+      aVisitor(peer);
     }
   }
-  return peers;
 }
 
 void
--- a/libs/fleet/src/PeerLink.h
+++ b/libs/fleet/src/PeerLink.h
@@ -25,6 +25,16 @@
   Side
 };
 
+/** Which peers a notice is for. */
+enum class Reach
+{
+  All,
+  /** In the sender's region. */
+  Near,
+  /** In other regions. */
+  Far
+};
+
 /** Another process of ours. */
 struct Peer
 {
@@ -57,11 +67,15 @@
 
   bool Start(Handler aHandler, utils::Error& aReason);
 
-  /** Sends to every peer of that role; fills in who sends. */
-  void Send(PeerRole aTo, schema::FleetNotice& aNotice);
+  /** Sends to every peer of that role and reach; fills in who sends. */
+  void Send(PeerRole aTo,
+            schema::FleetNotice& aNotice,
+            Reach aReach = Reach::All);
 
   /** Peers of that role. */
   std::vector<Peer> List(PeerRole aRole) const;
+  void Visit(PeerRole aRole,
+             const std::function<void(const Peer&)>& aVisitor) const;
 
   const net::Endpoint& GetOwnEndpoint() const { return own_; }
 
@@ -72,6 +86,7 @@
   schema::FleetMember MakeMember() const;
   void SendToAll(schema::FleetNotice& aNotice);
   void Stamp(schema::FleetNotice& aNotice);
+  bool IsWithin(const Peer& aPeer, Reach aReach) const;
   void TakeMember(const std::string& aKey, const schema::FleetMember& aMember);
   void Apply(const platform::KeyedRecord& aRecord);
   void Receive(const net::Endpoint& aFrom, std::string_view aBytes);
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <telemetry/Metrics.h>
+#include <utils/Hash.h>
 
 namespace waxwingyoke::fleet {
 
@@ -122,13 +123,15 @@
 PieceExchange::TakeNotice(const Peer& aFrom, const schema::SideNotice& aNotice)
 {
   auto& row = announcements_[aFrom.vm];
-  row.peer = aFrom;
+  if (row.peer.endpoint != aFrom.endpoint) {
+    row.peer = aFrom;
+    row.hash = utils::StableHash(aFrom.vm);
+  }
   row.model = aNotice.staged_model();
   row.version = aNotice.staged_version();
+  // Those who fetch look at it with their next step: notices of many sides
+  // come in quick succession, and a choice is dear.
   row.pieces = ReadBits(aNotice.staged_pieces());
-  if (fetchers_ > 0) {
-    changed_.notify_all();
-  }
 }
 
 void
@@ -296,6 +299,7 @@
   const auto& list = store_.GetList();
   PickQuery query;
   query.ownVm = settings_.vm;
+  query.ownHash = utils::StableHash(settings_.vm);
   query.isNearOrigin = settings_.region == originRegion;
   query.missing = store_.GetMissing();
   std::ranges::for_each(
@@ -305,19 +309,20 @@
   query.isNew = aOrder.isNew;
   query.originUsable =
     aOrder.origin != nullptr && clock_.Now() >= originUsableFrom_;
-  for (const auto& peer : peers_.List(PeerRole::Side)) {
+  peers_.Visit(PeerRole::Side, [&](const Peer& aPeer) {
     PieceHolder side;
-    side.vm = peer.vm;
-    side.isNear = peer.region == settings_.region;
-    side.isNearOrigin = peer.region == originRegion;
-    auto row = announcements_.find(peer.vm);
+    side.vm = aPeer.vm;
+    side.isNear = aPeer.region == settings_.region;
+    side.isNearOrigin = aPeer.region == originRegion;
+    auto row = announcements_.find(aPeer.vm);
     if (row != announcements_.end() && row->second.model == list.model &&
         row->second.version == list.version) {
+      side.hash = row->second.hash;
       side.pieces = row->second.pieces;
       side.isBusy = clock_.Now() < row->second.busyUntil;
     }
     query.sides.push_back(std::move(side));
-  }
+  });
   auto pieces = list.digests.size();
   if (ranks_.size() != pieces || rankedSides_ != query.sides.size()) {
     ranks_ = RankPieces(query, static_cast<std::uint32_t>(pieces));
@@ -424,8 +429,7 @@
   while (aOrder.isWanted() && !store_.GetMissing().empty()) {
     auto choice = PickPiece(MakeQuery(aOrder));
     if (!choice) {
-      std::unique_lock lock(mutex_);
-      changed_.wait_for(lock, kPickInterval.ToChrono());
+      net::Runtime::Sleep(kPickInterval);
       continue;
     }
     onTheWay_.insert(choice->piece);
@@ -438,7 +442,7 @@
     }
   }
   --fetchers_;
-  changed_.notify_all();
+  fetched_.notify_all();
 }
 
 bool
@@ -450,7 +454,7 @@
     net::Runtime::SpawnHere([this, &aOrder] { FetchLoop(aOrder); });
   }
   std::unique_lock lock(mutex_);
-  changed_.wait(lock, [this] { return fetchers_ == 0; });
+  fetched_.wait(lock, [this] { return fetchers_ == 0; });
   return store_.GetMissing().empty();
 }
 
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -79,6 +79,8 @@
   struct Announcement
   {
     Peer peer;
+    /** Stable hash of the peer's name. */
+    std::uint64_t hash = 0;
     std::string model;
     std::uint64_t version = 0;
     std::vector<bool> pieces;
@@ -129,7 +131,8 @@
   net::Pacer ownLink_;
   net::Pacer farLink_;
   boost::fibers::mutex mutex_;
-  boost::fibers::condition_variable changed_;
+  /** Notified when the last fetcher has ended. */
+  boost::fibers::condition_variable fetched_;
   telemetry::Logger logger_{ "pieces" };
 };
 
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -48,7 +48,40 @@
 std::uint64_t
 OwnOrder(const PickQuery& aQuery, std::uint32_t aPiece)
 {
-  return utils::StableHash(aQuery.ownVm, aPiece);
+  return utils::MixBits(aQuery.ownHash + aPiece);
+}
+
+/** A side's turn to be asked; each asker and piece has another order. */
+std::uint64_t
+GetTurn(const PieceHolder& aSide, std::uint64_t aOrder)
+{
+  return utils::MixBits(aSide.hash ^ aOrder);
+}
+
+/** The side to ask for a piece, and how many have it. */
+struct NearHolders
+{
+  const PieceHolder* source = nullptr;
+  std::size_t count = 0;
+};
+
+NearHolders
+FindNearHolders(const PickQuery& aQuery, std::uint32_t aPiece)
+{
+  NearHolders found;
+  auto order = OwnOrder(aQuery, aPiece);
+  for (const auto& side : aQuery.sides) {
+    if (!side.isNear || !Has(side, aPiece)) {
+      continue;
+    }
+    ++found.count;
+    if (CanAsk(aQuery, side) &&
+        (found.source == nullptr ||
+         GetTurn(side, order) < GetTurn(*found.source, order))) {
+      found.source = &side;
+    }
+  }
+  return found;
 }
 
 std::optional<PieceChoice>
@@ -57,26 +90,13 @@
   std::optional<PieceChoice> best;
   std::size_t fewest = 0;
   for (auto piece : aQuery.missing) {
-    std::size_t holders = 0;
-    const PieceHolder* source = nullptr;
-    for (const auto& side : aQuery.sides) {
-      if (!side.isNear || !Has(side, piece)) {
-        continue;
-      }
-      ++holders;
-      bool better = source == nullptr ||
-                    utils::StableHash(side.vm, OwnOrder(aQuery, piece)) <
-                      utils::StableHash(source->vm, OwnOrder(aQuery, piece));
-      if (CanAsk(aQuery, side) && better) {
-        source = &side;
-      }
-    }
-    bool rarer = !best || holders < fewest ||
-                 (holders == fewest &&
+    auto holders = FindNearHolders(aQuery, piece);
+    bool rarer = !best || holders.count < fewest ||
+                 (holders.count == fewest &&
                   OwnOrder(aQuery, piece) < OwnOrder(aQuery, best->piece));
-    if (source != nullptr && rarer) {
-      best = PieceChoice{ piece, source->vm };
-      fewest = holders;
+    if (holders.source != nullptr && rarer) {
+      best = PieceChoice{ piece, holders.source->vm };
+      fewest = holders.count;
     }
   }
   return best;
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -16,6 +16,8 @@
 struct PieceHolder
 {
   std::string vm;
+  /** Stable hash of the name. */
+  std::uint64_t hash = 0;
   /** In this side's region. */
   bool isNear = false;
   /** In the origin's region. */
@@ -39,6 +41,8 @@
 struct PickQuery
 {
   std::string ownVm;
+  /** Stable hash of the name. */
+  std::uint64_t ownHash = 0;
   bool isNearOrigin = false;
   /** Neither here nor on their way. */
   std::set<std::uint32_t> missing;
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -1,6 +1,7 @@
 #include <fleet/Side.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <utility>
@@ -25,17 +26,25 @@
 
 constexpr int kOk = 200;
 // Entries say when there is something new; each read is charged.
-constexpr Millis kConfigInterval(8000);
+constexpr Millis kConfigInterval(12000);
+// While the log fails; entries tell what it says.
+constexpr Millis kLongestPause(2000);
 // Two reads failed.
-constexpr Millis kMaxConfigAge(18000);
+constexpr Millis kMaxConfigAge(26000);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(100);
-// A piece takes 40 ms on a side's link.
-constexpr Millis kPieceNoticeInterval(50);
-// To other sides, which hear of each piece as it comes.
-constexpr Millis kAnnounceRepeat(2000);
+// Of what lies staged, to sides of the own region: some pieces come in this
+// time, and each side hears it from each.
+constexpr Millis kNearAnnounceInterval(100);
+// To sides of other regions, one of which brings each piece over.
+constexpr Millis kFarAnnounceInterval(500);
+// Said again without a change: a notice may be lost.
+constexpr Millis kNearAnnounceRepeat(2000);
+constexpr Millis kFarAnnounceRepeat(5000);
 // Said again without a change; entries forget a side's word after several.
-constexpr Millis kNoticeRepeat(400);
+constexpr Millis kNoticeRepeat(800);
+// Of the pace: as much as moves a request elsewhere.
+constexpr double kPaceChange = 0.25;
 constexpr Millis kPauseAfterFailure(200);
 constexpr Millis kLogInterval(500);
 
@@ -51,13 +60,13 @@
     : runtime(aRuntime)
     , settings(aSettings)
     , upstream(aUpstream)
-    , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval })
+    , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval, kLongestPause })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , sharing(aPorts.client, config, peers, kMaxConfigAge)
     , store(aUpstream)
     , pieces(aSettings, aPorts.client, peers, store, aOrigin)
     , loader(aSettings, aUpstream, config, peers, store, pieces, [this] {
-      SendNotice(PeerRole::Entry);
+      TellEntries();
     })
   {
   }
@@ -65,7 +74,10 @@
   void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void ReportLoop();
   void ReadReport();
-  void SendNotice(PeerRole aTo);
+  schema::FleetNotice MakeNotice() const;
+  void TellEntries();
+  void AnnounceLoop();
+  void Announce(Reach aReach);
   void LoadLoop();
   void LogLoop();
 
@@ -84,10 +96,17 @@
   utils::Clock clock;
   std::optional<platform::UpstreamReport> report;
   Millis noticedAt;
-  Millis announcedAt;
+  double toldPace = 1;
+  /** What other sides of one reach are to hear, and when they last did. */
+  struct Audience
+  {
+    bool isDue = false;
+    Millis toldAt;
+  };
+  Audience near;
+  Audience far;
   /** Start of each side's process, as it says. */
   std::map<std::string, std::uint64_t> startOf;
-  bool noticeDue = false;
 };
 
 Side::Side(net::Runtime& aRuntime,
@@ -137,6 +156,7 @@
   impl.config.Start(impl.runtime, {});
   impl.sharing.Start(impl.runtime);
   impl.runtime.Spawn([&impl] { impl.ReportLoop(); });
+  impl.runtime.Spawn([&impl] { impl.AnnounceLoop(); });
   impl.runtime.Spawn([&impl] { impl.LoadLoop(); });
   impl.runtime.Spawn([&impl] { impl.LogLoop(); });
   return true;
@@ -156,7 +176,8 @@
   bool isNew = std::exchange(known, aNotice.started_ms()) != known;
   pieces.TakeNotice(aFrom, aNotice.side());
   if (isNew) {
-    noticeDue = true;
+    near.isDue = true;
+    far.isDue = true;
   }
 }
 
@@ -165,13 +186,7 @@
 {
   while (true) {
     ReadReport();
-    auto until = clock.Now() + kReportInterval;
-    while (clock.Now() < until) {
-      net::Runtime::Sleep(kPieceNoticeInterval);
-      if (pieces.TakeChange() || std::exchange(noticeDue, false)) {
-        SendNotice(PeerRole::Side);
-      }
-    }
+    net::Runtime::Sleep(kReportInterval);
   }
 }
 
@@ -185,33 +200,65 @@
   }
   report = std::move(fresh);
   loader.TakeReport(report);
-  if (clock.Now() - noticedAt >= kNoticeRepeat) {
-    SendNotice(PeerRole::Entry);
-  }
-  if (clock.Now() - announcedAt >= kAnnounceRepeat) {
-    SendNotice(PeerRole::Side);
+  double pace = report ? report->pace : 1;
+  bool paceChanged = std::abs(pace - toldPace) > kPaceChange;
+  if (paceChanged || clock.Now() - noticedAt >= kNoticeRepeat) {
+    TellEntries();
   }
 }
 
-void
-Side::Impl::SendNotice(PeerRole aTo)
+schema::FleetNotice
+Side::Impl::MakeNotice() const
 {
   schema::FleetNotice notice;
   auto& side = *notice.mutable_side();
   side.set_upstream(settings.localUpstream->ToString());
-  if (aTo == PeerRole::Entry) {
-    noticedAt = clock.Now();
-  } else {
-    announcedAt = clock.Now();
-    pieces.FillNotice(side);
-  }
   auto serving = loader.GetServing();
   side.set_version(serving.version);
   side.set_accepting(serving.accepting);
   side.set_running(report ? report->running : 0);
   side.set_queued(report ? report->queued : 0);
   side.set_pace(report ? report->pace : 1);
-  peers.Send(aTo, notice);
+  return notice;
+}
+
+void
+Side::Impl::TellEntries()
+{
+  noticedAt = clock.Now();
+  auto notice = MakeNotice();
+  toldPace = notice.side().pace();
+  peers.Send(PeerRole::Entry, notice);
+}
+
+void
+Side::Impl::AnnounceLoop()
+{
+  while (true) {
+    net::Runtime::Sleep(kNearAnnounceInterval);
+    if (pieces.TakeChange()) {
+      near.isDue = true;
+      far.isDue = true;
+    }
+    auto now = clock.Now();
+    if (near.isDue || now - near.toldAt >= kNearAnnounceRepeat) {
+      near = { false, now };
+      Announce(Reach::Near);
+    }
+    auto interval = far.isDue ? kFarAnnounceInterval : kFarAnnounceRepeat;
+    if (now - far.toldAt >= interval) {
+      far = { false, now };
+      Announce(Reach::Far);
+    }
+  }
+}
+
+void
+Side::Impl::Announce(Reach aReach)
+{
+  auto notice = MakeNotice();
+  pieces.FillNotice(*notice.mutable_side());
+  peers.Send(PeerRole::Side, notice, aReach);
 }
 
 void
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -269,3 +269,44 @@
   directory.Poll();
   CHECK(book.Find("a"));
 }
+
+TEST_CASE("what one entry read of the directory another need not read")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "a", "ready", 0, false } }, 1);
+  dispatch::UpstreamBook readersBook;
+  DirectoryFollower reader(log, MakeCodecs(), readersBook);
+  std::vector<schema::DirectoryNews> told;
+  reader.OnNews([&told](const auto& aNews) { told.push_back(aNews); });
+  dispatch::UpstreamBook book;
+  DirectoryFollower other(log, MakeCodecs(), book);
+  REQUIRE(other.Poll());
+  REQUIRE(reader.Poll());
+  // A heartbeat, a new upstream, one that leaves.
+  log.news = MakePage({ { "a", "ready", 1, false },
+                        { "b", "ready", 2, false },
+                        { "a", "draining", 3, false } },
+                      4);
+  REQUIRE(reader.Poll());
+  REQUIRE(told.size() == 1);
+  CHECK(told.front().records_size() == 2);
+  other.TakeNews(told.front());
+  REQUIRE(book.Find("b"));
+  CHECK(book.Find("a")->record.draining);
+  // An older notice that comes late changes nothing back.
+  schema::DirectoryNews late;
+  late.set_from(1);
+  late.set_end(2);
+  auto& row = *late.add_records();
+  row.set_key("a");
+  row.set_value("ready");
+  row.set_offset(1);
+  other.TakeNews(late);
+  CHECK(book.Find("a")->record.draining);
+  // One with a gap before it is not all that is new.
+  schema::DirectoryNews ahead = late;
+  ahead.set_from(9);
+  ahead.set_end(12);
+  other.TakeNews(ahead);
+  CHECK(book.Find("a")->record.draining);
+}
--- a/libs/platform/include/platform/Upstream.h
+++ b/libs/platform/include/platform/Upstream.h
@@ -18,6 +18,8 @@
   std::uint32_t first = 0;
   /** One past the last. */
   std::uint32_t end = 0;
+
+  bool operator==(const HeldLayers&) const = default;
 };
 
 /** One upstream as it registered itself in the platform's directory. */
@@ -35,6 +37,8 @@
   std::int64_t startedMs = 0;
   std::vector<HeldLayers> held;
 
+  bool operator==(const Upstream&) const = default;
+
   /** The version of which it holds all aLayers layers; 0: none. */
   std::uint64_t FindCompleteVersion(std::string_view aModel,
                                     std::uint32_t aLayers) const;
--- a/tests/bed/src/BedStart.cpp
+++ b/tests/bed/src/BedStart.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -25,6 +26,8 @@
 constexpr unsigned kPlatformHost = 2;
 constexpr std::array kLinks{ Link::Control, Link::Upstream, Link::Log };
 constexpr Millis kStartTimeout(20000);
+// Set: the beds' folders with all logs stay, to trace what failed once.
+constexpr const char* kKeepVariable = "WAXWINGYOKE_KEEP_BEDS";
 
 std::string
 QuoteToml(const std::string& aText)
@@ -43,8 +46,8 @@
 {
   nodes_.clear();
   fakes_.clear();
-  if (!options_.keepFolder && !folder_.empty() &&
-      std::uncaught_exceptions() == 0) {
+  bool kept = options_.keepFolder || std::getenv(kKeepVariable) != nullptr;
+  if (!kept && !folder_.empty() && std::uncaught_exceptions() == 0) {
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
   }
