Few sides ask the origin at once, and its connections are not kept

Each reset made a side pause. Ruled out: the origin's rate (2.5 copies sent), the log.

Change: two sides ask for a version's list, others get it from them; a piece at a time from the origin; its connections are closed; ranks count sides that were heard; a process greets others as soon as it knows them.

--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -38,6 +38,9 @@
 constexpr int kFirstHellos = 3;
 constexpr Millis kFirstHelloInterval(1200);
 constexpr Millis kHelloInterval(10000);
+// Sides tell others of their region of themselves every two seconds, those of
+// other regions every five.
+constexpr Millis kAliveTime(11000);
 
 std::string_view
 GetName(PeerRole aRole)
@@ -55,6 +58,12 @@
 
 } // namespace
 
+bool
+Peer::IsAlive(Millis aNow) const
+{
+  return aNow - heardAt < kAliveTime;
+}
+
 PeerLink::PeerLink(net::Runtime& aRuntime,
                    const platform::FleetSettings& aSettings,
                    platform::KeyedLog& aLog,
@@ -142,6 +151,9 @@
     end = page->end;
     std::ranges::for_each(page->records,
                           [this](const auto& aRecord) { Apply(aRecord); });
+    if (first) {
+      SayHello();
+    }
     net::Runtime::Sleep(first ? kFirstLook : kMembersInterval);
   }
 }
@@ -150,14 +162,20 @@
 PeerLink::HelloLoop()
 {
   for (int sent = 1;; ++sent) {
-    schema::FleetNotice notice;
-    *notice.mutable_hello() = MakeMember();
-    SendToAll(notice);
+    SayHello();
     net::Runtime::Sleep(sent < kFirstHellos ? kFirstHelloInterval
                                             : kHelloInterval);
   }
 }
 
+void
+PeerLink::SayHello()
+{
+  schema::FleetNotice notice;
+  *notice.mutable_hello() = MakeMember();
+  SendToAll(notice);
+}
+
 void
 PeerLink::Apply(const platform::KeyedRecord& aRecord)
 {
@@ -184,6 +202,10 @@
     return aRow.second.endpoint == *endpoint && aRow.first != aKey;
   });
   auto& peer = peers_[aKey];
+  if (peer.vm.empty()) {
+    // Until it had time to say something itself.
+    peer.heardAt = clock_.Now();
+  }
   peer.vm = aMember.vm();
   peer.endpoint = *endpoint;
   peer.role = role->role;
@@ -262,7 +284,12 @@
     return aRow.second.endpoint == aFrom;
   });
   if (notice.has_hello()) {
-    TakeMember(notice.vm() + "/" + notice.hello().role(), notice.hello());
+    auto key = notice.vm() + "/" + notice.hello().role();
+    TakeMember(key, notice.hello());
+    auto member = peers_.find(key);
+    if (member != peers_.end()) {
+      member->second.heardAt = clock_.Now();
+    }
     return;
   }
   if (row == peers_.end()) {
--- a/libs/fleet/src/PeerLink.h
+++ b/libs/fleet/src/PeerLink.h
@@ -47,6 +47,9 @@
   std::uint64_t startedMs = 0;
   std::uint64_t sequence = 0;
   utils::Millis heardAt;
+
+  /** Whether it can be counted on: the topic also names VMs that are gone. */
+  bool IsAlive(utils::Millis aNow) const;
 };
 
 /**
@@ -82,6 +85,7 @@
 private:
   void MembersLoop();
   void HelloLoop();
+  void SayHello();
   void Register();
   schema::FleetMember MakeMember() const;
   void SendToAll(schema::FleetNotice& aNotice);
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -1,6 +1,7 @@
 #include "PieceExchange.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include <telemetry/Metrics.h>
@@ -34,8 +35,10 @@
 // About the time that an upload takes.
 constexpr Millis kBusyPause(40);
 constexpr Millis kPickInterval(25);
-// Each side tries an origin that does not answer this often.
+// Each side tries an origin that does not answer this often; doubled with each
+// failure in a row, as many try.
 constexpr Millis kOriginPause(250);
+constexpr Millis kLongestOriginPause(1000);
 constexpr Millis kConnectTimeout(500);
 constexpr Millis kPieceTimeout(2500);
 constexpr Millis kListTimeout(800);
@@ -101,6 +104,7 @@
   , origin_(aOrigin)
   , ownLink_(Scale(aSettings.linkBytesPerSecond, kOwnLinkShare))
   , farLink_(Scale(aSettings.linkBytesPerSecond, kFarLinkShare))
+  , originPause_(kOriginPause)
 {
 }
 
@@ -125,7 +129,6 @@
   auto& row = announcements_[aFrom.vm];
   if (row.peer.endpoint != aFrom.endpoint) {
     row.peer = aFrom;
-    row.hash = utils::StableHash(aFrom.vm);
   }
   row.model = aNotice.staged_model();
   row.version = aNotice.staged_version();
@@ -283,61 +286,99 @@
     aReason.Set(utils::ErrorKind::StoreUnavailable, "no origin is known");
     return std::nullopt;
   }
-  return origin_.GetPieceList(
+  if (clock_.Now() < originUsableFrom_ || !IsListTurn(aOrder, aVersion)) {
+    return std::nullopt;
+  }
+  auto list = origin_.GetPieceList(
     *aOrder.origin->origin, aModel, aVersion, aReason);
+  NoteOrigin(list.has_value(), aReason);
+  return list;
+}
+
+bool
+PieceExchange::IsListTurn(const FetchOrder& aOrder, std::uint64_t aVersion)
+{
+  if (listVersion_ != aVersion) {
+    listVersion_ = aVersion;
+    listWantedAt_ = clock_.Now();
+  }
+  PickQuery query;
+  AddSides(aOrder, query);
+  return clock_.Now() - listWantedAt_ >= GetListTurn(query, aVersion);
 }
 
 PickQuery
 PieceExchange::MakeQuery(const FetchOrder& aOrder)
 {
-  auto regionOf = [this](const std::string& aDataCentre) {
-    auto row = settings_.regions.find(aDataCentre);
-    return row == settings_.regions.end() ? std::string() : row->second;
-  };
-  auto originRegion =
-    aOrder.origin != nullptr ? regionOf(aOrder.origin->originDataCentre) : "";
   const auto& list = store_.GetList();
   PickQuery query;
-  query.ownVm = settings_.vm;
-  query.ownHash = utils::StableHash(settings_.vm);
-  query.isNearOrigin = settings_.region == originRegion;
   query.missing = store_.GetMissing();
   std::ranges::for_each(
     onTheWay_, [&query](std::uint32_t aPiece) { query.missing.erase(aPiece); });
   query.running = downloads_;
   query.elapsed = clock_.Now() - begunAt_;
-  query.isNew = aOrder.isNew;
   query.originUsable =
     aOrder.origin != nullptr && clock_.Now() >= originUsableFrom_;
+  AddSides(aOrder, query);
+  auto sides = std::accumulate(
+    query.sides.begin(),
+    query.sides.end(),
+    std::uint64_t{ 0 },
+    [](std::uint64_t aSum, const PieceHolder& aSide) {
+      return aSum ^ aSide.hash;
+    });
+  auto pieces = list.digests.size();
+  if (ranks_.size() != pieces || rankedSides_ != sides) {
+    ranks_ = RankPieces(query, static_cast<std::uint32_t>(pieces));
+    rankedSides_ = sides;
+  }
+  query.ranks = ranks_;
+  return query;
+}
+
+// This side and the others that can be counted on.
+void
+PieceExchange::AddSides(const FetchOrder& aOrder, PickQuery& aQuery) const
+{
+  auto row = aOrder.origin != nullptr
+               ? settings_.regions.find(aOrder.origin->originDataCentre)
+               : settings_.regions.end();
+  auto originRegion =
+    row == settings_.regions.end() ? std::string() : row->second;
+  const auto& list = store_.GetList();
+  auto now = clock_.Now();
+  aQuery.ownVm = settings_.vm;
+  aQuery.ownHash = utils::StableHash(settings_.vm);
+  aQuery.isNearOrigin = settings_.region == originRegion;
+  aQuery.isNew = aOrder.isNew;
   peers_.Visit(PeerRole::Side, [&](const Peer& aPeer) {
+    if (!aPeer.IsAlive(now)) {
+      return;
+    }
     PieceHolder side;
     side.vm = aPeer.vm;
+    side.hash = utils::StableHash(aPeer.vm);
     side.isNear = aPeer.region == settings_.region;
     side.isNearOrigin = aPeer.region == originRegion;
-    auto row = announcements_.find(aPeer.vm);
-    if (row != announcements_.end() && row->second.model == list.model &&
-        row->second.version == list.version) {
-      side.hash = row->second.hash;
-      side.pieces = row->second.pieces;
-      side.isBusy = clock_.Now() < row->second.busyUntil;
+    auto said = announcements_.find(aPeer.vm);
+    if (said != announcements_.end() && said->second.model == list.model &&
+        said->second.version == list.version) {
+      side.pieces = said->second.pieces;
+      side.isBusy = now < said->second.busyUntil;
     }
-    query.sides.push_back(std::move(side));
+    aQuery.sides.push_back(std::move(side));
   });
-  auto pieces = list.digests.size();
-  if (ranks_.size() != pieces || rankedSides_ != query.sides.size()) {
-    ranks_ = RankPieces(query, static_cast<std::uint32_t>(pieces));
-    rankedSides_ = query.sides.size();
-  }
-  query.ranks = ranks_;
-  return query;
 }
 
 // Told once when it stops and once when it answers again.
 void
 PieceExchange::NoteOrigin(bool aAnswers, const utils::Error& aReason)
 {
-  if (!aAnswers) {
-    originUsableFrom_ = clock_.Now() + kOriginPause;
+  if (aAnswers) {
+    originPause_ = kOriginPause;
+  } else {
+    originUsableFrom_ = clock_.Now() + originPause_;
+    originPause_ = std::min(originPause_ * 2, kLongestOriginPause);
   }
   if (std::exchange(originAnswers_, aAnswers) == aAnswers) {
     return;
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -54,7 +54,10 @@
   /** Brings what the store's list lacks; true when nothing is missing. */
   bool FetchMissing(const FetchOrder& aOrder);
 
-  /** The list of a version, from a side that has it or from the origin. */
+  /**
+   * The list of a version, from a side that has it or from the origin; empty
+   * without a reason while it is not yet this side's turn to ask the origin.
+   */
   std::optional<platform::PieceList> GetList(const FetchOrder& aOrder,
                                              const std::string& aModel,
                                              std::uint64_t aVersion,
@@ -79,8 +82,6 @@
   struct Announcement
   {
     Peer peer;
-    /** Stable hash of the peer's name. */
-    std::uint64_t hash = 0;
     std::string model;
     std::uint64_t version = 0;
     std::vector<bool> pieces;
@@ -88,6 +89,8 @@
   };
 
   PickQuery MakeQuery(const FetchOrder& aOrder);
+  void AddSides(const FetchOrder& aOrder, PickQuery& aQuery) const;
+  bool IsListTurn(const FetchOrder& aOrder, std::uint64_t aVersion);
   void FetchLoop(const FetchOrder& aOrder);
   std::optional<std::string> FetchFromOrigin(const PieceChoice& aChoice,
                                              const FetchOrder& aOrder,
@@ -117,7 +120,10 @@
   std::map<std::string, Announcement> announcements_;
   /** Of the sides and the version that they were worked out for. */
   std::vector<PieceRank> ranks_;
-  std::size_t rankedSides_ = 0;
+  std::uint64_t rankedSides_ = 0;
+  /** The version whose list is wanted, and since when. */
+  std::uint64_t listVersion_ = 0;
+  utils::Millis listWantedAt_;
   std::set<std::uint32_t> onTheWay_;
   std::map<std::string, int> downloads_;
   utils::Millis begunAt_;
@@ -130,6 +136,8 @@
   /** All uploads, and those to other regions by themselves. */
   net::Pacer ownLink_;
   net::Pacer farLink_;
+  /** After the next failure of the origin. */
+  utils::Millis originPause_;
   boost::fibers::mutex mutex_;
   /** Notified when the last fetcher has ended. */
   boost::fibers::condition_variable fetched_;
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -19,8 +19,16 @@
 // Sides say what they have several times in this; until then it is not known
 // that none has a piece of a version that is not new.
 constexpr Millis kHearFirst(900);
-// From one side at a time, so that its link does not hold up live answers.
+// From one side at a time, so that its link does not hold up live answers;
+// from the origin, as it takes few connections.
 constexpr int kMaxFromOne = 1;
+// Sides that ask the origin for a list at the same time.
+constexpr std::int64_t kListAskers = 2;
+// A list is there, and told to other sides, within this time.
+constexpr Millis kListTurnStep(300);
+
+// The origin among the sources of pieces.
+const std::string kOrigin;
 
 bool
 Has(const PieceHolder& aSide, std::uint32_t aPiece)
@@ -28,12 +36,17 @@
   return aPiece < aSide.pieces.size() && aSide.pieces[aPiece];
 }
 
+bool
+HasTurnAt(const PickQuery& aQuery, const std::string& aSource)
+{
+  auto row = aQuery.running.find(aSource);
+  return row == aQuery.running.end() || row->second < kMaxFromOne;
+}
+
 bool
 CanAsk(const PickQuery& aQuery, const PieceHolder& aSide)
 {
-  auto row = aQuery.running.find(aSide.vm);
-  return !aSide.isBusy &&
-         (row == aQuery.running.end() || row->second < kMaxFromOne);
+  return !aSide.isBusy && HasTurnAt(aQuery, aSide.vm);
 }
 
 std::int64_t
@@ -133,7 +146,7 @@
 PickFromOrigin(const PickQuery& aQuery)
 {
   bool hearing = !aQuery.isNew && aQuery.elapsed < kHearFirst;
-  if (!aQuery.originUsable || hearing) {
+  if (!aQuery.originUsable || hearing || !HasTurnAt(aQuery, kOrigin)) {
     return std::nullopt;
   }
   auto found = std::ranges::find_if(aQuery.missing, [&](std::uint32_t aPiece) {
@@ -142,7 +155,7 @@
   });
   return found == aQuery.missing.end()
            ? std::nullopt
-           : std::optional(PieceChoice{ *found, "" });
+           : std::optional(PieceChoice{ *found, kOrigin });
 }
 
 } // namespace
@@ -171,6 +184,22 @@
   return ranks;
 }
 
+// Sides in the origin's region come first, each version in another order.
+Millis
+GetListTurn(const PickQuery& aQuery, std::uint64_t aVersion)
+{
+  auto goesBefore = [&](const PieceHolder& aSide) {
+    if (aSide.isNearOrigin != aQuery.isNearOrigin) {
+      return aSide.isNearOrigin;
+    }
+    return utils::MixBits(aSide.hash + aVersion) <
+           utils::MixBits(aQuery.ownHash + aVersion);
+  };
+  auto rank = std::ranges::count_if(aQuery.sides, goesBefore);
+  auto hearing = aQuery.isNew ? Millis(0) : kHearFirst;
+  return hearing + kListTurnStep * (rank / kListAskers);
+}
+
 std::optional<PieceChoice>
 PickPiece(const PickQuery& aQuery)
 {
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -72,6 +72,13 @@
 std::vector<PieceRank>
 RankPieces(const PickQuery& aQuery, std::uint32_t aPieces);
 
+/**
+ * When this side asks the origin for a version's list of pieces, counted from
+ * when it wanted it. A few ask, the others get it from them.
+ */
+utils::Millis
+GetListTurn(const PickQuery& aQuery, std::uint64_t aVersion);
+
 /**
  * The next piece and where it comes from; empty if there is nothing to do
  * but wait. Within a region the rarest piece comes first, from any side that
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -45,7 +45,8 @@
 constexpr Millis kNoticeRepeat(800);
 // Of the pace: as much as moves a request elsewhere.
 constexpr double kPaceChange = 0.25;
-constexpr Millis kPauseAfterFailure(200);
+// Also while another side gets what this one needs from the origin.
+constexpr Millis kPauseAfterFailure(100);
 constexpr Millis kLogInterval(500);
 
 } // namespace
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -200,7 +200,9 @@
   auto begun = clock_.Now();
   auto fresh = pieces_.GetList(aOrder, aEngine.model, aTarget.version, reason);
   if (!fresh) {
-    logger_.Report(reason, { { "step", "list" } });
+    if (reason.IsSet()) {
+      logger_.Report(reason, { { "step", "list" } });
+    }
     return false;
   }
   store_.Begin(*fresh);
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -6,6 +6,7 @@
 #include <PiecePicker.h>
 #include <PieceStore.h>
 #include <SwitchPlan.h>
+#include <utils/Hash.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::fleet;
@@ -77,6 +78,7 @@
 {
   PieceHolder side;
   side.vm = aVm;
+  side.hash = utils::StableHash(aVm);
   side.isNear = aNear;
   side.isNearOrigin = aNear;
   side.pieces = std::move(aPieces);
@@ -246,3 +248,41 @@
   terms.idle = true;
   CHECK(PlanSwitch(terms) == Millis(0));
 }
+
+TEST_CASE("cold fleet: few sides ask the origin at once for a list")
+{
+  constexpr int kSides = 80;
+  std::vector<std::string> vms;
+  for (int i = 0; i < kSides; ++i) {
+    vms.push_back("side" + std::to_string(i));
+  }
+  int atOnce = 0;
+  for (const auto& own : vms) {
+    PickQuery query;
+    query.ownVm = own;
+    query.ownHash = utils::StableHash(own);
+    query.isNearOrigin = true;
+    query.isNew = true;
+    for (const auto& vm : vms) {
+      if (vm != own) {
+        query.sides.push_back(MakeSide(vm, {}));
+      }
+    }
+    atOnce += GetListTurn(query, 7) == Millis(0) ? 1 : 0;
+    // Each gets its turn, should the others never get the list.
+    CHECK(GetListTurn(query, 7) <= Millis(300 * kSides / 2));
+  }
+  CHECK(atOnce == 2);
+}
+
+TEST_CASE("cold fleet: a side takes one piece at a time from the origin")
+{
+  PickQuery query;
+  query.ownVm = "me";
+  query.isNearOrigin = true;
+  query.isNew = true;
+  query.missing = { 0, 1, 2 };
+  REQUIRE(Pick(query));
+  query.running[""] = 1;
+  CHECK_FALSE(Pick(query));
+}
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -81,6 +81,8 @@
   std::function<bool(const HttpFields&)> accepts;
   /** Whether a GET that meets a closed connection is sent again once. */
   bool repeatGet = true;
+  /** False for a peer that many call seldom and that takes few connections. */
+  bool keepConnection = true;
 };
 
 /** How long a call waits for what. */
@@ -128,7 +130,8 @@
   std::optional<HttpResponse> Call(const Endpoint& aPeer,
                                    const HttpRequest& aRequest,
                                    const CallTimeouts& aTimeouts,
-                                   utils::Error& aReason);
+                                   utils::Error& aReason,
+                                   const CallOptions& aOptions = {});
 
   /** The answer as it arrives. */
   std::unique_ptr<ResponseStream> Open(const Endpoint& aPeer,
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -219,6 +219,7 @@
   std::optional<http::response_parser<http::buffer_body>> parser;
   HttpFields fields;
   bool failed = false;
+  bool keepConnection = true;
 
   /** Reads the head of the next answer on the connection. */
   IoResult ReadHead();
@@ -268,7 +269,7 @@
 
 ResponseStream::~ResponseStream()
 {
-  if (impl_->parser->is_done() && !impl_->failed &&
+  if (impl_->parser->is_done() && !impl_->failed && impl_->keepConnection &&
       impl_->parser->get().keep_alive()) {
     impl_->connection->maxIdle = ReadMaxIdle(impl_->fields.Find("Keep-Alive"));
     KeepIdle(impl_->peer, std::move(impl_->connection));
@@ -481,16 +482,21 @@
   if (canceller != nullptr) {
     canceller->cancelRunning_ = nullptr;
   }
-  return answer ? std::make_unique<ResponseStream>(std::move(answer)) : nullptr;
+  if (!answer) {
+    return nullptr;
+  }
+  answer->keepConnection = aOptions.keepConnection;
+  return std::make_unique<ResponseStream>(std::move(answer));
 }
 
 std::optional<HttpResponse>
 HttpClient::Call(const Endpoint& aPeer,
                  const HttpRequest& aRequest,
                  const CallTimeouts& aTimeouts,
-                 utils::Error& aReason)
+                 utils::Error& aReason,
+                 const CallOptions& aOptions)
 {
-  auto stream = Open(aPeer, aRequest, aTimeouts, aReason);
+  auto stream = Open(aPeer, aRequest, aTimeouts, aReason, aOptions);
   if (!stream) {
     return std::nullopt;
   }
