A stale node asks the log by turns, not by chance

The only node that reaches the log asks it in one of four tries by chance, each 1.5 to 3 s after the other; none in 23 tries has a chance of 0.13 in 100.

Ruled out by reading: a call that never ends (each has a time limit), a lost wake-up on the way up (a parent that is behind asks back at once).

Change: one in four tries by turns, so 12 s at most.

--- a/libs/membership/src/Healing.cpp
+++ b/libs/membership/src/Healing.cpp
@@ -13,8 +13,6 @@
 // Above what a parent that is well lies behind: its own wait and its
 // parents' waits end within this.
 constexpr Millis kStaleAge(8000);
-// One try in this many goes to the log itself.
-constexpr std::uint64_t kLogShare = 4;
 
 } // namespace
 
@@ -43,7 +41,7 @@
   bool toLog = false;
   {
     Lock lock(mutex);
-    toLog = random() % kLogShare == 0;
+    toLog = healingTurns.TakeLog();
   }
   auto other = PickOther();
   if (!toLog && !other.empty()) {
--- a/libs/membership/src/Node.cpp
+++ b/libs/membership/src/Node.cpp
@@ -40,6 +40,7 @@
   , vmList(aVmList)
   , rpc(aRpc)
   , random(utils::StableHash(incarnation))
+  , healingTurns(random())
 {
   status.set_vm(self);
   status.set_incarnation(incarnation);
--- a/libs/membership/src/NodeImpl.h
+++ b/libs/membership/src/NodeImpl.h
@@ -18,6 +18,7 @@
 
 #include "ConfigStore.h"
 #include "Directory.h"
+#include "HealingTurns.h"
 #include "Tree.h"
 
 namespace waxwingyoke::membership {
@@ -134,6 +135,7 @@
   std::map<std::string, Neighbour> neighbours;
   std::map<std::string, Suspicion> suspects;
   std::mt19937_64 random;
+  HealingTurns healingTurns;
   bool isDirty = true;
 
   // The VM list reader's own.
