Sides ask entries for the configuration; one entry reads the directory

Calls: sides read the log twice for each change. Ruled out: the directory's lag (entries of the log's own region knew after 0.5 s).

Change: sides ask an entry of their region, first without the text; the text within 3 s, spread. One entry's directory reads wait for news; its news, also that there is none, count for all; with a gap an entry reads itself.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -68,8 +68,14 @@
     return;
   }
   std::unique_lock lock(mutex_);
-  newsKnown_.wait_for(
-    lock, pace_.interval.ToChrono(), [this] { return endElsewhere_ > end_; });
+  if (!pace_.asksOthersFirst) {
+    newsKnown_.wait_for(
+      lock, pace_.interval.ToChrono(), [this] { return endElsewhere_ > end_; });
+    return;
+  }
+  while (GetAge() < pace_.interval) {
+    newsKnown_.wait_for(lock, (pace_.interval - GetAge()).ToChrono());
+  }
 }
 
 void
@@ -235,13 +241,15 @@
 }
 
 std::optional<schema::OperatorRecord>
-ConfigFollower::MakeRecord() const
+ConfigFollower::MakeRecord(bool aWithText) const
 {
   if (!config_) {
     return std::nullopt;
   }
   schema::OperatorRecord record;
-  record.set_config(text_);
+  if (aWithText) {
+    record.set_config(text_);
+  }
   record.set_offset(offset_);
   record.set_end(std::max(end_, takenEnd_));
   record.set_age_ms(static_cast<std::uint64_t>(GetAge().value));
@@ -278,10 +286,14 @@
   takenEnd_ = std::max(takenEnd_, aRecord.end());
   auto provedAt = since(aRecord.age_ms());
   if (!confirmedAt_ || provedAt > *confirmedAt_) {
-    ApplyConfig(aRecord.config(), aRecord.offset());
+    bool hasText = !aRecord.config().empty();
+    if (hasText) {
+      ApplyConfig(aRecord.config(), aRecord.offset());
+    }
     // What was read from the log later than the other's record is not proved
-    // by it.
-    if (config_ && offset_ <= aRecord.offset()) {
+    // by it, nor what is older than a record without its text.
+    if (config_ && (offset_ == aRecord.offset() ||
+                    (hasText && offset_ < aRecord.offset()))) {
       confirmedAt_ = provedAt;
     }
   }
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -46,6 +46,11 @@
     utils::Millis wait;
     /** Between two reads without news, unless there is word of some. */
     utils::Millis interval;
+    /**
+     * Word of news does not make it read, and it reads only what is older
+     * than the interval: other processes are asked first.
+     */
+    bool asksOthersFirst = false;
     /** Between two reads that fail, after several in a row. */
     utils::Millis longestPause;
   };
@@ -83,8 +88,14 @@
   /** Since the configuration was last proved the newest. */
   utils::Millis GetAge() const;
 
-  /** What Take of another process reads; empty while nothing is known. */
-  std::optional<schema::OperatorRecord> MakeRecord() const;
+  /**
+   * What Take of another process reads; empty while nothing is known. The
+   * configuration's text, which may be long, is left out where not asked for.
+   */
+  std::optional<schema::OperatorRecord> MakeRecord(bool aWithText = true) const;
+
+  /** Where the configuration in force stands in the topic. */
+  std::uint64_t GetOffset() const { return offset_; }
 
   /**
    * Another process's record, aDelay after it was made; used where it is
--- a/libs/fleet/src/ConfigSharing.h
+++ b/libs/fleet/src/ConfigSharing.h
@@ -12,6 +12,20 @@
 
 namespace waxwingyoke::fleet {
 
+/** When the entries are asked, and for what. */
+struct SharingTerms
+{
+  /** What is known is older than this. */
+  utils::Millis maxAge;
+  /** Between two looks whether to ask. */
+  utils::Millis interval;
+  /**
+   * A changed configuration's text is asked for within this time after it is
+   * known of, so that not all ask together; zero: with the rest.
+   */
+  utils::Millis textDelay;
+};
+
 /**
  * Hands out what is known of the operator's topic, and asks the entries for
  * it where the log does not tell.
@@ -19,24 +33,28 @@
 class ConfigSharing
 {
 public:
-  /** Asks once what is known is older than aMaxAge, or behind others. */
   ConfigSharing(net::HttpClient& aClient,
                 ConfigFollower& aConfig,
                 PeerLink& aPeers,
-                utils::Millis aMaxAge);
+                const SharingTerms& aTerms);
 
   void AddRoute(net::Router& aRouter);
   void Start(net::Runtime& aRuntime);
 
 private:
   void Loop();
-  void Ask(const Peer& aPeer);
+  std::optional<Peer> PickEntry();
+  void Ask(const Peer& aPeer, bool aForText);
+  void NoteOffset(std::uint64_t aOffset);
 
   net::HttpClient& client_;
   ConfigFollower& config_;
   PeerLink& peers_;
-  utils::Millis maxAge_;
+  SharingTerms terms_;
   utils::Clock clock_;
+  std::size_t next_ = 0;
+  /** Set while another process knows a configuration that is not here. */
+  std::optional<utils::Millis> textDueAt_;
   telemetry::Logger logger_{ "config" };
 };
 
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -10,14 +10,19 @@
 using platform::Topic;
 using utils::Millis;
 
-// A leaving upstream must get no more work two seconds after it said so; a
-// poll and its repeat fit into that. Longer reads would return for each
-// heartbeat of each upstream.
-constexpr Millis kPollInterval(600);
-// Entries read one after the other, unless another's news come first: one
-// read and its notice fit into a step, all steps into the time above.
+// A leaving upstream must get no more work two seconds after it said so. One
+// entry's reads wait this long for news and tell all others, also that there
+// is none.
+constexpr Millis kReadWait(700);
+// Others read themselves once they have heard nothing for this long, one after
+// the other: one read and its notice fit into a step.
+constexpr Millis kSilence(900);
 constexpr Millis kTurnStep(50);
 constexpr Millis kLastTurn(500);
+// What is overdue is removed that often.
+constexpr Millis kLook(150);
+// Changes in a row are read together.
+constexpr Millis kPauseAfterNews(20);
 // A lost answer must not cost a leaving upstream's time; doubled with each
 // failure in a row, as reads that fail are charged like others.
 constexpr Millis kPauseAfterFailure(40);
@@ -54,10 +59,11 @@
   while (true) {
     auto wait = GetNextTurn() - clock_.Now();
     if (wait > Millis(0)) {
-      net::Runtime::Sleep(wait);
+      net::Runtime::Sleep(std::min(wait, kLook));
       RemoveOverdue();
-    } else if (Poll()) {
+    } else if (Poll(turn_ == 0 ? kReadWait : Millis(0))) {
       pause = kPauseAfterFailure;
+      net::Runtime::Sleep(kPauseAfterNews);
     } else {
       net::Runtime::Sleep(pause);
       pause = std::min(pause * 2, kLongestPause);
@@ -65,20 +71,24 @@
   }
 }
 
+// The first one reads all the time; all do that know of news they missed.
 Millis
 DirectoryFollower::GetNextTurn() const
 {
+  if (!confirmedAt_ || missedNews_ || turn_ == 0) {
+    return Millis(0);
+  }
   auto turn = std::min(kTurnStep * static_cast<std::int64_t>(turn_), kLastTurn);
-  return confirmedAt_ ? *confirmedAt_ + kPollInterval + turn : Millis(0);
+  return *confirmedAt_ + kSilence + turn;
 }
 
 bool
-DirectoryFollower::Poll()
+DirectoryFollower::Poll(Millis aWait)
 {
-  auto sentAt = clock_.Now();
-  bool answered = started_ ? ReadNews() : ReadAll();
+  bool answered = started_ ? ReadNews(aWait) : ReadAll();
   if (answered) {
-    confirmedAt_ = sentAt;
+    confirmedAt_ = clock_.Now();
+    missedNews_ = false;
   }
   RemoveOverdue();
   if (onChange_) {
@@ -127,10 +137,11 @@
 }
 
 bool
-DirectoryFollower::ReadNews()
+DirectoryFollower::ReadNews(Millis aWait)
 {
   utils::Error reason;
-  auto page = log_.Read(Topic::Upstreams, end_, Millis(0), reason);
+  auto from = end_;
+  auto page = log_.Read(Topic::Upstreams, from, aWait, reason);
   bool trimmed = !page && reason.kind == utils::ErrorKind::LogTrimmed;
   NoteLog(page.has_value() || trimmed);
   if (trimmed) {
@@ -141,10 +152,11 @@
     return false;
   }
   schema::DirectoryNews news;
-  news.set_from(end_);
+  news.set_from(from);
   news.set_end(page->end);
   for (const auto& record : page->records) {
-    if (Apply(record)) {
+    // Another entry's news may have come while the read waited.
+    if (record.offset >= end_ && Apply(record)) {
       auto& row = *news.add_records();
       row.set_key(record.key);
       row.set_value(record.value);
@@ -152,7 +164,7 @@
       row.set_dropped(record.dropped);
     }
   }
-  end_ = page->end;
+  end_ = std::max(end_, page->end);
   if (onNews_ && news.ByteSizeLong() <= kMaxNewsBytes) {
     onNews_(news);
   }
@@ -163,7 +175,8 @@
 DirectoryFollower::TakeNews(const schema::DirectoryNews& aNews)
 {
   // With a gap before them they are not all that is new.
-  if (!started_ || aNews.from() > end_ || aNews.end() <= end_) {
+  missedNews_ = missedNews_ || (started_ && aNews.from() > end_);
+  if (!started_ || aNews.from() > end_ || aNews.end() < end_) {
     return;
   }
   for (const auto& row : aNews.records()) {
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -37,8 +37,11 @@
 
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
-  /** Reads once and applies what is due; false where the log is silent. */
-  bool Poll();
+  /**
+   * Reads once, waiting up to aWait for news, and applies what is due; false
+   * where the log is silent.
+   */
+  bool Poll(utils::Millis aWait = {});
 
   /** What another entry read; this one need not read it then. */
   void TakeNews(const schema::DirectoryNews& aNews);
@@ -50,7 +53,7 @@
   void Loop();
   utils::Millis GetNextTurn() const;
   bool ReadAll();
-  bool ReadNews();
+  bool ReadNews(utils::Millis aWait);
   bool Apply(const platform::KeyedRecord& aRecord);
   bool Remove(const std::string& aId, bool aAtOnce);
   void RemoveOverdue();
@@ -64,8 +67,10 @@
   std::function<void()> onChange_;
   NewsHook onNews_;
   std::size_t turn_ = 0;
-  /** When what is known was the newest. */
+  /** When the log, or another entry's news of it, last told the newest. */
   std::optional<utils::Millis> confirmedAt_;
+  /** News came that follow on others which did not. */
+  bool missedNews_ = false;
   bool started_ = false;
   std::uint64_t end_ = 0;
   bool logAnswers_ = true;
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -44,6 +44,8 @@
 // Other entries are asked for the configuration when it is older than this
 // share of what a key may be trusted for.
 constexpr double kAskPeersShare = 0.4;
+// A read of the log that succeeds comes before the first question.
+constexpr Millis kAskPeersInterval(300);
 
 /** Entries of one reach: what they were told of this one's requests. */
 struct Audience
@@ -89,7 +91,9 @@
     , sharing(aPorts.client,
               services.GetConfig(),
               peers,
-              Scale(aSettings.bounds.revoke, kAskPeersShare))
+              { Scale(aSettings.bounds.revoke, kAskPeersShare),
+                kAskPeersInterval,
+                Millis(0) })
   {
   }
 
--- a/libs/fleet/src/PeerLink.h
+++ b/libs/fleet/src/PeerLink.h
@@ -80,6 +80,8 @@
   void Visit(PeerRole aRole,
              const std::function<void(const Peer&)>& aVisitor) const;
 
+  bool IsWithin(const Peer& aPeer, Reach aReach) const;
+
   const net::Endpoint& GetOwnEndpoint() const { return own_; }
 
 private:
@@ -90,7 +92,6 @@
   schema::FleetMember MakeMember() const;
   void SendToAll(schema::FleetNotice& aNotice);
   void Stamp(schema::FleetNotice& aNotice);
-  bool IsWithin(const Peer& aPeer, Reach aReach) const;
   void TakeMember(const std::string& aKey, const schema::FleetMember& aMember);
   void Apply(const platform::KeyedRecord& aRecord);
   void Receive(const net::Endpoint& aFrom, std::string_view aBytes);
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -28,7 +28,7 @@
 constexpr double kOwnLinkShare = 0.9;
 // Links between regions are shared by all sides and by live answers, and no
 // setting says what they carry.
-constexpr double kFarLinkShare = 0.3;
+constexpr double kFarLinkShare = 0.5;
 // What may stand before an event on the link at a time: some ms.
 constexpr std::size_t kPartBytes = 8 * 1024;
 constexpr const char* kRegionQuery = "region";
@@ -273,8 +273,15 @@
       holders.push_back(row.peer);
     }
   }
-  std::ranges::sort(holders, {}, [this](const Peer& aPeer) {
-    return aPeer.region != settings_.region;
+  // Each side begins with another one of them.
+  std::ranges::sort(holders, [this](const Peer& aLeft, const Peer& aRight) {
+    bool isLeftNear = aLeft.region == settings_.region;
+    if (isLeftNear != (aRight.region == settings_.region)) {
+      return isLeftNear;
+    }
+    auto own = utils::StableHash(settings_.vm);
+    return utils::StableHash(aLeft.vm, own) <
+           utils::StableHash(aRight.vm, own);
   });
   for (const auto& peer : holders) {
     auto list = AskPeerForList(peer, aModel, aVersion);
@@ -292,6 +299,7 @@
   auto list = origin_.GetPieceList(
     *aOrder.origin->origin, aModel, aVersion, aReason);
   NoteOrigin(list.has_value(), aReason);
+  change_.isFromOrigin = change_.isFromOrigin || list;
   return list;
 }
 
@@ -450,7 +458,8 @@
   // Another version may be wanted by now, with other pieces in that place.
   if (bytes && store_.GetList().version == version &&
       store_.Put(aChoice.piece, *bytes, reason)) {
-    changedHere_ = true;
+    change_.isAny = true;
+    change_.isFromOrigin = change_.isFromOrigin || aChoice.vm.empty();
     return true;
   }
   bool known = reason.kind == utils::ErrorKind::Overloaded ||
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -25,6 +25,14 @@
 
 namespace waxwingyoke::fleet {
 
+/** News of what lies here, for other sides. */
+struct PieceChange
+{
+  bool isAny = false;
+  /** Of the origin, so that no other side may have it: all wait for this. */
+  bool isFromOrigin = false;
+};
+
 /** What one round of fetching is for. */
 struct FetchOrder
 {
@@ -72,10 +80,10 @@
   bool IsOriginAnswering() const { return originAnswers_; }
 
   /** Other sides are to hear soon what lies here. */
-  void NoteChange() { changedHere_ = true; }
+  void NoteChange() { change_.isAny = true; }
 
-  /** Whether what lies here changed since the last call. */
-  bool TakeChange() { return std::exchange(changedHere_, false); }
+  /** What changed here since the last call. */
+  PieceChange TakeChange() { return std::exchange(change_, {}); }
 
 private:
   /** What one side said last. */
@@ -127,7 +135,7 @@
   std::set<std::uint32_t> onTheWay_;
   std::map<std::string, int> downloads_;
   utils::Millis begunAt_;
-  bool changedHere_ = false;
+  PieceChange change_;
   /** The origin did not answer; until then it is left alone. */
   utils::Millis originUsableFrom_;
   bool originAnswers_ = true;
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -72,19 +72,19 @@
 }
 
 /** The side to ask for a piece, and how many have it. */
-struct NearHolders
+struct Holders
 {
   const PieceHolder* source = nullptr;
   std::size_t count = 0;
 };
 
-NearHolders
-FindNearHolders(const PickQuery& aQuery, std::uint32_t aPiece)
+Holders
+FindHolders(const PickQuery& aQuery, std::uint32_t aPiece, bool aNear)
 {
-  NearHolders found;
+  Holders found;
   auto order = OwnOrder(aQuery, aPiece);
   for (const auto& side : aQuery.sides) {
-    if (!side.isNear || !Has(side, aPiece)) {
+    if (side.isNear != aNear || !Has(side, aPiece)) {
       continue;
     }
     ++found.count;
@@ -103,7 +103,7 @@
   std::optional<PieceChoice> best;
   std::size_t fewest = 0;
   for (auto piece : aQuery.missing) {
-    auto holders = FindNearHolders(aQuery, piece);
+    auto holders = FindHolders(aQuery, piece, true);
     bool rarer = !best || holders.count < fewest ||
                  (holders.count == fewest &&
                   OwnOrder(aQuery, piece) < OwnOrder(aQuery, best->piece));
@@ -131,11 +131,8 @@
         aQuery.elapsed < kFarRankDelay * aQuery.ranks[piece].region) {
       continue;
     }
-    auto source =
-      std::ranges::find_if(aQuery.sides, [&](const PieceHolder& aSide) {
-        return !aSide.isNear && Has(aSide, piece) && CanAsk(aQuery, aSide);
-      });
-    if (source != aQuery.sides.end()) {
+    const auto* source = FindHolders(aQuery, piece, false).source;
+    if (source != nullptr) {
       return PieceChoice{ piece, source->vm };
     }
   }
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -25,19 +25,23 @@
 using utils::Millis;
 
 constexpr int kOk = 200;
-// Entries say when there is something new; each read is charged.
-constexpr Millis kConfigInterval(12000);
-// While the log fails; entries tell what it says.
+// Entries say when there is something new, and are asked for it: sides are
+// many, and each read of the log is charged. It is read where they fail to
+// answer for some time.
+constexpr Millis kConfigInterval(15000);
+constexpr Millis kMaxConfigAge(6000);
+constexpr Millis kAskInterval(120);
+constexpr Millis kTextDelay(3000);
+// While the log fails.
 constexpr Millis kLongestPause(2000);
-// Two reads failed.
-constexpr Millis kMaxConfigAge(26000);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(100);
 // Of what lies staged, to sides of the own region: some pieces come in this
 // time, and each side hears it from each.
 constexpr Millis kNearAnnounceInterval(100);
-// To sides of other regions, one of which brings each piece over.
-constexpr Millis kFarAnnounceInterval(500);
+// To sides of other regions, one of which brings each piece over: at once what
+// the origin gave, then seldom, as bytes between regions are dear.
+constexpr Millis kFarAnnounceInterval(1000);
 // Said again without a change: a notice may be lost.
 constexpr Millis kNearAnnounceRepeat(2000);
 constexpr Millis kFarAnnounceRepeat(5000);
@@ -61,9 +65,12 @@
     : runtime(aRuntime)
     , settings(aSettings)
     , upstream(aUpstream)
-    , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval, kLongestPause })
+    , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval, true, kLongestPause })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
-    , sharing(aPorts.client, config, peers, kMaxConfigAge)
+    , sharing(aPorts.client,
+              config,
+              peers,
+              { kMaxConfigAge, kAskInterval, kTextDelay })
     , store(aUpstream)
     , pieces(aSettings, aPorts.client, peers, store, aOrigin)
     , loader(aSettings, aUpstream, config, peers, store, pieces, [this] {
@@ -237,17 +244,16 @@
 {
   while (true) {
     net::Runtime::Sleep(kNearAnnounceInterval);
-    if (pieces.TakeChange()) {
-      near.isDue = true;
-      far.isDue = true;
-    }
+    auto change = pieces.TakeChange();
+    near.isDue = near.isDue || change.isAny;
+    far.isDue = far.isDue || change.isAny;
     auto now = clock.Now();
     if (near.isDue || now - near.toldAt >= kNearAnnounceRepeat) {
       near = { false, now };
       Announce(Reach::Near);
     }
     auto interval = far.isDue ? kFarAnnounceInterval : kFarAnnounceRepeat;
-    if (now - far.toldAt >= interval) {
+    if (change.isFromOrigin || now - far.toldAt >= interval) {
       far = { false, now };
       Announce(Reach::Far);
     }
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -310,3 +310,31 @@
   other.TakeNews(ahead);
   CHECK(book.Find("a")->record.draining);
 }
+
+TEST_CASE("without its text another's record proves only the same configuration")
+{
+  ScriptedLog log;
+  ConfigFollower giver(log, MakeCodecs(), {});
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  REQUIRE(giver.Poll());
+  ConfigFollower taker(log, MakeCodecs(), {});
+  REQUIRE(taker.Poll());
+  log.answers = false;
+  auto same = giver.MakeRecord(false);
+  REQUIRE(same);
+  CHECK(same->config().empty());
+  taker.Take(*same, Millis(0));
+  CHECK(taker.GetAge() < Millis(5000));
+  auto newer = *same;
+  newer.set_offset(7);
+  newer.set_end(8);
+  utils::Clock clock;
+  auto before = taker.GetAge();
+  while (taker.GetAge() == before) {
+  }
+  taker.Take(newer, Millis(0));
+  // Not proved by it: its age goes on.
+  CHECK(taker.GetAge() > before);
+  CHECK(taker.GetConfig()->version == 5);
+  CHECK_FALSE(taker.IsBehind());
+}
