Sides without a configuration ask for its text at once; where pieces come from

Change: no configuration known means that the text is due now. The line "staged" tells where pieces came from and when the last of each source did.

--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -220,9 +220,8 @@
 void
 UpstreamBook::ForgetEntry(const std::string& aEntry)
 {
-  std::ranges::for_each(upstreams_, [&aEntry](auto& aRow) {
-    aRow.second->SetOther(aEntry, {});
-  });
+  std::ranges::for_each(
+    upstreams_, [&aEntry](auto& aRow) { aRow.second->SetOther(aEntry, {}); });
 }
 
 void
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -113,8 +113,11 @@
 void
 ConfigSharing::NoteOffset(std::uint64_t aOffset)
 {
-  if (aOffset <= config_.GetOffset()) {
+  bool isKnown = config_.GetConfig() != nullptr;
+  if (isKnown && aOffset <= config_.GetOffset()) {
     textDueAt_.reset();
+  } else if (!isKnown) {
+    textDueAt_ = clock_.Now();
   } else if (!textDueAt_) {
     auto delay =
       utils::StableHash(peers_.GetOwnEndpoint().ToString(), aOffset) %
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -365,8 +365,8 @@
   services.SetEntryCount(
     std::max(entriesHeardAt.size(), peers.List(PeerRole::Entry).size()) + 1);
   auto before = entriesHeardAt.lower_bound(settings.vm);
-  directory.SetTurn(static_cast<std::size_t>(
-    std::distance(entriesHeardAt.begin(), before)));
+  directory.SetTurn(
+    static_cast<std::size_t>(std::distance(entriesHeardAt.begin(), before)));
 }
 
 void
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -52,7 +52,9 @@
   : runtime_(aRuntime)
   , settings_(aSettings)
   , ports_(aPorts)
-  , config_(ports_.log, ports_.codecs, { kConfigWait, Millis(0), false, kLongestPause })
+  , config_(ports_.log,
+            ports_.codecs,
+            { kConfigWait, Millis(0), false, kLongestPause })
   , metrics_(EntryMetrics::Make())
 {
 }
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -280,8 +280,7 @@
       return isLeftNear;
     }
     auto own = utils::StableHash(settings_.vm);
-    return utils::StableHash(aLeft.vm, own) <
-           utils::StableHash(aRight.vm, own);
+    return utils::StableHash(aLeft.vm, own) < utils::StableHash(aRight.vm, own);
   });
   for (const auto& peer : holders) {
     auto list = AskPeerForList(peer, aModel, aVersion);
@@ -296,8 +295,8 @@
   if (clock_.Now() < originUsableFrom_ || !IsListTurn(aOrder, aVersion)) {
     return std::nullopt;
   }
-  auto list = origin_.GetPieceList(
-    *aOrder.origin->origin, aModel, aVersion, aReason);
+  auto list =
+    origin_.GetPieceList(*aOrder.origin->origin, aModel, aVersion, aReason);
   NoteOrigin(list.has_value(), aReason);
   change_.isFromOrigin = change_.isFromOrigin || list;
   return list;
@@ -328,13 +327,13 @@
   query.originUsable =
     aOrder.origin != nullptr && clock_.Now() >= originUsableFrom_;
   AddSides(aOrder, query);
-  auto sides = std::accumulate(
-    query.sides.begin(),
-    query.sides.end(),
-    std::uint64_t{ 0 },
-    [](std::uint64_t aSum, const PieceHolder& aSide) {
-      return aSum ^ aSide.hash;
-    });
+  auto sides =
+    std::accumulate(query.sides.begin(),
+                    query.sides.end(),
+                    std::uint64_t{ 0 },
+                    [](std::uint64_t aSum, const PieceHolder& aSide) {
+                      return aSum ^ aSide.hash;
+                    });
   auto pieces = list.digests.size();
   if (ranks_.size() != pieces || rankedSides_ != sides) {
     ranks_ = RankPieces(query, static_cast<std::uint32_t>(pieces));
@@ -449,6 +448,17 @@
   return std::nullopt;
 }
 
+void
+PieceExchange::NoteSource(const PieceChoice& aChoice)
+{
+  bool isNear = announcements_[aChoice.vm].peer.region == settings_.region;
+  auto& source = aChoice.vm.empty() ? sources_.origin
+                 : isNear           ? sources_.ownRegion
+                                    : sources_.otherRegions;
+  ++source.pieces;
+  source.lastAfter = clock_.Now() - begunAt_;
+}
+
 bool
 PieceExchange::FetchOne(const PieceChoice& aChoice, const FetchOrder& aOrder)
 {
@@ -460,6 +470,7 @@
       store_.Put(aChoice.piece, *bytes, reason)) {
     change_.isAny = true;
     change_.isFromOrigin = change_.isFromOrigin || aChoice.vm.empty();
+    NoteSource(aChoice);
     return true;
   }
   bool known = reason.kind == utils::ErrorKind::Overloaded ||
@@ -499,6 +510,7 @@
 PieceExchange::FetchMissing(const FetchOrder& aOrder)
 {
   begunAt_ = clock_.Now();
+  sources_ = {};
   while (fetchers_ < kFetchers) {
     ++fetchers_;
     net::Runtime::SpawnHere([this, &aOrder] { FetchLoop(aOrder); });
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -33,6 +33,20 @@
   bool isFromOrigin = false;
 };
 
+/** Where the pieces of one round came from, and when the last of each came. */
+struct FetchSources
+{
+  struct Source
+  {
+    int pieces = 0;
+    /** Since the round began. */
+    utils::Millis lastAfter;
+  };
+  Source origin;
+  Source otherRegions;
+  Source ownRegion;
+};
+
 /** What one round of fetching is for. */
 struct FetchOrder
 {
@@ -77,6 +91,9 @@
   /** Says what lies here. */
   void FillNotice(schema::SideNotice& aNotice) const;
 
+  /** Of the last round of fetching. */
+  const FetchSources& GetSources() const { return sources_; }
+
   bool IsOriginAnswering() const { return originAnswers_; }
 
   /** Other sides are to hear soon what lies here. */
@@ -104,6 +121,7 @@
                                              const FetchOrder& aOrder,
                                              utils::Error& aReason);
   void NoteOrigin(bool aAnswers, const utils::Error& aReason);
+  void NoteSource(const PieceChoice& aChoice);
   bool FetchOne(const PieceChoice& aChoice, const FetchOrder& aOrder);
   std::optional<std::string> FetchFrom(const PieceChoice& aChoice,
                                        const FetchOrder& aOrder,
@@ -135,6 +153,7 @@
   std::set<std::uint32_t> onTheWay_;
   std::map<std::string, int> downloads_;
   utils::Millis begunAt_;
+  FetchSources sources_;
   PieceChange change_;
   /** The origin did not answer; until then it is left alone. */
   utils::Millis originUsableFrom_;
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -65,7 +65,9 @@
     : runtime(aRuntime)
     , settings(aSettings)
     , upstream(aUpstream)
-    , config(aPorts.log, aPorts.codecs, { Millis(0), kConfigInterval, true, kLongestPause })
+    , config(aPorts.log,
+             aPorts.codecs,
+             { Millis(0), kConfigInterval, true, kLongestPause })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , sharing(aPorts.client,
               config,
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -165,13 +165,28 @@
     return false;
   }
   auto delay = GetSwitchDelay(*engine, target);
-  logger_.Info("staged",
-               { { "version", std::to_string(target.version) },
-                 { "switch_in_ms", std::to_string(delay.value) } });
+  LogStaged(target, delay);
   net::Runtime::Sleep(delay);
   return order.isWanted() && Switch(*engine, target);
 }
 
+void
+WeightLoader::LogStaged(const NamedVersion& aTarget, Millis aDelay) const
+{
+  auto text = [](auto aNumber) { return std::to_string(aNumber); };
+  const auto& sources = pieces_.GetSources();
+  logger_.Info(
+    "staged",
+    { { "version", text(aTarget.version) },
+      { "from_origin", text(sources.origin.pieces) },
+      { "origin_last_ms", text(sources.origin.lastAfter.value) },
+      { "from_other_regions", text(sources.otherRegions.pieces) },
+      { "other_regions_last_ms", text(sources.otherRegions.lastAfter.value) },
+      { "from_own_region", text(sources.ownRegion.pieces) },
+      { "own_region_last_ms", text(sources.ownRegion.lastAfter.value) },
+      { "switch_in_ms", text(aDelay.value) } });
+}
+
 FetchOrder
 WeightLoader::MakeOrder(const platform::FleetConfig& aConfig,
                         const platform::EngineTraits& aEngine,
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -311,7 +311,8 @@
   CHECK(book.Find("a")->record.draining);
 }
 
-TEST_CASE("without its text another's record proves only the same configuration")
+TEST_CASE(
+  "without its text another's record proves only the same configuration")
 {
   ScriptedLog log;
   ConfigFollower giver(log, MakeCodecs(), {});
