--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -22,8 +22,10 @@
 constexpr std::size_t kBitsPerByte = 8;
 // Enough to fill a side's link while one answer is on its way.
 constexpr int kFetchers = 4;
-// Uploads share the paced link; more at a time only make each slower.
-constexpr int kMaxUploads = 3;
+// Uploads share the paced link; more at a time only make each slower. Those to
+// other regions have places of their own: a whole region waits for each.
+constexpr int kMaxNearUploads = 2;
+constexpr int kMaxFarUploads = 2;
 // Of the VM's link, for pieces: the rest is for the upstream's events.
 constexpr double kOwnLinkShare = 0.9;
 // Links between regions are shared by all sides and by live answers, and no
@@ -40,7 +42,10 @@
 constexpr Millis kOriginPause(250);
 constexpr Millis kLongestOriginPause(1000);
 constexpr Millis kConnectTimeout(500);
-constexpr Millis kPieceTimeout(2500);
+// A side that runs begins to answer after one read from its upstream; one that
+// is frozen must not hold up what others have.
+constexpr Millis kPieceHeadTimeout(600);
+constexpr Millis kPieceTimeout(1500);
 constexpr Millis kListTimeout(800);
 
 net::HttpResponse
@@ -165,35 +170,36 @@
     SendStatus(aWriter, kNotFound);
     return;
   }
-  if (uploads_ >= kMaxUploads) {
+  auto region = net::FindQuery(aRequest.target, kRegionQuery);
+  bool isFar = region != settings_.region;
+  auto& uploads = isFar ? farUploads_ : nearUploads_;
+  if (uploads >= (isFar ? kMaxFarUploads : kMaxNearUploads)) {
     SendStatus(aWriter, kBusy);
     return;
   }
-  ++uploads_;
+  ++uploads;
   auto bytes = store_.Get(*digest);
-  auto region = net::FindQuery(aRequest.target, kRegionQuery);
   if (bytes) {
     sSent.Add();
-    SendPaced(*bytes, region, aWriter);
+    SendPaced(*bytes, isFar, aWriter);
   } else {
     SendStatus(aWriter, kNotFound);
   }
-  --uploads_;
+  --uploads;
 }
 
 // A part at a time, so that the upstream's events wait behind one part at most.
 bool
 PieceExchange::SendPaced(const std::string& aBytes,
-                         std::string_view aRegion,
+                         bool aIsFar,
                          net::ResponseWriter& aWriter)
 {
-  bool isFar = aRegion != settings_.region;
   bool sent =
     aWriter.Start(kOk, { { "Content-Type", "application/octet-stream" } });
   std::string_view rest = aBytes;
   while (sent && !rest.empty()) {
     auto part = rest.substr(0, kPartBytes);
-    if (isFar) {
+    if (aIsFar) {
       farLink_.Wait(part.size());
     }
     ownLink_.Wait(part.size());
@@ -429,7 +435,7 @@
   auto response =
     client_.Call(row.peer.endpoint,
                  request,
-                 { kConnectTimeout, kPieceTimeout, kPieceTimeout },
+                 { kConnectTimeout, kPieceHeadTimeout, kPieceTimeout },
                  aReason);
   if (response && response->status == kOk) {
     return std::move(response->body);
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -129,7 +129,7 @@
   void ServePiece(const net::HttpRequest& aRequest,
                   net::ResponseWriter& aWriter);
   bool SendPaced(const std::string& aBytes,
-                 std::string_view aRegion,
+                 bool aIsFar,
                  net::ResponseWriter& aWriter);
   void ServeList(const net::HttpRequest& aRequest,
                  net::ResponseWriter& aWriter);
@@ -159,7 +159,8 @@
   utils::Millis originUsableFrom_;
   bool originAnswers_ = true;
   int fetchers_ = 0;
-  int uploads_ = 0;
+  int nearUploads_ = 0;
+  int farUploads_ = 0;
   /** All uploads, and those to other regions by themselves. */
   net::Pacer ownLink_;
   net::Pacer farLink_;
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -36,9 +36,9 @@
 constexpr Millis kLongestPause(2000);
 // A report costs nothing on the own VM but this process's time.
 constexpr Millis kReportInterval(100);
-// Of what lies staged, to sides of the own region: some pieces come in this
+// Of what lies staged, to sides of the own region: a piece or two come in this
 // time, and each side hears it from each.
-constexpr Millis kNearAnnounceInterval(100);
+constexpr Millis kNearAnnounceInterval(60);
 // To sides of other regions, one of which brings each piece over: at once what
 // the origin gave, then seldom, as bytes between regions are dear.
 constexpr Millis kFarAnnounceInterval(1000);
