--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -330,6 +330,7 @@
     onTheWay_, [&query](std::uint32_t aPiece) { query.missing.erase(aPiece); });
   query.running = downloads_;
   query.elapsed = clock_.Now() - begunAt_;
+  query.originElapsed = clock_.Now() - std::max(begunAt_, originFailedAt_);
   query.originUsable =
     aOrder.origin != nullptr && clock_.Now() >= originUsableFrom_;
   AddSides(aOrder, query);
@@ -390,7 +391,10 @@
   if (aAnswers) {
     originPause_ = kOriginPause;
   } else {
-    originUsableFrom_ = clock_.Now() + originPause_;
+    // All whose turn had come while it was away would ask at its return.
+    originFailedAt_ = clock_.Now();
+    listWantedAt_ = originFailedAt_;
+    originUsableFrom_ = originFailedAt_ + originPause_;
     originPause_ = std::min(originPause_ * 2, kLongestOriginPause);
   }
   if (std::exchange(originAnswers_, aAnswers) == aAnswers) {
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -157,6 +157,7 @@
   PieceChange change_;
   /** The origin did not answer; until then it is left alone. */
   utils::Millis originUsableFrom_;
+  utils::Millis originFailedAt_;
   bool originAnswers_ = true;
   int fetchers_ = 0;
   int nearUploads_ = 0;
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -148,7 +148,8 @@
   }
   auto found = std::ranges::find_if(aQuery.missing, [&](std::uint32_t aPiece) {
     return !IsHeld(aQuery, aPiece, true) && !IsHeld(aQuery, aPiece, false) &&
-           aQuery.elapsed >= kOriginRankDelay * aQuery.ranks[aPiece].origin;
+           aQuery.originElapsed >=
+             kOriginRankDelay * aQuery.ranks[aPiece].origin;
   });
   return found == aQuery.missing.end()
            ? std::nullopt
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -53,6 +53,8 @@
   std::map<std::string, int> running;
   /** Since this side began to stage the version. */
   utils::Millis elapsed;
+  /** The same, but counted anew from each failure of the origin. */
+  utils::Millis originElapsed;
   /** The version was named just now, so that nobody had it. */
   bool isNew = false;
   bool originUsable = true;
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -205,6 +205,7 @@
   query.isNew = true;
   query.sides = { MakeSide("a", {}), MakeSide("b", {}), MakeSide("c", {}) };
   query.elapsed = Millis(10000);
+  query.originElapsed = Millis(10000);
   for (std::uint32_t piece = 0; piece < 48; ++piece) {
     query.missing = { piece };
     CHECK(Pick(query));
@@ -219,6 +220,7 @@
   query.missing = { 0 };
   CHECK_FALSE(Pick(query));
   query.elapsed = Millis(5000);
+  query.originElapsed = Millis(5000);
   CHECK(Pick(query));
 }
 
@@ -286,3 +288,29 @@
   query.running[""] = 1;
   CHECK_FALSE(Pick(query));
 }
+
+TEST_CASE("thundering herd: an origin that returns is asked by ranks again")
+{
+  std::vector<std::string> vms;
+  for (int i = 0; i < 20; ++i) {
+    vms.push_back("side" + std::to_string(i));
+  }
+  int askers = 0;
+  for (const auto& own : vms) {
+    PickQuery query;
+    query.ownVm = own;
+    query.isNearOrigin = true;
+    query.isNew = true;
+    // It was away for long, and failed a moment ago.
+    query.elapsed = Millis(8000);
+    query.originElapsed = Millis(300);
+    query.missing = { 5 };
+    for (const auto& vm : vms) {
+      if (vm != own) {
+        query.sides.push_back(MakeSide(vm, {}));
+      }
+    }
+    askers += Pick(query) ? 1 : 0;
+  }
+  CHECK(askers == 1);
+}
