Entries learn the bias of predictions and prefer different upstreams

Entries do not know of each other's last requests and take the same upstream. Change: a moving mean of the miss shortens what a prediction may take, fading without requests; up to 50 ms of preference by entry and upstream; changes to the region each 25 ms.

--- a/libs/dispatch/include/dispatch/UpstreamBook.h
+++ b/libs/dispatch/include/dispatch/UpstreamBook.h
@@ -78,6 +78,13 @@
   std::string dataCentre;
   /** Until the objective, from now. */
   utils::Millis timeLeft;
+  /** How much later than predicted first events come, ms. */
+  double biasMs = 0;
+  /**
+   * The entry that asks: entries begin with different upstreams, so that what
+   * one does not know of the others' last requests matters less.
+   */
+  std::uint64_t entryHash = 0;
   /** Ids that were tried. */
   std::vector<std::string> excluded;
 };
--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -22,8 +22,20 @@
 // A plain service's work time until the book learns better; its objective
 // bounds the queue.
 constexpr double kPlainWorkMs = 60;
-// Room for what the prediction leaves out.
-constexpr double kObjectiveShare = 0.85;
+// Room for the way back to the caller.
+constexpr double kObjectiveShare = 0.95;
+// An entry prefers its own upstreams by up to this: what one more request of
+// another entry costs there.
+constexpr double kAffinityMs = 50;
+
+// From 0 for the upstream that the entry likes best, below 1.
+double
+GetAversion(const UpstreamState& aState, std::uint64_t aEntryHash)
+{
+  constexpr double kRange = 4294967296.0;
+  auto mixed = utils::MixBits(aState.hash ^ aEntryHash);
+  return static_cast<double>(mixed >> 32U) / kRange;
+}
 
 } // namespace
 
@@ -118,6 +130,8 @@
   std::optional<Place> best;
   double bestCost = 0;
   auto limit = static_cast<double>(aQuery.timeLeft.value) * kObjectiveShare;
+  // Only the engine model has a bias.
+  limit -= aQuery.engine != nullptr ? aQuery.biasMs : 0;
   for (const auto& [id, state] : upstreams_) {
     if (!IsCandidate(*state, aQuery, aNow)) {
       continue;
@@ -136,7 +150,8 @@
     bool other =
       aQuery.preferredVersion > 0 && place.version != aQuery.preferredVersion;
     double cost = place.predictedMs + (crosses ? kCrossingMs : 0) +
-                  (other ? kCrossingMs : 0);
+                  (other ? kCrossingMs : 0) +
+                  kAffinityMs * GetAversion(*state, aQuery.entryHash);
     if (!best || cost < bestCost) {
       best = place;
       bestCost = cost;
--- a/libs/dispatch/tests/LoadPatternsTest.cpp
+++ b/libs/dispatch/tests/LoadPatternsTest.cpp
@@ -5,11 +5,14 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <vector>
 
+#include <dispatch/PredictionBias.h>
 #include <dispatch/ReturnPlanner.h>
 #include <dispatch/UpstreamBook.h>
 #include <dispatch/WaitingLine.h>
+#include <utils/Hash.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::dispatch;
@@ -228,3 +231,73 @@
   line.Serve();
   CHECK(isServed);
 }
+
+TEST_CASE("flash crowd: entries that know nothing of each other part ways")
+{
+  constexpr int kEntries = 5;
+  constexpr int kUpstreams = 15;
+  std::map<std::string, int> sent;
+  for (int entry = 0; entry < kEntries; ++entry) {
+    Fleet fleet(kUpstreams);
+    PlaceQuery query;
+    query.service = "engines";
+    query.engine = &fleet.model;
+    query.model = "model";
+    query.layers = 1;
+    query.promptTokens = 1000;
+    query.dataCentre = "dc1";
+    query.timeLeft = Millis(450);
+    query.entryHash = utils::MixBits(static_cast<std::uint64_t>(entry + 1));
+    for (int i = 0; i < 3; ++i) {
+      auto place = fleet.book.FindPlace(query, Millis(1000));
+      REQUIRE(place);
+      ++place->upstream->own.running;
+      place->upstream->own.unreadTokens += 1000;
+      ++sent[place->upstream->record.id];
+    }
+  }
+  // Without a preference all take the same three, five requests each.
+  auto most = std::ranges::max_element(
+    sent, {}, [](const auto& aRow) { return aRow.second; });
+  CHECK(most->second <= 3);
+  CHECK(sent.size() >= 8);
+}
+
+TEST_CASE("overload: first events that come late lower what is taken")
+{
+  PredictionBias bias;
+  for (int i = 0; i < 200; ++i) {
+    bias.Note(150, 450, Millis(1000));
+  }
+  CHECK(bias.GetMs(Millis(1000)) > 200);
+  Fleet fleet(4);
+  PlaceQuery query;
+  query.service = "engines";
+  query.engine = &fleet.model;
+  query.model = "model";
+  query.layers = 1;
+  query.promptTokens = 1000;
+  query.timeLeft = Millis(450);
+  auto count = [&] {
+    int taken = 0;
+    while (auto place = fleet.book.FindPlace(query, Millis(1000))) {
+      ++place->upstream->own.running;
+      ++taken;
+    }
+    for (const auto& [id, state] : fleet.book.GetAll()) {
+      state->own.running = 0;
+    }
+    return taken;
+  };
+  int before = count();
+  query.biasMs = bias.GetMs(Millis(1000));
+  CHECK(count() < before);
+  // Were all refused there would be nothing to learn from: it fades.
+  CHECK(bias.GetMs(Millis(8000)) < 5);
+  // They come in time again: what is taken grows back.
+  for (int i = 0; i < 300; ++i) {
+    bias.Note(150, 150, Millis(1000));
+  }
+  query.biasMs = bias.GetMs(Millis(1000));
+  CHECK(count() == before);
+}
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -22,9 +22,9 @@
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
-// Between two notices of what this entry runs where: a slot is held for about
-// two seconds, so a notice that is this late misplaces few requests.
-constexpr Millis kNoticeInterval(60);
+// Between two notices of what this entry runs where, to entries of its region,
+// which send to the same upstreams: each of them makes a request in this time.
+constexpr Millis kNoticeInterval(25);
 // To entries of other regions, which send here only what their own region has
 // no room for; bytes between regions are dear.
 constexpr Millis kFarNoticeInterval(180);
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -9,6 +9,7 @@
 
 #include <dispatch/CrashLedger.h>
 #include <dispatch/Freshness.h>
+#include <dispatch/PredictionBias.h>
 #include <dispatch/RefusalMemory.h>
 #include <dispatch/ReturnPlanner.h>
 #include <dispatch/UpstreamBook.h>
@@ -29,6 +30,7 @@
   dispatch::WindowBudget retries;
   dispatch::ReturnPlanner returns;
   dispatch::WaitingLine line;
+  dispatch::PredictionBias bias;
 };
 
 /** Counters of an entry; see docs/METRICS.md. */
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -188,6 +188,7 @@
   }
   query_.promptTokens = caller_.promptTokens;
   query_.dataCentre = services_.GetSettings().dataCentre;
+  query_.entryHash = utils::StableHash(services_.GetSettings().vm);
 }
 
 Millis
@@ -206,6 +207,7 @@
                                              Scale(GetTimeLeft(), kLateShare))
                                   : toObjective;
   query_.minVersion = services_.FindMinVersion(query_.model);
+  query_.biasMs = services_.GetService(query_.service).bias.GetMs(now);
   auto& book = services_.GetBook();
   auto place = aMustMeetObjective ? book.FindPlace(query_, now)
                                   : book.FindAnyPlace(query_, now);
@@ -217,6 +219,7 @@
     services_, place->upstream, caller_.promptTokens);
   leaseVersion_ = place->version;
   predictedMs_ = place->predictedMs;
+  placedAt_ = now;
   return true;
 }
 
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -101,6 +101,7 @@
   std::unique_ptr<UpstreamLease> lease_;
   std::uint64_t leaseVersion_ = 0;
   double predictedMs_ = 0;
+  utils::Millis placedAt_;
   UpstreamAnswer answer_;
   int sends_ = 0;
   int connectFailures_ = 0;
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -237,6 +237,10 @@
   auto now = services_.Now();
   if (firstPartAt_ == Millis(0)) {
     firstPartAt_ = now;
+    services_.GetService(query_.service)
+      .bias.Note(predictedMs_,
+                 static_cast<double>((now - placedAt_).value),
+                 now);
   } else {
     longestPause_ = std::max(longestPause_, now - lastEventAt_);
   }
