A fault soak of our own

waxwingyoke-soak runs entries and sides as processes against the stand-ins behind the fault-injecting proxy, draws nineteen kinds of faults by a seed and checks promises from callers' and upstreams' sides (docs/SOAK.md). The stand-ins become a library; a deployment's configuration and settings stand once.

--- /dev/null
+++ b/soak/src/Callers.cpp
@@ -0,0 +1,85 @@
+#include "Callers.h"
+
+#include <net/Runtime.h>
+
+namespace waxwingyoke::soak {
+
+namespace {
+
+using utils::Millis;
+
+constexpr Millis kConnectTimeout(1000);
+// The callers' deadline, and a little for the answer's way.
+constexpr Millis kPatience(6500);
+constexpr Millis kPause(20);
+constexpr Millis kPoll(20);
+
+} // namespace
+
+void
+Callers::Start(net::Runtime& aRuntime, int aCount)
+{
+  running_ = aCount;
+  for (int i = 0; i < aCount; ++i) {
+    aRuntime.Spawn([this, i] {
+      Loop(bed_.options.seed * 1000 + static_cast<std::uint64_t>(i));
+      --running_;
+    });
+  }
+}
+
+void
+Callers::Stop()
+{
+  stopping_ = true;
+  while (running_ > 0) {
+    net::Runtime::Sleep(kPoll);
+  }
+}
+
+void
+Callers::Loop(std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  while (!stopping_) {
+    auto route = static_cast<RouteKind>(random() % 3);
+    auto entry = random() % bed_.entries.size();
+    const auto key = keys[random() % keys.size()];
+    Send(route, entry, key);
+    net::Runtime::Sleep(kPause);
+  }
+}
+
+int
+Callers::Send(RouteKind aRoute, std::size_t aEntry, const std::string& aKey)
+{
+  Attempt attempt;
+  attempt.id = "id" + std::to_string(++sent_);
+  attempt.route = aRoute;
+  attempt.key = aKey;
+  attempt.entry = aEntry;
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = std::string(GetPath(aRoute)) + attempt.id;
+  request.body = "prompt " + attempt.id;
+  request.fields = { { "Host", "h" },
+                     { "Waxwingyoke-Attempt-Id", attempt.id },
+                     { "Waxwingyoke-Deadline-Ms", "6000" },
+                     { "Waxwingyoke-Token-Counts", "100,30" },
+                     { "Api-Key", aKey } };
+  attempt.sentAt = clock_.Now();
+  utils::Error ignored;
+  auto response = client_.Call(bed_.GetCallerEndpoint(bed_.entries[aEntry]),
+                               request,
+                               { kConnectTimeout, kPatience, kPatience },
+                               ignored);
+  attempt.endedAt = clock_.Now();
+  if (response) {
+    attempt.status = response->status;
+    attempt.body = response->body;
+  }
+  ledger_.Note(attempt);
+  return attempt.status;
+}
+
+} // namespace waxwingyoke::soak
--- /dev/null
+++ b/soak/src/SoakBed.cpp
@@ -0,0 +1,265 @@
+#include "SoakBed.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+
+#include <unistd.h>
+
+#include <Deployment.h>
+#include <net/Runtime.h>
+#include <schema/Json.h>
+
+namespace waxwingyoke::soak {
+
+namespace {
+
+using utils::Millis;
+
+constexpr std::uint16_t kCallerPort = 8005;
+constexpr std::uint16_t kReadinessPort = 8002;
+constexpr std::uint16_t kUpstreamPort = 8001;
+constexpr std::uint16_t kLogPort = 8007;
+constexpr std::uint16_t kOriginPort = 8006;
+constexpr std::uint16_t kProxyControlPort = 8100;
+// The proxy listens beside each port that it stands before.
+constexpr std::uint16_t kProxyPortStep = 100;
+constexpr unsigned kOriginHost = 8;
+constexpr unsigned kLogHost = 9;
+constexpr unsigned kProxyHost = 10;
+constexpr unsigned kFirstEntry = 11;
+constexpr unsigned kFirstSide = 41;
+constexpr unsigned kFirstPlain = 141;
+constexpr Millis kProxyStart(5000);
+constexpr Millis kPoll(50);
+
+net::Endpoint
+Proxied(net::Endpoint aTarget)
+{
+  aTarget.port = static_cast<std::uint16_t>(aTarget.port + kProxyPortStep);
+  return aTarget;
+}
+
+} // namespace
+
+SoakBed::SoakBed(const BedOptions& aOptions, utils::Error& aReason)
+  : options(aOptions)
+  , block_(bed::AddressBlock::Take(aReason))
+  , folder_(std::filesystem::temp_directory_path() /
+            ("soak-" + std::to_string(aOptions.seed) + "-" +
+             std::to_string(::getpid())))
+{
+}
+
+SoakBed::~SoakBed()
+{
+  entries.clear();
+  sides.clear();
+  proxy_.reset();
+}
+
+std::unique_ptr<SoakBed>
+SoakBed::Make(net::Runtime& aRuntime,
+              const BedOptions& aOptions,
+              utils::Error& aReason)
+{
+  std::unique_ptr<SoakBed> bed(new SoakBed(aOptions, aReason));
+  if (!bed->block_) {
+    return nullptr;
+  }
+  std::filesystem::create_directories(bed->folder_);
+  bool started =
+    bed->log.Start(aRuntime, bed->At(kLogHost, kLogPort)) &&
+    bed->origin.Start(aRuntime, bed->At(kOriginHost, kOriginPort)) &&
+    bed->StartUpstreams(aRuntime);
+  if (!started) {
+    aReason.Set(utils::ErrorKind::Internal, "a stand-in did not start");
+    return nullptr;
+  }
+  return bed->StartProxy(aReason) && bed->StartDaemons(aReason)
+           ? std::move(bed)
+           : nullptr;
+}
+
+net::Endpoint
+SoakBed::At(unsigned aHost, std::uint16_t aPort) const
+{
+  return { block_->GetAddress(1, aHost), aPort };
+}
+
+void
+SoakBed::AddLink(const net::Endpoint& aTarget)
+{
+  auto listen = Proxied(aTarget).ToString();
+  links_.push_back(listen);
+  linkArguments_.insert(linkArguments_.end(),
+                        { "--link", listen + "=" + aTarget.ToString() });
+}
+
+bool
+SoakBed::StartUpstreams(net::Runtime& aRuntime)
+{
+  AddLink(At(kLogHost, kLogPort));
+  AddLink(At(kOriginHost, kOriginPort));
+  auto start = [&](unsigned aHost, const std::string& aId, bool isEngine) {
+    auto& upstream =
+      upstreams.emplace_back(std::make_unique<adapter::UpstreamStandIn>(
+        aId, isEngine ? "engines" : "plain", isEngine ? "m" : ""));
+    auto endpoint = At(aHost, kUpstreamPort);
+    bool done = upstream->Start(aRuntime, endpoint);
+    upstream->SetAdvertised(Proxied(endpoint));
+    AddLink(endpoint);
+    return done;
+  };
+  bool started = true;
+  for (unsigned i = 0; i < options.sides; ++i) {
+    started = start(kFirstSide + i, "e" + std::to_string(i), true) && started;
+  }
+  for (unsigned i = 0; i < options.plain; ++i) {
+    started = start(kFirstPlain + i, "p" + std::to_string(i), false) && started;
+  }
+  registered_.resize(upstreams.size());
+  draining_.resize(upstreams.size());
+  return started;
+}
+
+bool
+SoakBed::StartProxy(utils::Error& aReason)
+{
+  std::vector<std::string> arguments{
+    bed::GetProgramPath("waxwingyoke-fakes"),
+    "proxy",
+    "--seed",
+    std::to_string(options.seed),
+    "--control",
+    At(kProxyHost, kProxyControlPort).ToString()
+  };
+  std::ranges::copy(linkArguments_, std::back_inserter(arguments));
+  proxy_ =
+    bed::Process::Start(arguments, (folder_ / "proxy.log").string(), aReason);
+  utils::Clock clock;
+  auto until = clock.Now() + kProxyStart;
+  while (proxy_ && clock.Now() < until) {
+    if (SetLink({})) {
+      return true;
+    }
+    net::Runtime::Sleep(kPoll);
+  }
+  aReason.Set(utils::ErrorKind::Internal, "the proxy does not answer");
+  return false;
+}
+
+bool
+SoakBed::SetLink(const fakes::LinkFaults& aFaults)
+{
+  constexpr int kOk = 200;
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/links";
+  request.body = schema::ToJson(aFaults);
+  utils::Error ignored;
+  auto answer =
+    client_.Call(At(kProxyHost, kProxyControlPort), request, {}, ignored);
+  return answer && answer->status == kOk;
+}
+
+bool
+SoakBed::StartDaemons(utils::Error& aReason)
+{
+  Register();
+  for (unsigned i = 0; i < options.entries; ++i) {
+    entries.push_back({ "fleet-entry", kFirstEntry + i, "", nullptr });
+  }
+  for (unsigned i = 0; i < options.sides; ++i) {
+    sides.push_back({ "fleet-side", kFirstSide + i, "", nullptr });
+  }
+  bool started = true;
+  for (auto* group : { &entries, &sides }) {
+    for (auto& daemon : *group) {
+      started = StartDaemon(daemon, aReason) && started;
+    }
+  }
+  return started;
+}
+
+bool
+SoakBed::StartDaemon(Daemon& aDaemon, utils::Error& aReason)
+{
+  auto vm = aDaemon.role + std::to_string(aDaemon.host);
+  auto file = folder_ / (vm + ".json");
+  std::ofstream(file) << adapter::MakeDaemonSettings(
+    { vm,
+      At(aDaemon.host, 0).address,
+      At(aDaemon.host, kCallerPort),
+      At(aDaemon.host, kReadinessPort),
+      Proxied(At(aDaemon.host, kUpstreamPort)),
+      Proxied(At(kLogHost, kLogPort)) });
+  setenv("WAXWINGYOKE_BOOT", file.c_str(), 1);
+  aDaemon.settings = file.string();
+  aDaemon.process =
+    bed::Process::Start({ bed::GetProgramPath("waxwingyoked"), aDaemon.role },
+                        file.string() + ".log",
+                        aReason);
+  return aDaemon.process != nullptr;
+}
+
+net::Endpoint
+SoakBed::GetCallerEndpoint(const Daemon& aEntry) const
+{
+  return At(aEntry.host, kCallerPort);
+}
+
+void
+SoakBed::Publish(const std::vector<std::string>& aKeys)
+{
+  std::string keys;
+  for (const auto& key : aKeys) {
+    keys += (keys.empty() ? "\"" : ",\"") + key + "\"";
+  }
+  log.Append("keyed.op",
+             "config",
+             adapter::MakeConfig(++configVersion_,
+                                 R"({"Name":"org","ApiKeys":[)" + keys + "]}",
+                                 Proxied(At(kOriginHost, kOriginPort))));
+}
+
+void
+SoakBed::NameVersion()
+{
+  log.Append("keyed.op",
+             "version/m",
+             R"({"Model":"m","Version":)" + std::to_string(++namedVersion_) +
+               "}");
+}
+
+void
+SoakBed::Register()
+{
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    auto entry = upstreams[i]->MakeEntry(draining_[i] ? "draining" : "ready");
+    if (entry != registered_[i]) {
+      registered_[i] = entry;
+      log.Append("keyed.servers", upstreams[i]->GetId(), entry);
+    }
+  }
+}
+
+void
+SoakBed::SetDraining(std::size_t aUpstream, bool aDraining)
+{
+  draining_[aUpstream] = aDraining;
+  Register();
+}
+
+int
+SoakBed::CountRuns(const std::string& aId) const
+{
+  int runs = 0;
+  for (const auto& upstream : upstreams) {
+    auto row = upstream->GetRuns().find(aId);
+    runs += row == upstream->GetRuns().end() ? 0 : row->second;
+  }
+  return runs;
+}
+
+} // namespace waxwingyoke::soak
