Soak: keys in force are kept in one place

Cause: a configuration published while a key was rotated brought the old keys back, so that new ones were denied.

--- a/libs/dispatch/src/PredictionBias.cpp
+++ b/libs/dispatch/src/PredictionBias.cpp
@@ -18,9 +18,7 @@
 } // namespace
 
 void
-PredictionBias::Note(double aPredictedMs,
-                     double aActualMs,
-                     utils::Millis aNow)
+PredictionBias::Note(double aPredictedMs, double aActualMs, utils::Millis aNow)
 {
   double miss = std::clamp(aActualMs - aPredictedMs, -kMostMs, kMostMs);
   meanMs_ += kSampleWeight * (miss - meanMs_);
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -238,9 +238,8 @@
   if (firstPartAt_ == Millis(0)) {
     firstPartAt_ = now;
     services_.GetService(query_.service)
-      .bias.Note(predictedMs_,
-                 static_cast<double>((now - placedAt_).value),
-                 now);
+      .bias.Note(
+        predictedMs_, static_cast<double>((now - placedAt_).value), now);
   } else {
     longestPause_ = std::max(longestPause_, now - lastEventAt_);
   }
--- a/soak/src/FaultPlan.cpp
+++ b/soak/src/FaultPlan.cpp
@@ -117,7 +117,7 @@
       bed_.log.SetAway(false);
       break;
     case FaultKind::Publish:
-      bed_.Publish(callers_.keys);
+      bed_.Publish();
       break;
     case FaultKind::RotateKey:
       RotateKey();
@@ -194,17 +194,18 @@
 void
 FaultPlan::RotateKey()
 {
-  auto keys = callers_.keys;
-  keys.push_back("key" + std::to_string(++keysMade_));
+  auto& keys = bed_.keysInForce;
+  auto added = "key" + std::to_string(++keysMade_);
+  keys.push_back(added);
   auto revoked = keys.front();
   keys.erase(keys.begin());
-  bed_.Publish(keys);
+  bed_.Publish();
   ledger_.NoteRevoked(revoked, clock_.Now());
   // The new key is used once it must be in force.
   constexpr Millis kInForce(2500);
   net::Runtime::Sleep(kInForce);
   constexpr std::size_t kMostKeys = 6;
-  callers_.keys.push_back(keys.back());
+  callers_.keys.push_back(added);
   if (callers_.keys.size() > kMostKeys) {
     callers_.keys.erase(callers_.keys.begin());
   }
--- a/soak/src/Ledger.cpp
+++ b/soak/src/Ledger.cpp
@@ -79,9 +79,8 @@
 Ledger::CheckRevoked(const Attempt& aAttempt)
 {
   auto revoked = revokedAt_.find(aAttempt.key);
-  bool isLate =
-    revoked != revokedAt_.end() &&
-    aAttempt.sentAt > revoked->second + Millis(adapter::kRevokeMs);
+  bool isLate = revoked != revokedAt_.end() &&
+                aAttempt.sentAt > revoked->second + Millis(adapter::kRevokeMs);
   if (isLate && countRuns_(aAttempt.id) > 0) {
     AddViolation("ran with a revoked key: " + aAttempt.id);
   }
--- a/soak/src/Main.cpp
+++ b/soak/src/Main.cpp
@@ -69,8 +69,9 @@
 
   int Run()
   {
-    callers_.keys = { "key-a", "key-b", "key-c" };
-    bed_.Publish(callers_.keys);
+    bed_.keysInForce = { "key-a", "key-b", "key-c" };
+    callers_.keys = bed_.keysInForce;
+    bed_.Publish();
     runtime_.Spawn([this] { Heartbeat(); });
     if (!WaitUntil(kStartTime, [this] { return IsServing(); })) {
       ledger_.AddViolation("did not come to serve at the start");
@@ -115,7 +116,7 @@
     for (std::size_t entry = 0; entry < bed_.entries.size(); ++entry) {
       for (auto route :
            { RouteKind::Stream, RouteKind::Once, RouteKind::Safe }) {
-        if (callers_.Send(route, entry, callers_.keys.back()) != kOk) {
+        if (callers_.Send(route, entry, bed_.keysInForce.back()) != kOk) {
           return false;
         }
       }
@@ -127,8 +128,7 @@
   {
     return std::ranges::all_of(
       bed_.upstreams.begin(),
-      bed_.upstreams.begin() +
-        static_cast<std::ptrdiff_t>(bed_.options.sides),
+      bed_.upstreams.begin() + static_cast<std::ptrdiff_t>(bed_.options.sides),
       [this](const auto& aEngine) {
         return aEngine->GetVersion() == bed_.GetVersion();
       });
@@ -164,8 +164,7 @@
   {
     for (const auto& upstream : bed_.upstreams) {
       if (upstream->GetBadLoads() > 0) {
-        ledger_.AddViolation("loaded what was not whole: " +
-                             upstream->GetId());
+        ledger_.AddViolation("loaded what was not whole: " + upstream->GetId());
       }
     }
   }
--- a/soak/src/SoakBed.cpp
+++ b/soak/src/SoakBed.cpp
@@ -76,9 +76,8 @@
     aReason.Set(utils::ErrorKind::Internal, "a stand-in did not start");
     return nullptr;
   }
-  return bed->StartProxy(aReason) && bed->StartDaemons(aReason)
-           ? std::move(bed)
-           : nullptr;
+  return bed->StartProxy(aReason) && bed->StartDaemons(aReason) ? std::move(bed)
+                                                                : nullptr;
 }
 
 net::Endpoint
@@ -210,10 +209,10 @@
 }
 
 void
-SoakBed::Publish(const std::vector<std::string>& aKeys)
+SoakBed::Publish()
 {
   std::string keys;
-  for (const auto& key : aKeys) {
+  for (const auto& key : keysInForce) {
     keys += (keys.empty() ? "\"" : ",\"") + key + "\"";
   }
   log.Append("keyed.op",
--- a/soak/src/SoakBed.h
+++ b/soak/src/SoakBed.h
@@ -49,8 +49,8 @@
 
   net::Endpoint GetCallerEndpoint(const Daemon& aEntry) const;
 
-  /** Publishes the organisation's keys. */
-  void Publish(const std::vector<std::string>& aKeys);
+  /** Publishes a new configuration with keysInForce. */
+  void Publish();
   void NameVersion();
   std::uint64_t GetVersion() const { return namedVersion_; }
 
@@ -70,6 +70,8 @@
   std::vector<std::unique_ptr<adapter::UpstreamStandIn>> upstreams;
   std::vector<Daemon> entries;
   std::vector<Daemon> sides;
+  /** The organisation's keys, oldest first. */
+  std::vector<std::string> keysInForce;
   const BedOptions options;
 
 private:
