--- a/libs/dispatch/tests/LoadPatternsTest.cpp
+++ b/libs/dispatch/tests/LoadPatternsTest.cpp
@@ -234,10 +234,10 @@
 
 TEST_CASE("flash crowd: entries that know nothing of each other part ways")
 {
-  constexpr int kEntries = 5;
+  constexpr std::uint64_t kEntries = 5;
   constexpr int kUpstreams = 15;
   std::map<std::string, int> sent;
-  for (int entry = 0; entry < kEntries; ++entry) {
+  for (std::uint64_t entry = 0; entry < kEntries; ++entry) {
     Fleet fleet(kUpstreams);
     PlaceQuery query;
     query.service = "engines";
@@ -247,7 +247,7 @@
     query.promptTokens = 1000;
     query.dataCentre = "dc1";
     query.timeLeft = Millis(450);
-    query.entryHash = utils::MixBits(static_cast<std::uint64_t>(entry + 1));
+    query.entryHash = utils::MixBits(entry + 1);
     for (int i = 0; i < 3; ++i) {
       auto place = fleet.book.FindPlace(query, Millis(1000));
       REQUIRE(place);
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -71,11 +71,12 @@
 ConfigSharing::PickEntry()
 {
   auto entries = peers_.List(PeerRole::Entry);
-  auto far = std::ranges::partition(entries, [this](const Peer& aPeer) {
-    return peers_.IsWithin(aPeer, Reach::Near);
-  });
-  if (far.begin() != entries.begin()) {
-    entries.erase(far.begin(), far.end());
+  auto far =
+    std::partition(entries.begin(), entries.end(), [this](const Peer& aPeer) {
+      return peers_.IsWithin(aPeer, Reach::Near);
+    });
+  if (far != entries.begin()) {
+    entries.erase(far, entries.end());
   }
   return entries.empty() ? std::nullopt
                          : std::optional(entries[next_++ % entries.size()]);
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -85,6 +85,15 @@
   return side;
 }
 
+std::vector<std::string>
+MakeNames(std::size_t aCount)
+{
+  std::vector<std::string> names(aCount);
+  std::ranges::generate(
+    names, [next = 0]() mutable { return "side" + std::to_string(next++); });
+  return names;
+}
+
 std::optional<PieceChoice>
 Pick(PickQuery aQuery)
 {
@@ -254,10 +263,7 @@
 TEST_CASE("cold fleet: few sides ask the origin at once for a list")
 {
   constexpr int kSides = 80;
-  std::vector<std::string> vms;
-  for (int i = 0; i < kSides; ++i) {
-    vms.push_back("side" + std::to_string(i));
-  }
+  auto vms = MakeNames(kSides);
   int atOnce = 0;
   for (const auto& own : vms) {
     PickQuery query;
@@ -291,10 +297,7 @@
 
 TEST_CASE("thundering herd: an origin that returns is asked by ranks again")
 {
-  std::vector<std::string> vms;
-  for (int i = 0; i < 20; ++i) {
-    vms.push_back("side" + std::to_string(i));
-  }
+  auto vms = MakeNames(20);
   int askers = 0;
   for (const auto& own : vms) {
     PickQuery query;
--- a/soak/src/SoakBed.cpp
+++ b/soak/src/SoakBed.cpp
@@ -100,10 +100,10 @@
 {
   AddLink(At(kLogHost, kLogPort));
   AddLink(At(kOriginHost, kOriginPort));
-  auto start = [&](unsigned aHost, const std::string& aId, bool isEngine) {
+  auto start = [&](unsigned aHost, const std::string& aId, bool aIsEngine) {
     auto& upstream =
       upstreams.emplace_back(std::make_unique<adapter::UpstreamStandIn>(
-        aId, isEngine ? "engines" : "plain", isEngine ? "m" : ""));
+        aId, aIsEngine ? "engines" : "plain", aIsEngine ? "m" : ""));
     auto endpoint = At(aHost, kUpstreamPort);
     bool done = upstream->Start(aRuntime, endpoint);
     upstream->SetAdvertised(Proxied(endpoint));
