Entries tell each other how far they have read the operator's topic

An entry lets nothing older start 7.1 s after it learnt of a name, so it learnt 0.6 s late. Ruled out: a late begin alone (0.32 s in the upstream), an outage of the log (none before 24 s).

Change: notices between entries say how far the topic was read; one that is behind asks another, whose record has the version's age. Test: FollowersTest.

--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -45,7 +45,7 @@
 // share of what a key may be trusted for.
 constexpr double kAskPeersShare = 0.4;
 // A read of the log that succeeds comes before the first question.
-constexpr Millis kAskPeersInterval(300);
+constexpr Millis kAskPeersInterval(150);
 
 /** Entries of one reach: what they were told of this one's requests. */
 struct Audience
@@ -269,6 +269,7 @@
     ForgetSilentEntries();
     auto end = services.GetConfig().GetEnd();
     if (end != toldEnd || services.Now() - toldSidesAt >= kEndRepeat) {
+      services.NoteUseChange();
       TellSides(end);
     }
   }
@@ -314,6 +315,8 @@
 void
 Entry::Impl::AddNews(const Audience& aAudience, schema::EntryNotice& aEntry)
 {
+  // A lost answer of the log must not keep a new version from an entry.
+  aEntry.set_operator_end(services.GetConfig().GetEnd());
   auto since = services.Now() - kCrashRepeat;
   for (const auto& crash : services.GetCrashes().ListSince(since)) {
     auto& report = *aEntry.add_crashes();
@@ -392,6 +395,7 @@
     services.GetBook().TakeEntryUse(aFrom.vm, uses);
   }
   entriesHeardAt[aFrom.vm] = services.Now();
+  services.GetConfig().NoteEnd(aNotice.operator_end());
   if (aNotice.has_directory()) {
     directory.TakeNews(aNotice.directory());
   }
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -461,7 +461,9 @@
 void
 PieceExchange::NoteSource(const PieceChoice& aChoice)
 {
-  bool isNear = announcements_[aChoice.vm].peer.region == settings_.region;
+  auto row = announcements_.find(aChoice.vm);
+  bool isNear =
+    row != announcements_.end() && row->second.peer.region == settings_.region;
   auto& source = aChoice.vm.empty() ? sources_.origin
                  : isNear           ? sources_.ownRegion
                                     : sources_.otherRegions;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -339,3 +339,23 @@
   CHECK(taker.GetConfig()->version == 5);
   CHECK_FALSE(taker.IsBehind());
 }
+
+TEST_CASE("an entry whose read hangs learns of a version from another in time")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  ConfigFollower giver(log, MakeCodecs(), {});
+  ConfigFollower taker(log, MakeCodecs(), {});
+  REQUIRE(giver.Poll());
+  REQUIRE(taker.Poll());
+  log.news = MakePage({ { "m", "2", 1, false } }, 2);
+  REQUIRE(giver.Poll());
+  CHECK_FALSE(taker.IsBehind());
+  taker.NoteEnd(giver.GetEnd());
+  CHECK(taker.IsBehind());
+  // Told 600 ms after it was made: the limit counts from the giver's time.
+  taker.Take(*giver.MakeRecord(), Millis(600));
+  CHECK_FALSE(taker.IsBehind());
+  CHECK(taker.FindVersionOfAge("m", Millis(600)) == 2);
+  CHECK(taker.FindVersionOfAge("m", Millis(2000)) == 0);
+}
