Nothing is sent to an old version in the last 1.5 s before its limit

A request was sent 6.88 s after a newer version was named, within the margin of 0.9 s, and began 1.13 s later: with the origin away all stay on the old version, and engines are full. Ruled out: an entry that learnt late (mended before).

Change: the margin is 1.5 s.

--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -20,9 +20,10 @@
 // asked for a connection.
 constexpr Millis kProbeDelay(30);
 constexpr Millis kProbeTimeout(400);
-// Before the time at which nothing may begin on an older version: work begins
-// a moment after it was sent, and the name took a moment to get here.
-constexpr Millis kVersionMargin(900);
+// Before the time at which nothing may begin on an older version: the name took
+// a moment to get here, and work that was sent may wait for over a second in
+// an engine while others are out.
+constexpr Millis kVersionMargin(1500);
 // Of the fleet's slack, for all entries together: a second send may arrive in
 // another window than it was counted in.
 constexpr double kSlackShare = 0.6;
