--- a/soak/src/Callers.cpp
+++ b/soak/src/Callers.cpp
@@ -1,5 +1,6 @@
 #include "Callers.h"
 
+#include <Deployment.h>
 #include <net/Runtime.h>
 
 namespace waxwingyoke::soak {
@@ -58,15 +59,8 @@
   attempt.route = aRoute;
   attempt.key = aKey;
   attempt.entry = aEntry;
-  net::HttpRequest request;
-  request.method = "POST";
-  request.target = std::string(GetPath(aRoute)) + attempt.id;
-  request.body = "prompt " + attempt.id;
-  request.fields = { { "Host", "h" },
-                     { "Waxwingyoke-Attempt-Id", attempt.id },
-                     { "Waxwingyoke-Deadline-Ms", "6000" },
-                     { "Waxwingyoke-Token-Counts", "100,30" },
-                     { "Api-Key", aKey } };
+  auto request =
+    adapter::MakeCallerRequest(GetPath(aRoute) + attempt.id, attempt.id, aKey);
   attempt.sentAt = clock_.Now();
   utils::Error ignored;
   auto response = client_.Call(bed_.GetCallerEndpoint(bed_.entries[aEntry]),
--- a/soak/src/SoakBed.cpp
+++ b/soak/src/SoakBed.cpp
@@ -215,30 +215,27 @@
   for (const auto& key : keysInForce) {
     keys += (keys.empty() ? "\"" : ",\"") + key + "\"";
   }
-  log.Append("keyed.op",
-             "config",
-             adapter::MakeConfig(++configVersion_,
-                                 R"({"Name":"org","ApiKeys":[)" + keys + "]}",
-                                 Proxied(At(kOriginHost, kOriginPort))));
+  adapter::PublishConfig(log,
+                         ++configVersion_,
+                         R"({"Name":"org","ApiKeys":[)" + keys + "]}",
+                         Proxied(At(kOriginHost, kOriginPort)));
 }
 
 void
 SoakBed::NameVersion()
 {
-  log.Append("keyed.op",
-             "version/m",
-             R"({"Model":"m","Version":)" + std::to_string(++namedVersion_) +
-               "}");
+  adapter::NameVersion(log, ++namedVersion_);
 }
 
 void
 SoakBed::Register()
 {
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
-    auto entry = upstreams[i]->MakeEntry(draining_[i] ? "draining" : "ready");
+    const auto* state = draining_[i] ? "draining" : "ready";
+    auto entry = upstreams[i]->MakeEntry(state);
     if (entry != registered_[i]) {
       registered_[i] = entry;
-      log.Append("keyed.servers", upstreams[i]->GetId(), entry);
+      adapter::RegisterUpstream(log, *upstreams[i], state);
     }
   }
 }
