An entry that alone was turned away by the log removes leavers at once

The log turned edge-budapest-1-1 away until 25.5 s; at 25.9 s an upstream's entry was dropped. The other entries removed it at once; that one waited 2.5 s, as entries that lapse while the log is away come back. It was away for this entry alone, so nothing had lapsed. Ruled out: late news (all five entries knew within 10 ms).

Change: no such patience where another entry read the log meanwhile. Test: FollowersTest, failed before (the upstream stayed).

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -105,9 +105,11 @@
   }
   logAnswers_ = aAnswers;
   if (aAnswers) {
-    patientUntil_ = clock_.Now() + kReturnTime;
+    // Where others read it all the time, no upstream's entry lapsed.
+    patientUntil_ = othersRead_ ? clock_.Now() : clock_.Now() + kReturnTime;
     logger_.Info("the directory answers again");
   } else {
+    othersRead_ = false;
     logger_.Warn("the directory does not answer");
   }
 }
@@ -185,6 +187,7 @@
     }
   }
   end_ = aNews.end();
+  othersRead_ = true;
   confirmedAt_ = clock_.Now();
   RemoveOverdue();
   if (onChange_ && aNews.records_size() > 0) {
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -69,6 +69,8 @@
   std::size_t turn_ = 0;
   /** When the log, or another entry's news of it, last told the newest. */
   std::optional<utils::Millis> confirmedAt_;
+  /** Another entry has read the log since it stopped to answer here. */
+  bool othersRead_ = false;
   /** News came that follow on others which did not. */
   bool missedNews_ = false;
   bool started_ = false;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -359,3 +359,31 @@
   CHECK(taker.FindVersionOfAge("m", Millis(600)) == 2);
   CHECK(taker.FindVersionOfAge("m", Millis(2000)) == 0);
 }
+
+TEST_CASE("what leaves after an outage of this entry alone is gone at once")
+{
+  ScriptedLog log;
+  log.newest =
+    MakePage({ { "a", "ready", 0, false }, { "b", "ready", 1, false } }, 2);
+  dispatch::UpstreamBook book;
+  DirectoryFollower follower(log, MakeCodecs(), book);
+  REQUIRE(follower.Poll());
+  log.answers = false;
+  CHECK_FALSE(follower.Poll());
+  // Another entry reads the log meanwhile: it was never away.
+  schema::DirectoryNews news;
+  news.set_from(2);
+  news.set_end(2);
+  follower.TakeNews(news);
+  log.answers = true;
+  log.news = MakePage({ { "a", "", 2, true } }, 3);
+  REQUIRE(follower.Poll());
+  CHECK_FALSE(book.Find("a"));
+  // After an outage for all, an entry that lapsed may come back.
+  log.answers = false;
+  CHECK_FALSE(follower.Poll());
+  log.answers = true;
+  log.news = MakePage({ { "b", "", 3, true } }, 4);
+  REQUIRE(follower.Poll());
+  CHECK(book.Find("b"));
+}
