Work on an old version begins before the version's end or is taken back

Change: a send to a version that a newer one bounds waits for its head until 0.4 s before the limit, then the connection is closed and the request goes elsewhere by the usual rules; the upstream is not blamed. Nothing is sent so late that a usual first event could not come in time (0.5 s more).

Ruled out: a deadline for the upstream, which would also cut work that has begun; a larger margin, which bounds nothing and costs places.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -232,6 +232,15 @@
   return found == row->second.rend() ? 0 : found->version;
 }
 
+std::optional<Millis>
+ConfigFollower::FindSuccessorTime(const std::string& aModel,
+                                  std::uint64_t aVersion) const
+{
+  auto next = FindNextVersion(aModel, aVersion);
+  return next && next->learntLive ? std::optional(next->learntAt)
+                                  : std::nullopt;
+}
+
 Millis
 ConfigFollower::GetAge() const
 {
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -81,10 +81,17 @@
   /** The first version after aHeld; each has a time limit of its own. */
   std::optional<NamedVersion> FindNextVersion(const std::string& aModel,
                                               std::uint64_t aHeld) const;
+  /** When the first version after aVersion was learnt of, while it is recent.
+   */
+  std::optional<utils::Millis> FindSuccessorTime(const std::string& aModel,
+                                                 std::uint64_t aVersion) const;
   /** The newest version that was learnt aAge ago or before; 0: none. */
   std::uint64_t FindVersionOfAge(const std::string& aModel,
                                  utils::Millis aAge) const;
 
+  /** On the clock of the times that it tells. */
+  utils::Millis Now() const { return clock_.Now(); }
+
   /** Since the configuration was last proved the newest. */
   utils::Millis GetAge() const;
 
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -20,10 +20,13 @@
 // asked for a connection.
 constexpr Millis kProbeDelay(30);
 constexpr Millis kProbeTimeout(400);
-// Before the time at which nothing may begin on an older version: the name took
-// a moment to get here, and work that was sent may wait for over a second in
-// an engine while others are out.
-constexpr Millis kVersionMargin(1500);
+// Before the time at which nothing may begin on an older version, work that has
+// not begun is taken back: the name took a moment to get here, and closing a
+// connection takes another.
+constexpr Millis kBeginMargin(400);
+// Nothing is sent to an older version so long before it would be taken back:
+// the usual objective of a first event.
+constexpr Millis kLastSend(500);
 // Of the fleet's slack, for all entries together: a second send may arrive in
 // another window than it was counted in.
 constexpr double kSlackShare = 0.6;
@@ -118,8 +121,20 @@
 std::uint64_t
 EntryServices::FindMinVersion(const std::string& aModel) const
 {
-  return config_.FindVersionOfAge(aModel,
-                                  settings_.bounds.version - kVersionMargin);
+  return config_.FindVersionOfAge(
+    aModel, settings_.bounds.version - kBeginMargin - kLastSend);
+}
+
+std::optional<Millis>
+EntryServices::FindTimeToBegin(const std::string& aModel,
+                               std::uint64_t aVersion) const
+{
+  auto succeeded = config_.FindSuccessorTime(aModel, aVersion);
+  if (!succeeded) {
+    return std::nullopt;
+  }
+  auto age = config_.Now() - *succeeded;
+  return settings_.bounds.version - kBeginMargin - age;
 }
 
 void
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -87,6 +88,13 @@
   /** The oldest version that new work may begin on; 0: any. */
   std::uint64_t FindMinVersion(const std::string& aModel) const;
 
+  /**
+   * How long work may still begin on that version; empty: no newer one was
+   * named that bounds it.
+   */
+  std::optional<utils::Millis> FindTimeToBegin(const std::string& aModel,
+                                               std::uint64_t aVersion) const;
+
   /**
    * A connection to an upstream broke under a request. Finds out whether the
    * upstream crashed; if so, the request is held against.
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -92,7 +92,11 @@
     Fail("no time left");
     return false;
   }
-  SendOrder order{ request_, caller_.attemptId, {}, left, &canceller_ };
+  SendOrder order{ request_, caller_.attemptId, {},
+                   left,     std::nullopt,      &canceller_ };
+  if (leaseVersion_ > 0) {
+    order.timeToBegin = services_.FindTimeToBegin(query_.model, leaseVersion_);
+  }
   order.terms.upstreamId = lease_->GetUpstream().record.id;
   order.terms.version = leaseVersion_;
   order.terms.timeLeft = left;
--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -39,6 +39,28 @@
   return !success || (aHead.stamped && !aHead.encoded);
 }
 
+Millis
+GetHeadTimeout(const SendOrder& aOrder)
+{
+  auto begin = aOrder.timeToBegin.value_or(aOrder.headTimeout);
+  return std::clamp(begin, Millis(1), aOrder.headTimeout);
+}
+
+// The upstream is well: it was late for its version's end.
+void
+NoteTakenBack(EntryServices& aServices,
+              UpstreamLease& aLease,
+              const SendOrder& aOrder)
+{
+  aLease.GetUpstream().health.AvoidUntil(aServices.Now() + kFullPause);
+  aServices.GetLogger().Info(
+    "taken back before the version's end",
+    { { "request", aOrder.attemptId },
+      { "upstream", aLease.GetUpstream().record.id },
+      { "version", std::to_string(aOrder.terms.version) },
+      { "waited_ms", std::to_string(GetHeadTimeout(aOrder).value) } });
+}
+
 SendResult
 JudgeFailure(const utils::Error& aReason)
 {
@@ -64,9 +86,10 @@
   options.accepts = [&](const net::HttpFields& aFields) {
     return dialect.IsAnswerTo(aFields, aOrder.attemptId);
   };
-  net::CallTimeouts timeouts{ std::min(kConnectTimeout, aOrder.headTimeout),
-                              aOrder.headTimeout,
-                              aOrder.headTimeout };
+  auto headTimeout = GetHeadTimeout(aOrder);
+  net::CallTimeouts timeouts{ std::min(kConnectTimeout, headTimeout),
+                              headTimeout,
+                              headTimeout };
   UpstreamAnswer answer;
   aServices.GetMetrics().sends.Add();
   answer.stream = aServices.GetClient().Open(
@@ -75,7 +98,11 @@
     answer.result = JudgeFailure(answer.reason);
     bool cancelled =
       aOrder.canceller != nullptr && aOrder.canceller->IsCancelled();
-    if (!cancelled && answer.reason.kind != ErrorKind::ConnectionLost) {
+    bool takenBack = headTimeout < aOrder.headTimeout &&
+                     answer.reason.kind == ErrorKind::TimedOut;
+    if (takenBack) {
+      NoteTakenBack(aServices, aLease, aOrder);
+    } else if (!cancelled && answer.reason.kind != ErrorKind::ConnectionLost) {
       upstream.health.Note(Outcome::Unreachable, aServices.Now());
     }
     return answer;
--- a/libs/fleet/src/UpstreamSend.h
+++ b/libs/fleet/src/UpstreamSend.h
@@ -2,6 +2,7 @@
 #define waxwingyoke_fleet_UpstreamSend_h
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <net/HttpClient.h>
@@ -45,6 +46,11 @@
   platform::SendTerms terms;
   /** Longest silence before the head. */
   utils::Millis headTimeout;
+  /**
+   * The work must have begun, which the head proves, within this time; else it
+   * is taken back. Empty: whenever it gets its turn.
+   */
+  std::optional<utils::Millis> timeToBegin;
   net::CallCanceller* canceller = nullptr;
 };
 
