The directory's news reach entries in parts, past a gap, and with patience

Change: news are cut into notices that each say between which offsets there is nothing else; what follows a gap is used, and the gap still read; news after a silence longer than all turns are treated like the log's return.

Tests: FollowersTest, three cases; each fails without its change.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace waxwingyoke::fleet {
 
@@ -19,6 +20,8 @@
 constexpr Millis kSilence(900);
 constexpr Millis kTurnStep(50);
 constexpr Millis kLastTurn(500);
+// The last one's turn and some failed reads later, the log is away.
+constexpr Millis kLongestSilence(2500);
 // What is overdue is removed that often.
 constexpr Millis kLook(150);
 // Changes in a row are read together.
@@ -27,7 +30,7 @@
 // failure in a row, as reads that fail are charged like others.
 constexpr Millis kPauseAfterFailure(40);
 constexpr Millis kLongestPause(400);
-// News that fit into a datagram; entries read more than that themselves.
+// News that fit into a datagram; more are told in several.
 constexpr std::size_t kMaxNewsBytes = 4096;
 // Upstreams that live register again within about two seconds of the log's
 // return.
@@ -37,10 +40,12 @@
 
 DirectoryFollower::DirectoryFollower(platform::KeyedLog& aLog,
                                      const platform::FleetCodecs& aCodecs,
-                                     dispatch::UpstreamBook& aBook)
+                                     dispatch::UpstreamBook& aBook,
+                                     utils::Clock aClock)
   : log_(aLog)
   , codecs_(aCodecs)
   , book_(aBook)
+  , clock_(std::move(aClock))
 {
 }
 
@@ -106,7 +111,9 @@
   logAnswers_ = aAnswers;
   if (aAnswers) {
     // Where others read it all the time, no upstream's entry lapsed.
-    patientUntil_ = othersRead_ ? clock_.Now() : clock_.Now() + kReturnTime;
+    if (!othersRead_) {
+      patientUntil_ = clock_.Now() + kReturnTime;
+    }
     logger_.Info("the directory answers again");
   } else {
     othersRead_ = false;
@@ -153,42 +160,73 @@
   if (!page) {
     return false;
   }
-  schema::DirectoryNews news;
-  news.set_from(from);
-  news.set_end(page->end);
+  std::vector<platform::KeyedRecord> changes;
   for (const auto& record : page->records) {
     // Another entry's news may have come while the read waited.
     if (record.offset >= end_ && Apply(record)) {
-      auto& row = *news.add_records();
-      row.set_key(record.key);
-      row.set_value(record.value);
-      row.set_offset(record.offset);
-      row.set_dropped(record.dropped);
+      changes.push_back(record);
     }
   }
   end_ = std::max(end_, page->end);
-  if (onNews_ && news.ByteSizeLong() <= kMaxNewsBytes) {
-    onNews_(news);
-  }
+  Tell(from, page->end, changes);
   return true;
 }
 
+// Each notice says between which offsets there is nothing else, so that
+// whoever misses one knows it by the next.
+void
+DirectoryFollower::Tell(std::uint64_t aFrom,
+                        std::uint64_t aEnd,
+                        const std::vector<platform::KeyedRecord>& aChanges)
+{
+  if (!onNews_) {
+    return;
+  }
+  schema::DirectoryNews news;
+  news.set_from(aFrom);
+  for (const auto& record : aChanges) {
+    auto size = news.ByteSizeLong() + record.key.size() + record.value.size();
+    if (news.records_size() > 0 && size > kMaxNewsBytes) {
+      news.set_end(record.offset);
+      onNews_(news);
+      news.Clear();
+      news.set_from(record.offset);
+    }
+    auto& row = *news.add_records();
+    row.set_key(record.key);
+    row.set_value(record.value);
+    row.set_offset(record.offset);
+    row.set_dropped(record.dropped);
+  }
+  news.set_end(aEnd);
+  onNews_(news);
+}
+
 void
 DirectoryFollower::TakeNews(const schema::DirectoryNews& aNews)
 {
-  // With a gap before them they are not all that is new.
-  missedNews_ = missedNews_ || (started_ && aNews.from() > end_);
-  if (!started_ || aNews.from() > end_ || aNews.end() < end_) {
+  if (!started_ || aNews.end() < end_) {
     return;
   }
+  // All take turns within this time, so the log was away for all.
+  if (clock_.Now() - *confirmedAt_ > kLongestSilence) {
+    patientUntil_ = clock_.Now() + kReturnTime;
+  }
   for (const auto& row : aNews.records()) {
     if (row.offset() >= end_) {
       Apply({ row.key(), row.value(), row.offset(), row.dropped() });
     }
   }
-  end_ = aNews.end();
-  othersRead_ = true;
-  confirmedAt_ = clock_.Now();
+  // With a gap before them they are not all that is new, but true all the
+  // same: an entry that the log turns away can't read the rest. It is read, and
+  // these again, from where the gap begins.
+  bool hasGap = aNews.from() > end_;
+  missedNews_ = missedNews_ || hasGap;
+  if (!hasGap) {
+    end_ = aNews.end();
+    othersRead_ = true;
+    confirmedAt_ = clock_.Now();
+  }
   RemoveOverdue();
   if (onChange_ && aNews.records_size() > 0) {
     onChange_();
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <dispatch/UpstreamBook.h>
 #include <net/Runtime.h>
@@ -28,7 +29,8 @@
 public:
   DirectoryFollower(platform::KeyedLog& aLog,
                     const platform::FleetCodecs& aCodecs,
-                    dispatch::UpstreamBook& aBook);
+                    dispatch::UpstreamBook& aBook,
+                    utils::Clock aClock = utils::Clock::CountingSuspension());
 
   using NewsHook = std::function<void(const schema::DirectoryNews&)>;
 
@@ -54,6 +56,9 @@
   utils::Millis GetNextTurn() const;
   bool ReadAll();
   bool ReadNews(utils::Millis aWait);
+  void Tell(std::uint64_t aFrom,
+            std::uint64_t aEnd,
+            const std::vector<platform::KeyedRecord>& aChanges);
   bool Apply(const platform::KeyedRecord& aRecord);
   bool Remove(const std::string& aId, bool aAtOnce);
   void RemoveOverdue();
@@ -62,7 +67,7 @@
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
   dispatch::UpstreamBook& book_;
-  utils::Clock clock_ = utils::Clock::CountingSuspension();
+  utils::Clock clock_;
   telemetry::Logger logger_{ "directory" };
   std::function<void()> onChange_;
   NewsHook onNews_;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -1,5 +1,9 @@
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 #include <ConfigFollower.h>
 #include <DirectoryFollower.h>
 
@@ -309,6 +313,78 @@
   ahead.set_end(12);
   other.TakeNews(ahead);
   CHECK(book.Find("a")->record.draining);
+  // What it says is true all the same, and the gap is still to be read.
+  auto& leaver = *ahead.add_records();
+  leaver.set_key("b");
+  leaver.set_value("draining");
+  leaver.set_offset(11);
+  other.TakeNews(ahead);
+  CHECK(book.Find("b")->record.draining);
+  log.news = MakePage(
+    { { "c", "ready", 4, false }, { "b", "draining", 11, false } }, 12);
+  REQUIRE(other.Poll());
+  CHECK(book.Find("c"));
+  CHECK(book.Find("b")->record.draining);
+}
+
+TEST_CASE("mass release: news that no datagram holds come in several")
+{
+  constexpr int kUpstreams = 60;
+  ScriptedLog log;
+  dispatch::UpstreamBook readersBook;
+  DirectoryFollower reader(log, MakeCodecs(), readersBook);
+  std::vector<schema::DirectoryNews> told;
+  reader.OnNews([&told](const auto& aNews) { told.push_back(aNews); });
+  dispatch::UpstreamBook book;
+  DirectoryFollower other(log, MakeCodecs(), book);
+  std::vector<platform::KeyedRecord> leaving;
+  for (std::uint64_t i = 0; i < kUpstreams; ++i) {
+    auto key = std::to_string(i) + std::string(100, 'u');
+    log.newest.records.push_back({ key, "ready", i, false });
+    leaving.push_back({ key, "draining", kUpstreams + i, false });
+  }
+  log.newest.end = kUpstreams;
+  REQUIRE(reader.Poll());
+  REQUIRE(other.Poll());
+  log.news = MakePage(std::move(leaving), 2 * kUpstreams);
+  REQUIRE(reader.Poll());
+  REQUIRE(told.size() > 1);
+  for (const auto& news : told) {
+    CHECK(news.ByteSizeLong() < 8000);
+    other.TakeNews(news);
+  }
+  CHECK(std::ranges::all_of(book.GetAll(), [](const auto& aRow) {
+    return aRow.second->record.draining;
+  }));
+}
+
+TEST_CASE("after an outage for all, others' news do not end upstreams at once")
+{
+  Millis now(1000);
+  ScriptedLog log;
+  log.newest = MakePage({ { "a", "ready", 0, false } }, 1);
+  dispatch::UpstreamBook book;
+  DirectoryFollower follower(
+    log, MakeCodecs(), book, utils::Clock([&now] { return now; }));
+  REQUIRE(follower.Poll());
+  log.answers = false;
+  now = now + Millis(4000);
+  CHECK_FALSE(follower.Poll());
+  // Another entry's read succeeds first; the upstream's entry has lapsed.
+  schema::DirectoryNews news;
+  news.set_from(1);
+  news.set_end(2);
+  auto& lapsed = *news.add_records();
+  lapsed.set_key("a");
+  lapsed.set_offset(1);
+  lapsed.set_dropped(true);
+  follower.TakeNews(news);
+  CHECK(book.Find("a"));
+  now = now + Millis(3000);
+  log.answers = true;
+  log.news = MakePage({}, 2);
+  REQUIRE(follower.Poll());
+  CHECK_FALSE(book.Find("a"));
 }
 
 TEST_CASE(
