Entries take turns at an upstream's last places

Cause: under load four in ten streams were late though predicted in time. All entries that have a request waiting hear of a freed place at about the same time and send it there.

Change: dispatch::SlotTurns. Each upstream's entries of its region have an order; at the last two places the k-th one waits until the known number of requests has not changed for k times 30 ms. Entries of other regions leave the last five alone. Where no entry is near, far ones take turns.

Ruled out: the engine model (with the true number of requests it predicts well), pauses (2 in 100), uneven use of upstreams (54 to 76 requests each).

Tests: LoadPatternsTest, thundering herd, uneven entries, calm, overload.

--- a/libs/dispatch/include/dispatch/UpstreamBook.h
+++ b/libs/dispatch/include/dispatch/UpstreamBook.h
@@ -7,9 +7,11 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <dispatch/EngineModel.h>
+#include <dispatch/SlotTurns.h>
 #include <dispatch/UpstreamHealth.h>
 #include <platform/Upstream.h>
 #include <utils/Time.h>
@@ -51,13 +53,17 @@
   /** What other entries said of theirs, and the sum of it. */
   std::map<std::string, UseCount> others;
   UseCount othersSum;
+  /** When the known number of requests here last changed. */
+  utils::Millis useChangedAt;
   UpstreamHealth health;
   std::optional<SideReport> side;
   utils::Millis sideHeardAt;
 
   UseCount GetUse() const;
   /** Replaces what aEntry said; nothing running: it is forgotten. */
-  void SetOther(const std::string& aEntry, const UseCount& aUse);
+  void SetOther(const std::string& aEntry,
+                const UseCount& aUse,
+                utils::Millis aNow);
 };
 
 using UpstreamPointer = std::shared_ptr<UpstreamState>;
@@ -124,12 +130,16 @@
 
   /** Replaces all that aEntry said before. */
   void TakeEntryUse(const std::string& aEntry,
-                    const std::vector<EntryUse>& aUses);
+                    const std::vector<EntryUse>& aUses,
+                    utils::Millis aNow);
   /** Replaces what aEntry said of these upstreams. */
   void TakeEntryChanges(const std::string& aEntry,
-                        const std::vector<EntryUse>& aUses);
+                        const std::vector<EntryUse>& aUses,
+                        utils::Millis aNow);
   /** An entry that has gone silent has no requests that count. */
-  void ForgetEntry(const std::string& aEntry);
+  void ForgetEntry(const std::string& aEntry, utils::Millis aNow);
+  /** Without turns an upstream's last places are anyone's. */
+  void SetTurns(SlotTurns aTurns) { turns_ = std::move(aTurns); }
   void TakeSideReport(const std::string& aId,
                       const SideReport& aReport,
                       utils::Millis aNow);
@@ -140,6 +150,9 @@
   }
 
 private:
+  bool HasPlace(const UpstreamState& aState,
+                const EngineModel& aEngine,
+                utils::Millis aNow) const;
   bool IsCandidate(const UpstreamState& aState,
                    const PlaceQuery& aQuery,
                    utils::Millis aNow) const;
@@ -152,6 +165,7 @@
 
   std::map<std::string, UpstreamPointer> upstreams_;
   std::unordered_map<std::uint64_t, UpstreamPointer> byHash_;
+  std::optional<SlotTurns> turns_;
 };
 
 /** The version that aState serves of the query's model; 0: none. */
--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -1,6 +1,7 @@
 #include <dispatch/UpstreamBook.h>
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <utils/Hash.h>
 
@@ -47,7 +48,9 @@
 }
 
 void
-UpstreamState::SetOther(const std::string& aEntry, const UseCount& aUse)
+UpstreamState::SetOther(const std::string& aEntry,
+                        const UseCount& aUse,
+                        Millis aNow)
 {
   auto row = others.find(aEntry);
   if (row == others.end()) {
@@ -56,6 +59,9 @@
     }
     row = others.try_emplace(aEntry).first;
   }
+  if (aUse.running != row->second.running) {
+    useChangedAt = aNow;
+  }
   othersSum.running += aUse.running - row->second.running;
   othersSum.unreadTokens += aUse.unreadTokens - row->second.unreadTokens;
   row->second = aUse;
@@ -122,6 +128,23 @@
   return place;
 }
 
+// Whether one more request would not wait behind others there.
+bool
+UpstreamBook::HasPlace(const UpstreamState& aState,
+                       const EngineModel& aEngine,
+                       Millis aNow) const
+{
+  auto places = aEngine.GetSlots() + kEngineQueue;
+  auto running = aState.GetUse().running;
+  if (running >= places) {
+    return false;
+  }
+  SlotView view{
+    aState.hash, aState.record.dataCentre, places - running, aState.useChangedAt
+  };
+  return !turns_ || turns_->MayTake(view, aNow);
+}
+
 std::optional<Place>
 UpstreamBook::FindBest(const PlaceQuery& aQuery,
                        Millis aNow,
@@ -136,10 +159,8 @@
     if (!IsCandidate(*state, aQuery, aNow)) {
       continue;
     }
-    bool full =
-      aQuery.engine != nullptr &&
-      state->GetUse().running >= aQuery.engine->GetSlots() + kEngineQueue;
-    if (aInTime && full) {
+    if (aInTime && aQuery.engine != nullptr &&
+        !HasPlace(*state, *aQuery.engine, aNow)) {
       continue;
     }
     auto place = Rate(state, aQuery, aNow);
@@ -214,29 +235,38 @@
 
 void
 UpstreamBook::TakeEntryUse(const std::string& aEntry,
-                           const std::vector<EntryUse>& aUses)
+                           const std::vector<EntryUse>& aUses,
+                           Millis aNow)
 {
-  ForgetEntry(aEntry);
-  TakeEntryChanges(aEntry, aUses);
+  std::unordered_set<std::uint64_t> named;
+  for (const auto& use : aUses) {
+    named.insert(use.upstream);
+  }
+  for (auto& [id, state] : upstreams_) {
+    if (!named.contains(state->hash)) {
+      state->SetOther(aEntry, {}, aNow);
+    }
+  }
+  TakeEntryChanges(aEntry, aUses, aNow);
 }
 
 void
 UpstreamBook::TakeEntryChanges(const std::string& aEntry,
-                               const std::vector<EntryUse>& aUses)
+                               const std::vector<EntryUse>& aUses,
+                               Millis aNow)
 {
   for (const auto& change : aUses) {
     auto row = byHash_.find(change.upstream);
     if (row != byHash_.end()) {
-      row->second->SetOther(aEntry, change.use);
+      row->second->SetOther(aEntry, change.use, aNow);
     }
   }
 }
 
 void
-UpstreamBook::ForgetEntry(const std::string& aEntry)
+UpstreamBook::ForgetEntry(const std::string& aEntry, Millis aNow)
 {
-  std::ranges::for_each(
-    upstreams_, [&aEntry](auto& aRow) { aRow.second->SetOther(aEntry, {}); });
+  TakeEntryUse(aEntry, {}, aNow);
 }
 
 void
--- a/libs/dispatch/tests/LoadPatternsTest.cpp
+++ b/libs/dispatch/tests/LoadPatternsTest.cpp
@@ -301,3 +301,94 @@
   query.biasMs = bias.GetMs(Millis(1000));
   CHECK(count() == before);
 }
+
+namespace {
+
+constexpr std::uint64_t kRivals = 5;
+
+// Entries of one region in which upstream data centre dc1 lies; each knows the
+// others.
+std::vector<SlotTurns>
+MakeRivals()
+{
+  std::vector<SlotTurns> turns;
+  for (std::uint64_t own = 0; own < kRivals; ++own) {
+    turns.emplace_back(
+      SlotRival{ utils::MixBits(own + 1), "r1" },
+      std::map<std::string, std::string>{ { "dc1", "r1" }, { "dc2", "r2" } });
+    std::vector<SlotRival> others{ { utils::MixBits(100), "r2" } };
+    for (std::uint64_t other = 0; other < kRivals; ++other) {
+      if (other != own) {
+        others.push_back({ utils::MixBits(other + 1), "r1" });
+      }
+    }
+    turns.back().SetOthers(std::move(others));
+  }
+  return turns;
+}
+
+PlaceQuery
+MakeQuery(const EngineModel& aModel)
+{
+  PlaceQuery query;
+  query.service = "engines";
+  query.engine = &aModel;
+  query.model = "model";
+  query.layers = 1;
+  query.promptTokens = 1000;
+  query.dataCentre = "dc1";
+  query.timeLeft = Millis(450);
+  return query;
+}
+
+} // namespace
+
+TEST_CASE("thundering herd: a place that is freed goes to one entry")
+{
+  Millis now(5000);
+  int taken = 0;
+  for (const auto& turns : MakeRivals()) {
+    Fleet fleet(1);
+    fleet.book.SetTurns(turns);
+    auto upstream = fleet.book.Find("up0");
+    upstream->own.running = kSlots;
+    upstream->useChangedAt = now;
+    taken += fleet.book.FindPlace(MakeQuery(fleet.model), now) ? 1 : 0;
+  }
+  // Without turns all five would send their next request to the same place.
+  CHECK(taken == 1);
+}
+
+TEST_CASE("uneven entries: a place that its first entry leaves goes to others")
+{
+  Millis now(5000);
+  for (std::int64_t waited = 0; waited <= 200; waited += 50) {
+    SlotView view{ 7, "dc1", 1, now - Millis(waited) };
+    auto rivals = MakeRivals();
+    auto may = std::ranges::count_if(
+      rivals, [&](const auto& aTurns) { return aTurns.MayTake(view, now); });
+    CHECK(may >= std::min<std::int64_t>(1 + waited / 50, kRivals));
+  }
+}
+
+TEST_CASE("calm: an upstream with many places is anyone's")
+{
+  Millis now(5000);
+  SlotView view{ 7, "dc1", 10, now };
+  auto rivals = MakeRivals();
+  CHECK(std::ranges::all_of(
+    rivals, [&](const auto& aTurns) { return aTurns.MayTake(view, now); }));
+}
+
+TEST_CASE("overload: last places are not for entries of other regions")
+{
+  Millis now(5000);
+  SlotTurns far({ utils::MixBits(100), "r2" },
+                { { "dc1", "r1" }, { "dc2", "r2" } });
+  far.SetOthers({ { utils::MixBits(1), "r1" } });
+  CHECK_FALSE(far.MayTake({ 7, "dc1", 3, Millis(0) }, now));
+  CHECK(far.MayTake({ 7, "dc1", 8, now }, now));
+  // With no entry near, they are.
+  far.SetOthers({});
+  CHECK(far.MayTake({ 7, "dc1", 3, Millis(0) }, now));
+}
--- a/libs/dispatch/tests/UpstreamBookTest.cpp
+++ b/libs/dispatch/tests/UpstreamBookTest.cpp
@@ -93,10 +93,10 @@
   bed.book.Put(MakeUpstream("a"));
   bed.book.Put(MakeUpstream("b"));
   auto a = bed.book.Find("a");
-  bed.book.TakeEntryUse("other", { { a->hash, { 3, 0 } } });
+  bed.book.TakeEntryUse("other", { { a->hash, { 3, 0 } } }, kNow);
   bed.book.Find("b")->own.running = 1;
   CHECK(bed.book.FindPlace(bed.MakeQuery(), kNow)->upstream->record.id == "b");
-  bed.book.ForgetEntry("other");
+  bed.book.ForgetEntry("other", kNow);
   CHECK(bed.book.FindPlace(bed.MakeQuery(), kNow)->upstream->record.id == "a");
 }
 
@@ -107,17 +107,17 @@
   bed.book.Put(MakeUpstream("b"));
   auto a = bed.book.Find("a");
   auto b = bed.book.Find("b");
-  bed.book.TakeEntryUse("other", { { a->hash, { 3, 70 } } });
-  bed.book.TakeEntryUse("third", { { a->hash, { 1, 10 } } });
-  bed.book.TakeEntryChanges("other", { { b->hash, { 2, 0 } } });
+  bed.book.TakeEntryUse("other", { { a->hash, { 3, 70 } } }, kNow);
+  bed.book.TakeEntryUse("third", { { a->hash, { 1, 10 } } }, kNow);
+  bed.book.TakeEntryChanges("other", { { b->hash, { 2, 0 } } }, kNow);
   CHECK(a->GetUse() == UseCount{ 4, 80 });
   CHECK(b->GetUse() == UseCount{ 2, 0 });
-  bed.book.TakeEntryChanges("other", { { a->hash, { 0, 0 } } });
+  bed.book.TakeEntryChanges("other", { { a->hash, { 0, 0 } } }, kNow);
   CHECK(a->GetUse() == UseCount{ 1, 10 });
   // All that there is: what it does not name has ended.
-  bed.book.TakeEntryUse("other", {});
+  bed.book.TakeEntryUse("other", {}, kNow);
   CHECK(b->GetUse() == UseCount{ 0, 0 });
-  bed.book.ForgetEntry("third");
+  bed.book.ForgetEntry("third", kNow);
   CHECK(a->GetUse() == UseCount{ 0, 0 });
 }
 
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <unordered_map>
 
 #include <net/HttpServer.h>
 #include <net/Router.h>
 #include <schema/fleet.pb.h>
+#include <utils/Hash.h>
 
 #include "ConfigSharing.h"
 #include "DirectoryFollower.h"
@@ -58,6 +60,13 @@
   std::unordered_map<std::uint64_t, dispatch::UseCount> told;
 };
 
+/** Another entry that was heard lately. */
+struct HeardEntry
+{
+  Millis at;
+  std::string region;
+};
+
 Millis
 Scale(Millis aTime, double aShare)
 {
@@ -108,6 +117,7 @@
   void SendDirectoryNews(const schema::DirectoryNews& aNews);
   void TellSides(std::uint64_t aEnd);
   void ForgetSilentEntries();
+  void SetTurns();
   void TakeNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void TakeEntry(const Peer& aFrom, const schema::EntryNotice& aNotice);
   void TakeSide(const schema::SideNotice& aNotice);
@@ -129,7 +139,7 @@
     { Reach::Near, kNoticeInterval, false, {}, {}, {} },
     { Reach::Far, kFarNoticeInterval, false, {}, {}, {} },
   } };
-  std::map<std::string, Millis> entriesHeardAt;
+  std::map<std::string, HeardEntry> entriesHeard;
   /** How far the sides know that this entry has read. */
   std::uint64_t toldEnd = 0;
   Millis toldSidesAt;
@@ -358,18 +368,37 @@
 Entry::Impl::ForgetSilentEntries()
 {
   auto now = services.Now();
-  std::erase_if(entriesHeardAt, [&](const auto& aRow) {
-    bool silent = now - aRow.second > kEntrySilence;
+  auto forgotten = std::erase_if(entriesHeard, [&](const auto& aRow) {
+    bool silent = now - aRow.second.at > kEntrySilence;
     if (silent) {
-      services.GetBook().ForgetEntry(aRow.first);
+      services.GetBook().ForgetEntry(aRow.first, now);
     }
     return silent;
   });
+  if (forgotten > 0) {
+    SetTurns();
+  }
   services.SetEntryCount(
-    std::max(entriesHeardAt.size(), peers.List(PeerRole::Entry).size()) + 1);
-  auto before = entriesHeardAt.lower_bound(settings.vm);
+    std::max(entriesHeard.size(), peers.List(PeerRole::Entry).size()) + 1);
+}
+
+// Among the entries that are heard now.
+void
+Entry::Impl::SetTurns()
+{
+  auto before = entriesHeard.lower_bound(settings.vm);
   directory.SetTurn(
-    static_cast<std::size_t>(std::distance(entriesHeardAt.begin(), before)));
+    static_cast<std::size_t>(std::distance(entriesHeard.begin(), before)));
+  dispatch::SlotTurns turns({ utils::StableHash(settings.vm), settings.region },
+                            settings.regions);
+  std::vector<dispatch::SlotRival> others;
+  std::ranges::transform(
+    entriesHeard, std::back_inserter(others), [](const auto& aRow) {
+      return dispatch::SlotRival{ utils::StableHash(aRow.first),
+                                  aRow.second.region };
+    });
+  turns.SetOthers(std::move(others));
+  services.GetBook().SetTurns(std::move(turns));
 }
 
 void
@@ -390,11 +419,16 @@
     uses.push_back({ use.upstream(), { use.running(), use.unread_tokens() } });
   }
   if (aNotice.changes_only()) {
-    services.GetBook().TakeEntryChanges(aFrom.vm, uses);
+    services.GetBook().TakeEntryChanges(aFrom.vm, uses, services.Now());
   } else {
-    services.GetBook().TakeEntryUse(aFrom.vm, uses);
+    services.GetBook().TakeEntryUse(aFrom.vm, uses, services.Now());
+  }
+  auto& heard = entriesHeard[aFrom.vm];
+  bool isNew = heard.at == Millis(0);
+  heard = { services.Now(), aFrom.region };
+  if (isNew) {
+    SetTurns();
   }
-  entriesHeardAt[aFrom.vm] = services.Now();
   services.GetConfig().NoteEnd(aNotice.operator_end());
   if (aNotice.has_directory()) {
     directory.TakeNews(aNotice.directory());
--- a/libs/fleet/src/UpstreamLease.cpp
+++ b/libs/fleet/src/UpstreamLease.cpp
@@ -12,6 +12,7 @@
   , unreadTokens_(aPromptTokens)
 {
   ++upstream_->own.running;
+  upstream_->useChangedAt = services_.Now();
   upstream_->own.unreadTokens += unreadTokens_;
   services_.NoteUseChange();
 }
@@ -20,6 +21,7 @@
 {
   NoteFirstEvent();
   --upstream_->own.running;
+  upstream_->useChangedAt = services_.Now();
   auto& service = services_.GetService(upstream_->record.service);
   service.returns.NoteRelease(services_.Now());
   services_.NoteUseChange();
