After a restart of all, sides ask entries first and each region asks for lists

Cause: after a loss of power everywhere the first upstream served some 4 s after the return, also where the pieces had survived.

Change: a side that starts gives entries 1.5 s to tell the configuration before it reads the log; the turns for a list count within a region; others' pieces are awaited for 0.3 s, as they are told on a greeting; a version that a starting process is told of is as old as for who tells it.

Ruled out: the start of the processes (0.3 s) and the load itself (0.4 s).

Tests: StagingTest "a region does not wait for a list until others had turns", FollowersTest "what stood there at another's start is old for one that starts, too"; both fail without the change.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kPauseAfterFailure(200);
 // Several changes in a row are read together.
 constexpr Millis kPauseAfterChange(80);
+// At a start, for other processes to tell what they know: after a restart of
+// all, a long configuration read by each side would fill the links for seconds.
+constexpr Millis kFirstRead(1500);
 // A version is out of date seconds after the next is named.
 constexpr std::size_t kMaxVersions = 8;
 
@@ -39,6 +42,9 @@
 void
 ConfigFollower::Loop()
 {
+  if (pace_.asksOthersFirst) {
+    AwaitOthers();
+  }
   while (true) {
     auto before = end_;
     if (!Poll()) {
@@ -51,6 +57,17 @@
   }
 }
 
+void
+ConfigFollower::AwaitOthers()
+{
+  {
+    std::unique_lock lock(mutex_);
+    newsKnown_.wait_for(
+      lock, kFirstRead.ToChrono(), [this] { return config_ != nullptr; });
+  }
+  AwaitNews();
+}
+
 // Reads that fail are charged like others; the first pause alone where others
 // know of something newer.
 void
@@ -284,9 +301,10 @@
   };
   for (const auto& row : aRecord.versions()) {
     NamedVersion named{ row.version(), since(row.age_ms()), row.learnt_live() };
-    // The giver can't tell its age. Whoever needs this record is cut off from
-    // the log, and a version's limit counts from the log's return.
-    if (!named.learntLive) {
+    // The giver can't tell its age. Whoever runs and needs this record is cut
+    // off from the log, and a version's limit counts from the log's return. For
+    // one that starts it stood there before, as for the giver.
+    if (!named.learntLive && config_) {
       named.learntAt = now;
       named.learntLive = true;
     }
@@ -306,6 +324,9 @@
       confirmedAt_ = provedAt;
     }
   }
+  if (config_) {
+    newsKnown_.notify_all();
+  }
   if (onChange_) {
     onChange_();
   }
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -115,6 +115,7 @@
 
 private:
   void Loop();
+  void AwaitOthers();
   void AwaitNews();
   void PauseAfterFailure();
   void Apply(const platform::KeyedRecord& aRecord);
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -46,7 +46,7 @@
 // is frozen must not hold up what others have.
 constexpr Millis kPieceHeadTimeout(600);
 constexpr Millis kPieceTimeout(1500);
-constexpr Millis kListTimeout(800);
+constexpr Millis kListTimeout(400);
 
 net::HttpResponse
 MakeBytes(std::string aBytes)
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -16,13 +16,13 @@
 constexpr Millis kOriginRankDelay(1400);
 // Ranks that a side of another region stands behind those of the origin's.
 constexpr std::int64_t kBehind = 2;
-// Sides say what they have several times in this; until then it is not known
+// Other sides answer a greeting with what they have; until then it is not known
 // that none has a piece of a version that is not new.
-constexpr Millis kHearFirst(900);
+constexpr Millis kHearFirst(300);
 // From one side at a time, so that its link does not hold up live answers;
 // from the origin, as it takes few connections.
 constexpr int kMaxFromOne = 1;
-// Sides that ask the origin for a list at the same time.
+// Sides of a region that ask the origin for a list at the same time.
 constexpr std::int64_t kListAskers = 2;
 // A list is there, and told to other sides, within this time.
 constexpr Millis kListTurnStep(300);
@@ -182,16 +182,14 @@
   return ranks;
 }
 
-// Sides in the origin's region come first, each version in another order.
+// Each region by itself, as other regions hear of a list late, and it is small;
+// each version in another order.
 Millis
 GetListTurn(const PickQuery& aQuery, std::uint64_t aVersion)
 {
   auto goesBefore = [&](const PieceHolder& aSide) {
-    if (aSide.isNearOrigin != aQuery.isNearOrigin) {
-      return aSide.isNearOrigin;
-    }
-    return utils::MixBits(aSide.hash + aVersion) <
-           utils::MixBits(aQuery.ownHash + aVersion);
+    return aSide.isNear && utils::MixBits(aSide.hash + aVersion) <
+                             utils::MixBits(aQuery.ownHash + aVersion);
   };
   auto rank = std::ranges::count_if(aQuery.sides, goesBefore);
   auto hearing = aQuery.isNew ? Millis(0) : kHearFirst;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -416,6 +416,26 @@
   CHECK_FALSE(taker.IsBehind());
 }
 
+TEST_CASE("what stood there at another's start is old for one that starts, too")
+{
+  ScriptedLog log;
+  log.newest =
+    MakePage({ { "config", "5", 0, false }, { "m", "2", 1, false } }, 2);
+  ConfigFollower giver(log, MakeCodecs(), {});
+  REQUIRE(giver.Poll());
+  ConfigFollower starter(log, MakeCodecs(), {});
+  starter.Take(*giver.MakeRecord(), Millis(10));
+  REQUIRE(starter.FindVersion("m"));
+  CHECK_FALSE(starter.FindVersion("m")->learntLive);
+  // One that runs was cut off meanwhile: the limit counts from now.
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  ConfigFollower runner(log, MakeCodecs(), {});
+  REQUIRE(runner.Poll());
+  runner.Take(*giver.MakeRecord(), Millis(10));
+  REQUIRE(runner.FindVersion("m"));
+  CHECK(runner.FindVersion("m")->learntLive);
+}
+
 TEST_CASE("an entry whose read hangs learns of a version from another in time")
 {
   ScriptedLog log;
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -352,6 +352,27 @@
   CHECK(atOnce == 2);
 }
 
+TEST_CASE(
+  "cold fleet: a region does not wait for a list until others had turns")
+{
+  constexpr int kSides = 24;
+  auto vms = MakeNames(2 * kSides);
+  int atOnce = 0;
+  for (int own = 0; own < kSides; ++own) {
+    PickQuery query;
+    query.ownVm = vms[own];
+    query.ownHash = utils::StableHash(vms[own]);
+    query.isNew = true;
+    for (int other = 0; other < 2 * kSides; ++other) {
+      if (other != own) {
+        query.sides.push_back(MakeSide(vms[other], {}, other < kSides));
+      }
+    }
+    atOnce += GetListTurn(query, 7) == Millis(0) ? 1 : 0;
+  }
+  CHECK(atOnce == 2);
+}
+
 TEST_CASE("cold fleet: a side takes one piece at a time from the origin")
 {
   PickQuery query;
