A request waits longer for a place, and is refused at once when none serves

On the other hand, requests waited where no upstream served at all.

Change: a first attempt waits up to 0.4 of its objective (0.12 before). If no upstream, full or not, serves what it needs it is refused at once, to return after a third of its time, the longest that callers honour: nothing frees up soon then. A side that starts asks for the configuration's text at once.

Tried and dropped: returned callers wait 0.4 of the time they have left.

Test: UpstreamBookTest "an outage: with nothing that serves there is no prospect".

--- a/libs/dispatch/include/dispatch/UpstreamBook.h
+++ b/libs/dispatch/include/dispatch/UpstreamBook.h
@@ -122,6 +122,9 @@
   std::optional<Place> FindAnyPlace(const PlaceQuery& aQuery,
                                     utils::Millis aNow) const;
 
+  /** Whether any upstream, full or not, serves what the query asks for. */
+  bool HasProspect(const PlaceQuery& aQuery, utils::Millis aNow) const;
+
   /** Adds or replaces what the directory says of an upstream. */
   void Put(const platform::Upstream& aRecord);
   void Remove(const std::string& aId);
@@ -150,6 +153,9 @@
   }
 
 private:
+  bool Serves(const UpstreamState& aState,
+              const PlaceQuery& aQuery,
+              utils::Millis aNow) const;
   bool HasPlace(const UpstreamState& aState,
                 const EngineModel& aEngine,
                 utils::Millis aNow) const;
--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -83,15 +83,13 @@
   return aState.record.FindCompleteVersion(aQuery.model, aQuery.layers);
 }
 
+// Whether it fails at times does not matter here.
 bool
-UpstreamBook::IsCandidate(const UpstreamState& aState,
-                          const PlaceQuery& aQuery,
-                          Millis aNow) const
+UpstreamBook::Serves(const UpstreamState& aState,
+                     const PlaceQuery& aQuery,
+                     Millis aNow) const
 {
-  if (aState.record.service != aQuery.service || aState.record.draining ||
-      !aState.health.IsUsable(aNow) ||
-      std::ranges::find(aQuery.excluded, aState.record.id) !=
-        aQuery.excluded.end()) {
+  if (aState.record.service != aQuery.service || aState.record.draining) {
     return false;
   }
   if (aQuery.engine == nullptr) {
@@ -101,6 +99,24 @@
   return version > 0 && version >= aQuery.minVersion;
 }
 
+bool
+UpstreamBook::IsCandidate(const UpstreamState& aState,
+                          const PlaceQuery& aQuery,
+                          Millis aNow) const
+{
+  return Serves(aState, aQuery, aNow) && aState.health.IsUsable(aNow) &&
+         std::ranges::find(aQuery.excluded, aState.record.id) ==
+           aQuery.excluded.end();
+}
+
+bool
+UpstreamBook::HasProspect(const PlaceQuery& aQuery, Millis aNow) const
+{
+  return std::ranges::any_of(upstreams_, [&](const auto& aRow) {
+    return Serves(*aRow.second, aQuery, aNow);
+  });
+}
+
 Place
 UpstreamBook::Rate(const UpstreamPointer& aState,
                    const PlaceQuery& aQuery,
--- a/libs/dispatch/tests/UpstreamBookTest.cpp
+++ b/libs/dispatch/tests/UpstreamBookTest.cpp
@@ -78,6 +78,25 @@
   CHECK(place->version == 1);
 }
 
+TEST_CASE("an outage: with nothing that serves there is no prospect")
+{
+  Bed bed;
+  CHECK_FALSE(bed.book.HasProspect(bed.MakeQuery(), kNow));
+  bed.book.Put(MakeUpstream("empty", 0));
+  auto draining = MakeUpstream("draining");
+  draining.draining = true;
+  bed.book.Put(draining);
+  CHECK_FALSE(bed.book.HasProspect(bed.MakeQuery(), kNow));
+  // A full one frees up.
+  bed.book.Put(MakeUpstream("full"));
+  bed.book.Find("full")->own.running = 100;
+  CHECK_FALSE(bed.book.FindPlace(bed.MakeQuery(), kNow));
+  CHECK(bed.book.HasProspect(bed.MakeQuery(), kNow));
+  auto query = bed.MakeQuery();
+  query.minVersion = 2;
+  CHECK_FALSE(bed.book.HasProspect(query, kNow));
+}
+
 TEST_CASE("a part of the layers is no complete version")
 {
   Bed bed;
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -61,7 +61,9 @@
     bool textDue = textDueAt_ && clock_.Now() >= *textDueAt_;
     auto entry = needed || textDue ? PickEntry() : std::nullopt;
     if (entry) {
-      Ask(*entry, textDue || terms_.textDelay == Millis(0));
+      bool withText = textDue || terms_.textDelay == Millis(0) ||
+                      config_.GetConfig() == nullptr;
+      Ask(*entry, withText);
     }
   }
 }
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -16,9 +16,10 @@
 constexpr int kNotFound = 404;
 
 // A request that can't be placed at once waits for this share of its
-// objective: a place that frees up later comes too late for it.
-constexpr double kWaitShare = 0.12;
-// One that was told to return waits longer for its place.
+// objective: at a place that frees up later its first event would be late.
+constexpr double kWaitShare = 0.4;
+// One that was told to return waits longer for its place. More than that keeps
+// callers from an answer for work that is then refused all the same.
 constexpr double kReturnedWaitShare = 0.6;
 // A returning caller's answer is late already. It gets a place where a new one
 // would, so that it never waits in an upstream's queue before those that can
@@ -231,6 +232,11 @@
   if (line.IsEmpty() && TakePlace(true)) {
     return true;
   }
+  if (!HasReturned() &&
+      !services_.GetBook().HasProspect(query_, services_.Now())) {
+    Refuse(ErrorKind::NoUpstream, "no upstream serves this now");
+    return false;
+  }
   boost::fibers::mutex mutex;
   boost::fibers::condition_variable woken;
   bool placed = false;
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -17,6 +17,8 @@
 constexpr int kTimedOut = 504;
 // Before a configuration is known there is nothing to tell but "soon".
 constexpr Millis kRetryUnknown(500);
+// Of the time that a caller has left: the longest that it waits when told to.
+constexpr std::int64_t kLatestReturnDivisor = 3;
 
 } // namespace
 
@@ -39,6 +41,12 @@
     services_.NoteUseChange();
     retryAfter =
       services_.GetService(service_->name).returns.PlanReturn(services_.Now());
+    // When none serves, nothing frees up soon: as late as it will come. A book
+    // without any is one that is still being read.
+    bool isKnown = !services_.GetBook().GetAll().empty();
+    if (aKind == ErrorKind::NoUpstream && sends_ == 0 && isKnown) {
+      retryAfter = std::max(retryAfter, GetTimeLeft() / kLatestReturnDivisor);
+    }
   }
   end_ = End::Refused;
   why_ = std::string(utils::GetName(aKind)) + ": " + std::string(aText);
