Without the origin: a version whose pieces lie in the fleet is finished

Change: - a version between is finished, by two sides in three, or by all without the origin, if what is missing of it lies at other sides; - a piece that nobody was known to have tells sides that the origin is back; - the delay by rank before a piece is brought into a region counts from when another region was first known to have it.

Tests: StagingTest "an origin that returns late".

--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -72,6 +72,12 @@
                                     aShare);
 }
 
+bool
+HasBit(const std::vector<bool>& aBits, std::uint32_t aBit)
+{
+  return aBit < aBits.size() && aBits[aBit];
+}
+
 std::vector<bool>
 ReadBits(const std::string& aBytes)
 {
@@ -135,11 +141,49 @@
   if (row.peer.endpoint != aFrom.endpoint) {
     row.peer = aFrom;
   }
+  auto pieces = ReadBits(aNotice.staged_pieces());
+  const auto& list = store_.GetList();
+  bool isWanted = aNotice.staged_model() == list.model &&
+                  aNotice.staged_version() == list.version;
+  // Else all would find out by themselves, up to a pause later.
+  if (!originAnswers_ && isWanted && IsNewToAll(pieces)) {
+    originUsableFrom_ = clock_.Now();
+    originPause_ = kOriginPause;
+  }
   row.model = aNotice.staged_model();
   row.version = aNotice.staged_version();
   // Those who fetch look at it with their next step: notices of many sides
   // come in quick succession, and a choice is dear.
-  row.pieces = ReadBits(aNotice.staged_pieces());
+  row.pieces = std::move(pieces);
+}
+
+// Whether a piece is among them that no side was known to have: it can only
+// come from the origin.
+bool
+PieceExchange::IsNewToAll(const std::vector<bool>& aPieces) const
+{
+  return std::ranges::any_of(store_.GetMissing(), [&](std::uint32_t aPiece) {
+    return HasBit(aPieces, aPiece) && !IsAnnounced(aPiece);
+  });
+}
+
+bool
+PieceExchange::IsAnnounced(std::uint32_t aPiece) const
+{
+  const auto& list = store_.GetList();
+  return std::ranges::any_of(announcements_, [&](const auto& aRow) {
+    const auto& said = aRow.second;
+    return said.model == list.model && said.version == list.version &&
+           HasBit(said.pieces, aPiece);
+  });
+}
+
+bool
+PieceExchange::IsRestHeld() const
+{
+  return std::ranges::all_of(store_.GetMissing(), [this](std::uint32_t aPiece) {
+    return IsAnnounced(aPiece);
+  });
 }
 
 void
@@ -347,9 +391,25 @@
     rankedSides_ = sides;
   }
   query.ranks = ranks_;
+  AddFarTimes(query);
   return query;
 }
 
+void
+PieceExchange::AddFarTimes(PickQuery& aQuery)
+{
+  auto now = clock_.Now();
+  farSince_.resize(store_.GetList().digests.size());
+  aQuery.farElapsed.resize(farSince_.size());
+  for (auto piece : aQuery.missing) {
+    auto& since = farSince_[piece];
+    if (!since && IsHeld(aQuery, piece, false)) {
+      since = now;
+    }
+    aQuery.farElapsed[piece] = since ? now - *since : Millis(0);
+  }
+}
+
 // This side and the others that can be counted on.
 void
 PieceExchange::AddSides(const FetchOrder& aOrder, PickQuery& aQuery) const
@@ -522,6 +582,7 @@
 PieceExchange::FetchMissing(const FetchOrder& aOrder)
 {
   begunAt_ = clock_.Now();
+  farSince_.clear();
   sources_ = {};
   while (fetchers_ < kFetchers) {
     ++fetchers_;
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -96,6 +96,9 @@
 
   bool IsOriginAnswering() const { return originAnswers_; }
 
+  /** Whether all that is missing here lies at other sides. */
+  bool IsRestHeld() const;
+
   /** Other sides are to hear soon what lies here. */
   void NoteChange() { change_.isAny = true; }
 
@@ -113,7 +116,10 @@
     utils::Millis busyUntil;
   };
 
+  bool IsNewToAll(const std::vector<bool>& aPieces) const;
+  bool IsAnnounced(std::uint32_t aPiece) const;
   PickQuery MakeQuery(const FetchOrder& aOrder);
+  void AddFarTimes(PickQuery& aQuery);
   void AddSides(const FetchOrder& aOrder, PickQuery& aQuery) const;
   bool IsListTurn(const FetchOrder& aOrder, std::uint64_t aVersion);
   void FetchLoop(const FetchOrder& aOrder);
@@ -147,6 +153,8 @@
   /** Of the sides and the version that they were worked out for. */
   std::vector<PieceRank> ranks_;
   std::uint64_t rankedSides_ = 0;
+  /** By piece: when another region was first known to have it. */
+  std::vector<std::optional<utils::Millis>> farSince_;
   /** The version whose list is wanted, and since when. */
   std::uint64_t listVersion_ = 0;
   utils::Millis listWantedAt_;
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -115,20 +115,12 @@
   return best;
 }
 
-bool
-IsHeld(const PickQuery& aQuery, std::uint32_t aPiece, bool aNear)
-{
-  return std::ranges::any_of(aQuery.sides, [&](const PieceHolder& aSide) {
-    return aSide.isNear == aNear && Has(aSide, aPiece);
-  });
-}
-
 std::optional<PieceChoice>
 PickFar(const PickQuery& aQuery)
 {
   for (auto piece : aQuery.missing) {
     if (IsHeld(aQuery, piece, true) ||
-        aQuery.elapsed < kFarRankDelay * aQuery.ranks[piece].region) {
+        aQuery.farElapsed[piece] < kFarRankDelay * aQuery.ranks[piece].region) {
       continue;
     }
     const auto* source = FindHolders(aQuery, piece, false).source;
@@ -158,6 +150,14 @@
 
 } // namespace
 
+bool
+IsHeld(const PickQuery& aQuery, std::uint32_t aPiece, bool aNear)
+{
+  return std::ranges::any_of(aQuery.sides, [&](const PieceHolder& aSide) {
+    return aSide.isNear == aNear && Has(aSide, aPiece);
+  });
+}
+
 std::vector<PieceRank>
 RankPieces(const PickQuery& aQuery, std::uint32_t aPieces)
 {
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -53,6 +53,8 @@
   std::map<std::string, int> running;
   /** Since this side began to stage the version. */
   utils::Millis elapsed;
+  /** By piece: since another region was first known to have it. */
+  std::vector<utils::Millis> farElapsed;
   /** The same, but counted anew from each failure of the origin. */
   utils::Millis originElapsed;
   /** The version was named just now, so that nobody had it. */
@@ -67,6 +69,10 @@
   std::string vm;
 };
 
+/** Whether another side has a piece, in this side's region or in others. */
+bool
+IsHeld(const PickQuery& aQuery, std::uint32_t aPiece, bool aNear);
+
 /**
  * This side's ranks for that many pieces among aQuery's sides. They change
  * only as sides come and go, and are dear to work out for each choice.
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -128,15 +128,16 @@
   }
 }
 
-// A newer version needs the origin, an older one that is staged does not; each
-// load costs the time in which running work ends, so it is done for need only.
+// A newer version needs the origin, an older one whose pieces all lie in the
+// fleet does not; each load costs the time in which running work ends, so it is
+// done for need only.
 bool
 WeightLoader::IsWorthFinishing(const NamedVersion& aNewest) const
 {
   const auto& list = store_.GetList();
   bool isBetween =
     list.version > GetHeldSoon() && list.version < aNewest.version;
-  return isBetween && store_.GetMissing().empty() &&
+  return isBetween && pieces_.IsRestHeld() &&
          (!pieces_.IsOriginAnswering() ||
           TakesSuperseded(MakeSwitchTerms(list.version)));
 }
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -101,6 +101,9 @@
 {
   constexpr std::uint32_t kPieces = 48;
   aQuery.ranks = RankPieces(aQuery, kPieces);
+  if (aQuery.farElapsed.empty()) {
+    aQuery.farElapsed.assign(kPieces, aQuery.elapsed);
+  }
   return PickPiece(aQuery);
 }
 
@@ -373,6 +376,33 @@
   CHECK(atOnce == 2);
 }
 
+TEST_CASE(
+  "an origin that returns late: one side brings each piece into a region")
+{
+  constexpr int kSides = 12;
+  auto vms = MakeNames(kSides);
+  int bringers = 0;
+  for (const auto& own : vms) {
+    PickQuery query;
+    query.ownVm = own;
+    query.missing = { 3 };
+    query.originUsable = false;
+    // Staging began long ago; the piece is there just now.
+    query.elapsed = Millis(10000);
+    query.farElapsed.assign(48, Millis(0));
+    query.sides = { MakeSide("far", std::vector<bool>(48, true), false) };
+    for (const auto& vm : vms) {
+      if (vm != own) {
+        query.sides.push_back(MakeSide(vm, {}));
+      }
+    }
+    bringers += Pick(query) ? 1 : 0;
+    query.farElapsed.assign(48, Millis(20000));
+    CHECK(Pick(query));
+  }
+  CHECK(bringers == 1);
+}
+
 TEST_CASE("cold fleet: a side takes one piece at a time from the origin")
 {
   PickQuery query;
