--- a/libs/fleet/src/SwitchPlan.cpp
+++ b/libs/fleet/src/SwitchPlan.cpp
@@ -42,11 +42,13 @@
 }
 
 // The newer version may come to lie here only after the limit of the oldest;
-// those that still hold that one then serve nothing.
+// those that still hold that one then serve nothing. Each load costs the time
+// in which running work ends, so not all take both.
 bool
-TakesSuperseded(const SwitchTerms& aTerms)
+IsWorthFinishing(const SupersededVersion& aVersion)
 {
-  return GetPlace(aTerms) < kSupersededShare;
+  return aVersion.isInFleet && (!aVersion.isOriginAnswering ||
+                                GetPlace(aVersion.turn) < kSupersededShare);
 }
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/SwitchPlan.h
+++ b/libs/fleet/src/SwitchPlan.h
@@ -28,12 +28,20 @@
 utils::Millis
 PlanSwitch(const SwitchTerms& aTerms);
 
-/**
- * Whether an upstream still switches to a version that lies staged although a
- * newer one, which does not, was named meanwhile.
- */
+/** A version that is staged here while a newer one was named already. */
+struct SupersededVersion
+{
+  /** Only the side's place among those of the fleet counts. */
+  SwitchTerms turn;
+  /** All pieces lie here or at other sides. */
+  bool isInFleet = false;
+  /** The newer version's pieces can be had. */
+  bool isOriginAnswering = true;
+};
+
+/** Whether this side's upstream still takes it before the newer one. */
 bool
-TakesSuperseded(const SwitchTerms& aTerms);
+IsWorthFinishing(const SupersededVersion& aVersion);
 
 } // namespace waxwingyoke::fleet
 
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -128,18 +128,16 @@
   }
 }
 
-// A newer version needs the origin, an older one whose pieces all lie in the
-// fleet does not; each load costs the time in which running work ends, so it is
-// done for need only.
 bool
-WeightLoader::IsWorthFinishing(const NamedVersion& aNewest) const
+WeightLoader::IsSupersededWanted(const NamedVersion& aNewest) const
 {
-  const auto& list = store_.GetList();
-  bool isBetween =
-    list.version > GetHeldSoon() && list.version < aNewest.version;
-  return isBetween && pieces_.IsRestHeld() &&
-         (!pieces_.IsOriginAnswering() ||
-          TakesSuperseded(MakeSwitchTerms(list.version)));
+  auto staged = store_.GetList().version;
+  if (staged <= GetHeldSoon() || staged >= aNewest.version) {
+    return false;
+  }
+  return IsWorthFinishing({ MakeSwitchTerms(staged),
+                            pieces_.IsRestHeld(),
+                            pieces_.IsOriginAnswering() });
 }
 
 NamedVersion
@@ -148,7 +146,7 @@
   auto newest = config_.FindVersion(aEngine.model)
                   .value_or(NamedVersion{ kFirstVersion, {}, false });
   const auto& list = store_.GetList();
-  if (list.model != aEngine.model || !IsWorthFinishing(newest)) {
+  if (list.model != aEngine.model || !IsSupersededWanted(newest)) {
     return newest;
   }
   return config_.FindNextVersion(aEngine.model, list.version - 1)
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -68,7 +68,7 @@
   std::uint64_t GetHeld() const;
   std::uint64_t GetHeldSoon() const;
   NamedVersion ChooseTarget(const platform::EngineTraits& aEngine) const;
-  bool IsWorthFinishing(const NamedVersion& aNewest) const;
+  bool IsSupersededWanted(const NamedVersion& aNewest) const;
   void LogStaged(const NamedVersion& aTarget, utils::Millis aDelay) const;
   FetchOrder MakeOrder(const platform::FleetConfig& aConfig,
                        const platform::EngineTraits& aEngine,
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -278,7 +278,7 @@
     terms.limit = kLimit;
     terms.age = kStaging;
     auto planned = kStaging + PlanSwitch(terms);
-    if (planned < kSecondNamed || TakesSuperseded(terms)) {
+    if (planned < kSecondNamed || IsWorthFinishing({ terms, true, true })) {
       first = planned;
     }
     auto staged = kSecondNamed + kStaging;
@@ -322,6 +322,27 @@
   }
 }
 
+TEST_CASE(
+  "without the origin all take a superseded version that is in the fleet")
+{
+  SupersededVersion version;
+  version.turn.sides = 12;
+  auto count = [&version] {
+    int takers = 0;
+    for (version.turn.rank = 0; version.turn.rank < 12; ++version.turn.rank) {
+      takers += IsWorthFinishing(version) ? 1 : 0;
+    }
+    return takers;
+  };
+  CHECK(count() == 0);
+  version.isInFleet = true;
+  CHECK(count() == 8);
+  version.isOriginAnswering = false;
+  CHECK(count() == 12);
+  version.isInFleet = false;
+  CHECK(count() == 0);
+}
+
 TEST_CASE("an upstream that serves nothing switches at once")
 {
   SwitchTerms terms;
