One backoff for pauses after failures, and the origin's health by itself

Pauses that double after failures stood five times; utils::Backoff serves them. OriginHealth keeps when an origin that fails is tried again; it was spread over PieceExchange, which no test plays. No change of behaviour.

Tests: BackoffTest; StagingTest "an origin that is away is tried seldom".

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -28,7 +28,7 @@
   : log_(aLog)
   , codecs_(aCodecs)
   , pace_(aPace)
-  , pause_(kPauseAfterFailure)
+  , backoff_(kPauseAfterFailure, aPace.longestPause)
 {
 }
 
@@ -74,8 +74,8 @@
 ConfigFollower::PauseAfterFailure()
 {
   bool isBehind = started_ && IsBehind();
-  net::Runtime::Sleep(isBehind ? kPauseAfterFailure : pause_);
-  pause_ = std::min(pause_ * 2, pace_.longestPause);
+  auto pause = backoff_.Take();
+  net::Runtime::Sleep(isBehind ? backoff_.GetFirst() : pause);
 }
 
 void
@@ -117,7 +117,7 @@
     started_ = started_ && reason.kind != utils::ErrorKind::LogTrimmed;
     return false;
   }
-  pause_ = kPauseAfterFailure;
+  backoff_.Reset();
   std::ranges::for_each(page->records,
                         [this](const auto& aRecord) { Apply(aRecord); });
   end_ = std::max(end_, page->end);
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -18,6 +18,7 @@
 #include <platform/KeyedLog.h>
 #include <schema/fleet.pb.h>
 #include <telemetry/Logger.h>
+#include <utils/Backoff.h>
 #include <utils/Time.h>
 
 namespace waxwingyoke::fleet {
@@ -139,8 +140,8 @@
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
   bool logAnswers_ = true;
-  /** The next one after a read that failed. */
-  utils::Millis pause_;
+  /** After reads that failed. */
+  utils::Backoff backoff_;
   /** A read failed since the start. */
   bool sawFailure_ = false;
   boost::fibers::mutex mutex_;
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include <utils/Backoff.h>
+
 namespace waxwingyoke::fleet {
 
 namespace {
@@ -60,18 +62,17 @@
 void
 DirectoryFollower::Loop()
 {
-  auto pause = kPauseAfterFailure;
+  utils::Backoff backoff(kPauseAfterFailure, kLongestPause);
   while (true) {
     auto wait = GetNextTurn() - clock_.Now();
     if (wait > Millis(0)) {
       net::Runtime::Sleep(std::min(wait, kLook));
       RemoveOverdue();
     } else if (Poll(turn_ == 0 ? kReadWait : Millis(0))) {
-      pause = kPauseAfterFailure;
+      backoff.Reset();
       net::Runtime::Sleep(kPauseAfterNews);
     } else {
-      net::Runtime::Sleep(pause);
-      pause = std::min(pause * 2, kLongestPause);
+      net::Runtime::Sleep(backoff.Take());
     }
   }
 }
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -6,6 +6,7 @@
 
 #include <schema/Json.h>
 #include <telemetry/Metrics.h>
+#include <utils/Backoff.h>
 
 namespace waxwingyoke::fleet {
 
@@ -121,12 +122,11 @@
 {
   utils::Error reason;
   auto key = settings_.vm + "/" + std::string(GetName(role_));
-  auto pause = kPauseAfterFailure;
+  utils::Backoff backoff(kPauseAfterFailure, kLongestPause);
   while (
     !log_.Append(Topic::Members, key, schema::ToJson(MakeMember()), reason)) {
     logger_.Report(reason, { { "step", "register" } });
-    net::Runtime::Sleep(pause);
-    pause = std::min(pause * 2, kLongestPause);
+    net::Runtime::Sleep(backoff.Take());
   }
 }
 
@@ -136,18 +136,17 @@
   Register();
   bool started = false;
   std::uint64_t end = 0;
-  auto pause = kPauseAfterFailure;
+  utils::Backoff backoff(kPauseAfterFailure, kLongestPause);
   while (true) {
     utils::Error reason;
     auto page = started ? log_.Read(Topic::Members, end, Millis(0), reason)
                         : log_.ReadNewest(Topic::Members, reason);
     if (!page) {
       started = started && reason.kind != utils::ErrorKind::LogTrimmed;
-      net::Runtime::Sleep(pause);
-      pause = std::min(pause * 2, kLongestPause);
+      net::Runtime::Sleep(backoff.Take());
       continue;
     }
-    pause = kPauseAfterFailure;
+    backoff.Reset();
     bool first = !std::exchange(started, true);
     end = page->end;
     std::ranges::for_each(page->records,
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -37,10 +37,6 @@
 // About the time that an upload takes.
 constexpr Millis kBusyPause(40);
 constexpr Millis kPickInterval(25);
-// Each side tries an origin that does not answer this often; doubled with each
-// failure in a row, as many try.
-constexpr Millis kOriginPause(250);
-constexpr Millis kLongestOriginPause(1000);
 constexpr Millis kConnectTimeout(500);
 // A side that runs begins to answer after one read from its upstream; one that
 // is frozen must not hold up what others have.
@@ -115,7 +111,6 @@
   , origin_(aOrigin)
   , ownLink_(Scale(aSettings.linkBytesPerSecond, kOwnLinkShare))
   , farLink_(Scale(aSettings.linkBytesPerSecond, kFarLinkShare))
-  , originPause_(kOriginPause)
 {
 }
 
@@ -146,9 +141,8 @@
   bool isWanted = aNotice.staged_model() == list.model &&
                   aNotice.staged_version() == list.version;
   // Else all would find out by themselves, up to a pause later.
-  if (!originAnswers_ && isWanted && IsNewToAll(pieces)) {
-    originUsableFrom_ = clock_.Now();
-    originPause_ = kOriginPause;
+  if (!originHealth_.IsAnswering() && isWanted && IsNewToAll(pieces)) {
+    originHealth_.NoteReturn();
   }
   row.model = aNotice.staged_model();
   row.version = aNotice.staged_version();
@@ -342,12 +336,12 @@
     aReason.Set(utils::ErrorKind::StoreUnavailable, "no origin is known");
     return std::nullopt;
   }
-  if (clock_.Now() < originUsableFrom_ || !IsListTurn(aOrder, aVersion)) {
+  if (!originHealth_.IsUsable() || !IsListTurn(aOrder, aVersion)) {
     return std::nullopt;
   }
   auto list =
     origin_.GetPieceList(*aOrder.origin->origin, aModel, aVersion, aReason);
-  NoteOrigin(list.has_value(), aReason);
+  originHealth_.Note(list.has_value(), aReason);
   change_.isFromOrigin = change_.isFromOrigin || list;
   return list;
 }
@@ -361,7 +355,9 @@
   }
   PickQuery query;
   AddSides(aOrder, query);
-  return clock_.Now() - listWantedAt_ >= GetListTurn(query, aVersion);
+  // All whose turn had come while the origin was away would ask at its return.
+  auto since = std::max(listWantedAt_, originHealth_.GetFailedAt());
+  return clock_.Now() - since >= GetListTurn(query, aVersion);
 }
 
 PickQuery
@@ -374,9 +370,9 @@
     onTheWay_, [&query](std::uint32_t aPiece) { query.missing.erase(aPiece); });
   query.running = downloads_;
   query.elapsed = clock_.Now() - begunAt_;
-  query.originElapsed = clock_.Now() - std::max(begunAt_, originFailedAt_);
-  query.originUsable =
-    aOrder.origin != nullptr && clock_.Now() >= originUsableFrom_;
+  query.originElapsed =
+    clock_.Now() - std::max(begunAt_, originHealth_.GetFailedAt());
+  query.originUsable = aOrder.origin != nullptr && originHealth_.IsUsable();
   AddSides(aOrder, query);
   auto sides =
     std::accumulate(query.sides.begin(),
@@ -444,30 +440,6 @@
   });
 }
 
-// Told once when it stops and once when it answers again.
-void
-PieceExchange::NoteOrigin(bool aAnswers, const utils::Error& aReason)
-{
-  if (aAnswers) {
-    originPause_ = kOriginPause;
-  } else {
-    // All whose turn had come while it was away would ask at its return.
-    originFailedAt_ = clock_.Now();
-    listWantedAt_ = originFailedAt_;
-    originUsableFrom_ = originFailedAt_ + originPause_;
-    originPause_ = std::min(originPause_ * 2, kLongestOriginPause);
-  }
-  if (std::exchange(originAnswers_, aAnswers) == aAnswers) {
-    return;
-  }
-  if (aAnswers) {
-    logger_.Info("the origin answers again");
-  } else {
-    logger_.Warn("the origin does not answer",
-                 { { "reason", aReason.detail } });
-  }
-}
-
 std::optional<std::string>
 PieceExchange::FetchFromOrigin(const PieceChoice& aChoice,
                                const FetchOrder& aOrder,
@@ -479,7 +451,7 @@
   const auto& list = store_.GetList();
   auto bytes = origin_.GetPiece(
     *aOrder.origin->origin, list.model, list.version, aChoice.piece, aReason);
-  NoteOrigin(bytes.has_value(), aReason);
+  originHealth_.Note(bytes.has_value(), aReason);
   return bytes;
 }
 
@@ -546,7 +518,7 @@
     return true;
   }
   bool known = reason.kind == utils::ErrorKind::Overloaded ||
-               (aChoice.vm.empty() && !originAnswers_);
+               (aChoice.vm.empty() && !originHealth_.IsAnswering());
   if (reason.IsSet() && !known) {
     logger_.Report(
       reason,
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -19,6 +19,7 @@
 #include <platform/FleetSettings.h>
 #include <telemetry/Logger.h>
 
+#include "OriginHealth.h"
 #include "PeerLink.h"
 #include "PiecePicker.h"
 #include "PieceStore.h"
@@ -94,7 +95,7 @@
   /** Of the last round of fetching. */
   const FetchSources& GetSources() const { return sources_; }
 
-  bool IsOriginAnswering() const { return originAnswers_; }
+  bool IsOriginAnswering() const { return originHealth_.IsAnswering(); }
 
   /** Whether all that is missing here lies at other sides. */
   bool IsRestHeld() const;
@@ -126,7 +127,6 @@
   std::optional<std::string> FetchFromOrigin(const PieceChoice& aChoice,
                                              const FetchOrder& aOrder,
                                              utils::Error& aReason);
-  void NoteOrigin(bool aAnswers, const utils::Error& aReason);
   void NoteSource(const PieceChoice& aChoice);
   bool FetchOne(const PieceChoice& aChoice, const FetchOrder& aOrder);
   std::optional<std::string> FetchFrom(const PieceChoice& aChoice,
@@ -163,18 +163,13 @@
   utils::Millis begunAt_;
   FetchSources sources_;
   PieceChange change_;
-  /** The origin did not answer; until then it is left alone. */
-  utils::Millis originUsableFrom_;
-  utils::Millis originFailedAt_;
-  bool originAnswers_ = true;
+  OriginHealth originHealth_;
   int fetchers_ = 0;
   int nearUploads_ = 0;
   int farUploads_ = 0;
   /** All uploads, and those to other regions by themselves. */
   net::Pacer ownLink_;
   net::Pacer farLink_;
-  /** After the next failure of the origin. */
-  utils::Millis originPause_;
   boost::fibers::mutex mutex_;
   /** Notified when the last fetcher has ended. */
   boost::fibers::condition_variable fetched_;
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -5,6 +5,7 @@
 #include <numeric>
 #include <optional>
 
+#include <OriginHealth.h>
 #include <PiecePicker.h>
 #include <PieceStore.h>
 #include <SwitchPlan.h>
@@ -424,6 +425,27 @@
   CHECK(bringers == 1);
 }
 
+TEST_CASE("an origin that is away is tried seldom, and at once when it is back")
+{
+  Millis now(1000);
+  OriginHealth health(utils::Clock([&now] { return now; }));
+  utils::Error reason;
+  reason.Set(utils::ErrorKind::ConnectFailed, "refused");
+  CHECK(health.IsUsable());
+  for (int i = 0; i < 5; ++i) {
+    health.Note(false, reason);
+    CHECK_FALSE(health.IsUsable());
+    CHECK_FALSE(health.IsAnswering());
+    now = now + Millis(1000);
+    CHECK(health.IsUsable());
+  }
+  health.Note(false, reason);
+  health.NoteReturn();
+  CHECK(health.IsUsable());
+  health.Note(true, {});
+  CHECK(health.IsAnswering());
+}
+
 TEST_CASE("cold fleet: a side takes one piece at a time from the origin")
 {
   PickQuery query;
--- /dev/null
+++ b/libs/utils/tests/BackoffTest.cpp
@@ -0,0 +1,16 @@
+#include <doctest/doctest.h>
+
+#include <utils/Backoff.h>
+
+using namespace waxwingyoke::utils;
+
+TEST_CASE("pauses double up to the longest, and begin anew after a success")
+{
+  Backoff backoff(Millis(40), Millis(100));
+  CHECK(backoff.Take() == Millis(40));
+  CHECK(backoff.Take() == Millis(80));
+  CHECK(backoff.Take() == Millis(100));
+  CHECK(backoff.Take() == Millis(100));
+  backoff.Reset();
+  CHECK(backoff.Take() == Millis(40));
+}
