An upstream that turns a request away is not believed before it says more

Change: an answer "misdirected" makes what the directory or a side said of an upstream's weights doubtful until either says something new, 2.5 s at most. A refusal while nothing serves tells the latest moment of return also after a send.

Ruled out: full engines (503); the rejected sends carried a version. Test: UpstreamBookTest "an upstream that proved a word wrong".

--- a/libs/dispatch/include/dispatch/UpstreamBook.h
+++ b/libs/dispatch/include/dispatch/UpstreamBook.h
@@ -58,6 +58,8 @@
   UpstreamHealth health;
   std::optional<SideReport> side;
   utils::Millis sideHeardAt;
+  /** Until then, or news of it, what is said of its weights is not believed. */
+  utils::Millis doubtedUntil;
 
   UseCount GetUse() const;
   /** Replaces what aEntry said; nothing running: it is forgotten. */
@@ -125,6 +127,15 @@
   /** Whether any upstream, full or not, serves what the query asks for. */
   bool HasProspect(const PlaceQuery& aQuery, utils::Millis aNow) const;
 
+  /**
+   * An upstream turned a request away as it does not serve aVersion: not
+   * believed again before the directory or its side say something new.
+   */
+  void Doubt(UpstreamState& aState,
+             const PlaceQuery& aQuery,
+             std::uint64_t aVersion,
+             utils::Millis aNow) const;
+
   /** Adds or replaces what the directory says of an upstream. */
   void Put(const platform::Upstream& aRecord);
   void Remove(const std::string& aId);
--- a/libs/dispatch/src/UpstreamBook.cpp
+++ b/libs/dispatch/src/UpstreamBook.cpp
@@ -23,6 +23,9 @@
 // A plain service's work time until the book learns better; its objective
 // bounds the queue.
 constexpr double kPlainWorkMs = 60;
+// An upstream writes to the directory every second or so, at the latest then
+// it shows what it holds.
+constexpr Millis kDoubtTime(2500);
 // Room for the way back to the caller.
 constexpr double kObjectiveShare = 0.95;
 // An entry prefers its own upstreams by up to this: what one more request of
@@ -96,7 +99,21 @@
     return true;
   }
   auto version = FindServedVersion(aState, aQuery, aNow);
-  return version > 0 && version >= aQuery.minVersion;
+  return version > 0 && version >= aQuery.minVersion &&
+         aNow >= aState.doubtedUntil;
+}
+
+// After a loss of power the directory shows what upstreams held before.
+void
+UpstreamBook::Doubt(UpstreamState& aState,
+                    const PlaceQuery& aQuery,
+                    std::uint64_t aVersion,
+                    Millis aNow) const
+{
+  // News may have come while the request was on its way.
+  if (FindServedVersion(aState, aQuery, aNow) == aVersion) {
+    aState.doubtedUntil = aNow + kDoubtTime;
+  }
 }
 
 bool
@@ -220,6 +237,7 @@
     byHash_[state->hash] = state;
   }
   state->record = aRecord;
+  state->doubtedUntil = Millis(0);
 }
 
 void
@@ -292,6 +310,9 @@
 {
   auto state = Find(aId);
   if (state) {
+    bool isNews = !state->side || state->side->version != aReport.version ||
+                  state->side->accepting != aReport.accepting;
+    state->doubtedUntil = isNews ? Millis(0) : state->doubtedUntil;
     state->side = aReport;
     state->sideHeardAt = aNow;
   }
--- a/libs/dispatch/tests/UpstreamBookTest.cpp
+++ b/libs/dispatch/tests/UpstreamBookTest.cpp
@@ -97,6 +97,33 @@
   CHECK_FALSE(bed.book.HasProspect(query, kNow));
 }
 
+TEST_CASE(
+  "an upstream that proved a word wrong is not asked before it says more")
+{
+  Bed bed;
+  bed.book.Put(MakeUpstream("a"));
+  auto a = bed.book.Find("a");
+  auto query = bed.MakeQuery();
+  REQUIRE(bed.book.FindPlace(query, kNow));
+  bed.book.Doubt(*a, query, 1, kNow);
+  CHECK_FALSE(bed.book.FindPlace(query, kNow + Millis(500)));
+  CHECK_FALSE(bed.book.HasProspect(query, kNow + Millis(500)));
+  // News of its side, or of the directory, or time.
+  bed.book.TakeSideReport("a", { 1, true, 1 }, kNow + Millis(600));
+  CHECK(bed.book.FindPlace(query, kNow + Millis(600)));
+  bed.book.Doubt(*a, query, 1, kNow + Millis(600));
+  CHECK_FALSE(bed.book.FindPlace(query, kNow + Millis(700)));
+  bed.book.Put(MakeUpstream("a"));
+  CHECK(bed.book.FindPlace(query, kNow + Millis(700)));
+  bed.book.Doubt(*a, query, 1, kNow + Millis(700));
+  CHECK(bed.book.FindPlace(query, kNow + Millis(9000)));
+  // What it said meanwhile is believed.
+  bed.book.Put(MakeUpstream("a", 2));
+  bed.book.TakeSideReport("a", { 2, true, 1 }, kNow);
+  bed.book.Doubt(*a, query, 1, kNow);
+  CHECK(bed.book.FindPlace(query, kNow));
+}
+
 TEST_CASE("a part of the layers is no complete version")
 {
   Bed bed;
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -43,8 +43,8 @@
       services_.GetService(service_->name).returns.PlanReturn(services_.Now());
     // When none serves, nothing frees up soon: as late as it will come. A book
     // without any is one that is still being read.
-    bool isKnown = !services_.GetBook().GetAll().empty();
-    if (aKind == ErrorKind::NoUpstream && sends_ == 0 && isKnown) {
+    const auto& book = services_.GetBook();
+    if (!book.GetAll().empty() && !book.HasProspect(query_, services_.Now())) {
       retryAfter = std::max(retryAfter, GetTimeLeft() / kLatestReturnDivisor);
     }
   }
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -118,6 +118,11 @@
   if (answer_.result == SendResult::Lost && !IsCallerGone()) {
     NoteLoss();
   }
+  if (answer_.result == SendResult::NotRun && answer_.head.misdirected &&
+      query_.engine != nullptr) {
+    services_.GetBook().Doubt(
+      lease_->GetUpstream(), query_, leaseVersion_, services_.Now());
+  }
   return true;
 }
 
