Net: bytes without end, planned stops and exceptions of handlers

Cause: bytes between chunks and interim responses (1xx) were read without bound; a HEAD's response waited for a body; a body that trickled renewed its timeout; at a close, connections in the kernel's queue, new ones and half-read requests were cut, and a stopping process did not wait for them; an exception of a handler ended the process.

Shown on the code before: 'bytes without end' (interim responses and chunk extensions ran to the server's 64 MB), HEAD timed out, 50 of 200 requests around a close were answered, a throwing handler aborted the test. Now 200 of 200. Ruled out, with tests that passed before too: a second copy of a response taken for the next one, responses that break off at any byte, a reset of a response without a length.

A connection counts as active until its first request has been read.

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -34,6 +34,11 @@
 
   int GetStatus() const;
   const HttpFields& GetFields() const;
+  /**
+   * Whether only the close of the connection ends the body, so that a body that
+   * was cut off looks complete.
+   */
+  bool IsEndedByClose() const;
 
   /**
    * Replaces aPart by the next bytes of the body. Fails with TimedOut if
@@ -71,6 +76,9 @@
   std::function<void()> cancelRunning_;
 };
 
+/** Larger than the largest chunk that a manifest may contain. */
+inline constexpr std::size_t kMaxBodyBytes = 64 << 20;
+
 /** Options of a call other than its timeouts. */
 struct CallOptions
 {
@@ -87,6 +95,8 @@
   /** False for a peer that accepts few connections and that many processes
    * call rarely. */
   bool keepConnection = true;
+  /** A Call whose response's body is larger fails with TooLarge. */
+  std::size_t maxBodyBytes = kMaxBodyBytes;
 };
 
 /** The timeouts of a call. */
@@ -110,9 +120,6 @@
 class HttpClient
 {
 public:
-  /** Larger than the largest chunk that a manifest may contain. */
-  static constexpr std::size_t kMaxBodyBytes = 64 << 20;
-
   /** Connections are made from aLocalAddress; if empty, the system chooses. */
   explicit HttpClient(std::string aLocalAddress = "");
   ~HttpClient();
@@ -128,8 +135,8 @@
 
   /**
    * Returns the complete response, whatever its status. Fails with TooLarge
-   * if the body exceeds kMaxBodyBytes, so that no peer can exhaust this
-   * process's memory.
+   * if the body exceeds the options' limit and with TimedOut if it does not end
+   * in time, so that no peer can exhaust this process's memory.
    */
   std::optional<HttpResponse> Call(const Endpoint& aPeer,
                                    const HttpRequest& aRequest,
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -77,10 +77,16 @@
 
   ~HttpServer();
 
-  /** Stops accepting connections and closes the idle ones. */
+  /**
+   * Stops accepting connections and closes the idle ones. Requests that have
+   * arrived, also those that are not read yet, are still served.
+   */
   void Close();
 
-  /** The number of requests whose handlers are running. */
+  /**
+   * The number of requests that are being read or served, and of connections
+   * whose first request is awaited.
+   */
   std::size_t GetActiveCount() const;
 
 private:
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -35,6 +35,13 @@
 constexpr double kKeepAliveShare = 0.8;
 // The most responses to other requests that one call discards.
 constexpr int kMaxSkippedResponses = 2;
+// Bytes of a connection that are read but not parsed yet. Bounds parts of a
+// message that the parser needs in one piece, such as the line before a chunk.
+constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+// Interim responses (1xx) that may come before the response to one request.
+constexpr int kMaxInterimResponses = 8;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
 
 struct Connection
 {
@@ -44,7 +51,7 @@
   }
 
   Stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMaxBufferedBytes };
   bool reused = false;
   utils::Millis idleSince;
   utils::Millis maxIdle = kMaxIdleTime;
@@ -223,17 +230,43 @@
   HttpFields fields;
   bool failed = false;
   bool keepConnection = true;
+  /** The response has no body, whatever its header states. */
+  bool isToHead = false;
 
-  /** Reads the header of the next response on the connection. */
+  /** Reads the header of the next final response on the connection. */
   IoResult ReadHead();
+  IoResult ReadAnyHead();
+  bool IsInterim() const;
   /** Reads and discards the body of the response whose header was read. */
   IoResult SkipBody();
 };
 
+bool
+ResponseStream::Impl::IsInterim() const
+{
+  auto status = parser->get().result_int();
+  return status < kFirstFinalStatus && status != kSwitchingProtocols;
+}
+
 IoResult
 ResponseStream::Impl::ReadHead()
+{
+  auto result = ReadAnyHead();
+  for (int interim = 0; !result.error && IsInterim(); ++interim) {
+    if (interim == kMaxInterimResponses) {
+      result.error = http::make_error_code(http::error::bad_status);
+      break;
+    }
+    result = ReadAnyHead();
+  }
+  return result;
+}
+
+IoResult
+ResponseStream::Impl::ReadAnyHead()
 {
   parser.emplace();
+  parser->skip(isToHead);
   parser->body_limit(std::numeric_limits<std::uint64_t>::max());
   auto result = Await([&](auto aHandler) {
     http::async_read_header(
@@ -279,6 +312,12 @@
   }
 }
 
+bool
+ResponseStream::IsEndedByClose() const
+{
+  return impl_->parser->need_eof();
+}
+
 int
 ResponseStream::GetStatus() const
 {
@@ -384,6 +423,7 @@
   auto streamImpl = std::make_unique<ResponseStream::Impl>();
   streamImpl->peer = aPeer;
   streamImpl->connection = std::move(aConnection);
+  streamImpl->isToHead = aMessage.method() == http::verb::head;
   auto& connection = *streamImpl->connection;
   connection.stream.expires_after(aTimeouts.head.ToChrono());
   auto result = Await([&](auto aHandler) {
@@ -518,10 +558,15 @@
   auto deadline = clock.Now() + aTimeouts.body;
   std::string part;
   while (true) {
-    auto left = std::max(deadline - clock.Now(), utils::Millis(1));
+    auto left = deadline - clock.Now();
+    if (left <= utils::Millis(0)) {
+      aReason.Set(ErrorKind::TimedOut,
+                  aPeer.ToString() + ": the response's body does not end");
+      return std::nullopt;
+    }
     switch (stream->Read(part, left, aReason)) {
       case ReadResult::Data:
-        if (response.body.size() + part.size() > kMaxBodyBytes) {
+        if (response.body.size() + part.size() > aOptions.maxBodyBytes) {
           aReason.Set(ErrorKind::TooLarge,
                       aPeer.ToString() + ": response body is too large");
           return std::nullopt;
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include <telemetry/Logger.h>
 #include <telemetry/Metrics.h>
 
 #include "Await.h"
@@ -20,6 +21,34 @@
 
 using Stream = beast::tcp_stream;
 
+// How long a closing server waits for the first request of a connection that
+// was accepted before.
+constexpr utils::Millis kClosingIdle(1000);
+
+/** Counts a request as active while it is read and served. */
+class ActiveScope
+{
+public:
+  explicit ActiveScope(std::atomic<std::size_t>& aActive)
+    : active_(aActive)
+  {
+    ++active_;
+  }
+  ~ActiveScope() { --active_; }
+  ActiveScope(const ActiveScope&) = delete;
+  ActiveScope& operator=(const ActiveScope&) = delete;
+
+private:
+  std::atomic<std::size_t>& active_;
+};
+
+bool
+HasInput(Stream& aStream, const beast::flat_buffer& aBuffer)
+{
+  beast::error_code ignored;
+  return aBuffer.size() > 0 || aStream.socket().available(ignored) > 0;
+}
+
 } // namespace
 
 void
@@ -43,9 +72,20 @@
   /** Waits for the first bytes of the next request; false if none arrived. */
   bool AwaitRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    const HttpLimits& aLimits);
+                    const HttpLimits& aLimits,
+                    bool aIsFirst);
+  bool AwaitInput(Stream& aStream,
+                  beast::flat_buffer& aBuffer,
+                  utils::Millis aTime);
   /** Serves one request; false if the connection has to be closed after it. */
-  bool ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer);
+  bool ServeRequest(Stream& aStream,
+                    beast::flat_buffer& aBuffer,
+                    bool aIsFirst);
+  /** Runs the handler and responds 500 if it throws. */
+  void CallHandler(const HttpRequest& aRequest, ResponseWriter& aWriter);
+  /** Accepts what arrived before the close, so that it is served. */
+  void AcceptPending();
+  void Serve(std::shared_ptr<Tcp::socket> aSocket, asio::io_context& aIo);
   /** Runs the handler; false if the connection has to be closed after it. */
   bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
   /** Responds to a request that could not be read, where a response helps. */
@@ -58,6 +98,7 @@
   std::unique_ptr<Tcp::acceptor> acceptor;
   asio::io_context* acceptIo = nullptr;
   std::atomic<std::size_t> connections{ 0 };
+  /** Connections with a request that is being read or served. */
   std::atomic<std::size_t> active{ 0 };
   std::atomic<bool> closing{ false };
   std::mutex mutex;
@@ -112,14 +153,39 @@
       Runtime::Sleep(kPauseAfterError);
       continue;
     }
-    ++connections;
-    SpawnOn(loop.io, [self, socket] {
-      beast::error_code ignored;
-      socket->set_option(Tcp::no_delay(true), ignored);
-      Stream stream(std::move(*socket));
-      self->ServeConnection(stream);
-      --self->connections;
-    });
+    Serve(socket, loop.io);
+  }
+}
+
+void
+HttpServer::Impl::Serve(std::shared_ptr<Tcp::socket> aSocket,
+                        asio::io_context& aIo)
+{
+  ++connections;
+  // Counts as active until its first request is read, so that a stopping
+  // process waits for it.
+  ++active;
+  SpawnOn(aIo, [self = shared_from_this(), socket = std::move(aSocket)] {
+    beast::error_code ignored;
+    socket->set_option(Tcp::no_delay(true), ignored);
+    Stream stream(std::move(*socket));
+    self->ServeConnection(stream);
+    --self->connections;
+  });
+}
+
+void
+HttpServer::Impl::AcceptPending()
+{
+  beast::error_code error;
+  acceptor->non_blocking(true, error);
+  while (!error) {
+    auto& loop = runtime.GetImpl().PickLoop();
+    auto socket = std::make_shared<Tcp::socket>(loop.io);
+    acceptor->accept(*socket, error);
+    if (!error) {
+      Serve(socket, loop.io);
+    }
   }
 }
 
@@ -141,7 +207,12 @@
 HttpServer::Impl::ServeConnection(Stream& aStream)
 {
   beast::flat_buffer buffer;
-  while (!closing && ServeRequest(aStream, buffer)) {
+  // A caller whose connection was accepted just before the close may have sent
+  // its request, so the first one is served in any case.
+  bool open = ServeRequest(aStream, buffer, true);
+  --active;
+  while (open && (!closing || HasInput(aStream, buffer))) {
+    open = ServeRequest(aStream, buffer, false);
   }
   beast::error_code ignored;
   aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
@@ -150,13 +221,30 @@
 bool
 HttpServer::Impl::AwaitRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               const HttpLimits& aLimits)
+                               const HttpLimits& aLimits,
+                               bool aIsFirst)
+{
+  bool wasClosing = closing;
+  auto closingIdle = std::min(aLimits.idle, kClosingIdle);
+  if (AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : aLimits.idle)) {
+    return true;
+  }
+  // The close cancelled the wait. A new caller's request may be on its way.
+  bool mayArrive = aIsFirst && closing && !wasClosing;
+  return mayArrive && AwaitInput(aStream, aBuffer, closingIdle);
+}
+
+// True if there is input, also if the wait was cancelled at that moment.
+bool
+HttpServer::Impl::AwaitInput(Stream& aStream,
+                             beast::flat_buffer& aBuffer,
+                             utils::Millis aTime)
 {
   constexpr std::size_t kFirstReadBytes = 4096;
   if (aBuffer.size() > 0) {
     return true;
   }
-  aStream.expires_after(aLimits.idle.ToChrono());
+  aStream.expires_after(aTime.ToChrono());
   Track(aStream);
   auto result = Await([&](auto aHandler) {
     aStream.async_read_some(aBuffer.prepare(kFirstReadBytes),
@@ -164,17 +252,21 @@
   });
   Untrack(aStream);
   aBuffer.commit(result.bytes);
-  return !result.error;
+  return !result.error || (result.error == asio::error::operation_aborted &&
+                           HasInput(aStream, aBuffer));
 }
 
 bool
-HttpServer::Impl::ServeRequest(Stream& aStream, beast::flat_buffer& aBuffer)
+HttpServer::Impl::ServeRequest(Stream& aStream,
+                               beast::flat_buffer& aBuffer,
+                               bool aIsFirst)
 {
   auto limits =
     options.currentLimits ? options.currentLimits() : options.limits;
-  if (!AwaitRequest(aStream, aBuffer, limits)) {
+  if (!AwaitRequest(aStream, aBuffer, limits, aIsFirst)) {
     return false;
   }
+  ActiveScope scope(active);
   http::request_parser<http::string_body> parser;
   parser.body_limit(limits.bodyBytes);
   parser.header_limit(limits.headerBytes);
@@ -210,15 +302,13 @@
   bool leaving = closing || (options.isLeaving && options.isLeaving());
   bool keep = aKeep && !leaving;
   StreamWriter writer(aStream, options.writeTimeout, keep);
-  ++active;
-  options.handler(aRequest, writer);
+  CallHandler(aRequest, writer);
   if (!writer.IsStarted()) {
     utils::Error error;
     error.Set(utils::ErrorKind::Internal, "the handler sent no response");
     writer.Send(MakeErrorResponse(error));
   }
   writer.EndWatch();
-  --active;
   if (!writer.IsComplete()) {
     aStream.close();
     return false;
@@ -226,6 +316,25 @@
   return keep;
 }
 
+// One request that a library can't cope with must not end the process, which
+// serves others.
+void
+HttpServer::Impl::CallHandler(const HttpRequest& aRequest,
+                              ResponseWriter& aWriter)
+{
+  static auto& sFailed =
+    telemetry::Metrics::Get().GetCounter("http_handler_failures_total");
+  static const telemetry::Logger sLogger("http");
+  try {
+    options.handler(aRequest, aWriter);
+  } catch (const std::exception& failure) {
+    sFailed.Add();
+    sLogger.Warn(
+      "a request's handler failed",
+      { { "target", aRequest.target }, { "reason", failure.what() } });
+  }
+}
+
 void
 HttpServer::Impl::Refuse(Stream& aStream, beast::error_code aError)
 {
@@ -276,6 +385,7 @@
   }
   asio::post(*impl_->acceptIo, [impl = impl_] {
     beast::error_code ignored;
+    impl->AcceptPending();
     impl->acceptor->close(ignored);
   });
   std::scoped_lock lock(impl_->mutex);
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -1,7 +1,12 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <stdexcept>
+#include <string>
+#include <vector>
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <net/HttpClient.h>
@@ -60,8 +65,128 @@
   return request;
 }
 
+/** A caller's connection whose bytes the test controls. */
+class RawCaller
+{
+public:
+  explicit RawCaller(const Endpoint& aPeer)
+    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(aPeer.port);
+    inet_pton(AF_INET, aPeer.address.c_str(), &native.sin_addr);
+    REQUIRE(::connect(socket_,
+                      reinterpret_cast<const sockaddr*>(&native),
+                      sizeof(native)) == 0);
+  }
+  ~RawCaller() { ::close(socket_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Send(const std::string& aBytes)
+  {
+    ::send(socket_, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+  }
+
+  /** All bytes until the server closes, for two seconds at most. */
+  std::string ReadToEnd()
+  {
+    std::string received;
+    utils::Clock clock;
+    auto end = clock.Now() + utils::Millis(2000);
+    while (clock.Now() < end) {
+      char buffer[4096];
+      auto count = ::recv(socket_, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (count == 0 || (count < 0 && errno != EAGAIN)) {
+        break;
+      }
+      if (count > 0) {
+        received.append(buffer, static_cast<std::size_t>(count));
+      }
+      Runtime::Sleep(utils::Millis(5));
+    }
+    return received;
+  }
+
+private:
+  int socket_;
+};
+
 } // namespace
 
+// A planned stop under load: callers' connections are accepted by the kernel,
+// or their requests are partly read, at the moment of the close.
+TEST_CASE("requests that arrive around a close are answered")
+{
+  constexpr int kCallers = 100;
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n"
+                           "Content-Length: 4\r\n\r\n";
+  Runtime runtime(1);
+  runtime.Run([&] {
+    utils::Error reason;
+    auto server = HttpServer::Builder(runtime)
+                    .SetEndpoint(MakeEndpoint())
+                    .SetHandler(&Echo)
+                    .Build(reason);
+    REQUIRE_MESSAGE(server, reason.detail);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    auto connect = [&] {
+      callers.push_back(std::make_unique<RawCaller>(MakeEndpoint()));
+    };
+    // Accepted, with half of a request, or nothing of it.
+    for (int i = 0; i < kCallers; ++i) {
+      connect();
+    }
+    Runtime::Sleep(utils::Millis(50));
+    for (int i = 0; i < kCallers; ++i) {
+      callers[i]->Send(i % 2 == 0 ? head + "bo" : "");
+    }
+    Runtime::Sleep(utils::Millis(50));
+    // Complete, but the server's fiber has not run since.
+    for (int i = 0; i < kCallers; ++i) {
+      connect();
+      callers.back()->Send(head + "body");
+    }
+    CHECK(server->GetActiveCount() > 0);
+    server->Close();
+    Runtime::Sleep(utils::Millis(10));
+    CHECK(server->GetActiveCount() > 0);
+    for (int i = 0; i < kCallers; ++i) {
+      callers[i]->Send(i % 2 == 0 ? "dy" : head + "body");
+    }
+    int answered = 0;
+    for (auto& caller : callers) {
+      answered += caller->ReadToEnd().ends_with("body") ? 1 : 0;
+    }
+    CHECK(answered == 2 * kCallers);
+    CHECK(server->GetActiveCount() == 0);
+    return 0;
+  });
+}
+
+TEST_CASE("a handler that throws answers 500 and the server goes on")
+{
+  auto handler = [](const HttpRequest& aRequest, ResponseWriter& aWriter) {
+    if (aRequest.target == "/bad") {
+      throw std::runtime_error("unexpected");
+    }
+    aWriter.Send({});
+  };
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    HttpRequest request;
+    request.target = "/bad";
+    auto failed = aClient.Call(aPeer, request, {}, reason);
+    REQUIRE_MESSAGE(failed, reason.detail);
+    CHECK(failed->status == 500);
+    request.target = "/good";
+    auto served = aClient.Call(aPeer, request, {}, reason);
+    REQUIRE_MESSAGE(served, reason.detail);
+    CHECK(served->status == 200);
+  });
+}
+
 TEST_CASE("complete responses arrive over a kept connection")
 {
   WithServer(&Echo, [](HttpClient& aClient, const Endpoint& aPeer) {
