Fleet: upstreams that leave or ask for a pause; answers and events without end

An upstream states in its answers that it leaves: it gets no new work from then on, whatever the directory states later, until it starts anew. One that responds 503 with Retry-After gets nothing of this entry until then; it is not ejected and keeps its learned values. Where all have asked for a pause, the caller is refused at once with the shortest of these times.

A stream whose upstream sends bytes but no event is resumed elsewhere after the same time as a silent one; an event, and an answer that is not a stream, have a largest size; a body that keeps coming no longer passes the deadline; a stream without a length that ends within an event is not taken for complete.

--- a/libs/dispatch/include/dispatch/UpstreamRegistry.h
+++ b/libs/dispatch/include/dispatch/UpstreamRegistry.h
@@ -2,6 +2,7 @@
 #define waxwingyoke_dispatch_UpstreamRegistry_h
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,6 +67,17 @@
    * or until the directory or its side reports again.
    */
   utils::Millis staleUntil;
+  /** It announced its exit; no new work until it starts anew. */
+  bool leaving = false;
+  /** When this entry itself observed that; empty if another entry did. */
+  std::optional<utils::Millis> leaveObservedAt;
+  /** It asked this entry to send nothing until then. */
+  utils::Millis pausedUntil;
+  /**
+   * Its directory entry is missing, but may only have expired while the log was
+   * unavailable.
+   */
+  bool inDoubt = false;
 
   /** Load of all entries. */
   UseCount GetUse() const;
@@ -136,6 +148,24 @@
   bool HasServingUpstream(const PlacementQuery& aQuery,
                           utils::Millis aNow) const;
 
+  /**
+   * When the first upstream that serves the query ends its pause. Empty if one
+   * of them is not paused, or if there is none.
+   */
+  std::optional<utils::Millis> FindPauseEnd(const PlacementQuery& aQuery,
+                                            utils::Millis aNow) const;
+
+  /** Records that an upstream announced its exit to this entry. */
+  void RecordLeave(UpstreamState& aState, utils::Millis aNow);
+  /** The same, reported by another entry for one incarnation of the upstream.
+   */
+  void ApplyLeave(std::uint64_t aHash, std::int64_t aStartedMs);
+  /** Upstreams whose exit this entry has observed since aSince. */
+  std::vector<UpstreamPointer> ListLeavingSince(utils::Millis aSince) const;
+
+  /** Marks an upstream whose directory entry is missing; see inDoubt. */
+  void SetInDoubt(const std::string& aId, bool aInDoubt);
+
   /**
    * Excludes an upstream that rejected a request because it does not serve
    * aVersion, until the directory or its side reports again or a timeout
@@ -149,6 +179,8 @@
   /**
    * Adds an upstream of the directory, or replaces its record. A restarted
    * upstream (another startedMs) gets a new state without load and failures.
+   * An incarnation that has announced its exit stays excluded, whatever a later
+   * record states.
    */
   void Put(const platform::Upstream& aRecord);
   void Remove(const std::string& aId);
@@ -182,6 +214,11 @@
   bool Serves(const UpstreamState& aState,
               const PlacementQuery& aQuery,
               utils::Millis aNow) const;
+  void RememberLeave(const platform::Upstream& aRecord);
+  bool HasLeft(const platform::Upstream& aRecord) const;
+  /** Whether so many upstreams are in doubt that they are needed. */
+  bool NeedsThoseInDoubt(const PlacementQuery& aQuery,
+                         utils::Millis aNow) const;
   bool IsSlotAvailable(const UpstreamState& aState,
                        const EngineModel& aEngine,
                        utils::Millis aNow) const;
@@ -197,6 +234,11 @@
 
   std::map<std::string, UpstreamPointer> upstreams_;
   std::unordered_map<std::uint64_t, UpstreamPointer> byHash_;
+  /** Start times of incarnations that announced their exit, by id. */
+  std::map<std::string, std::int64_t> left_;
+  /** Keys of left_, oldest first. */
+  std::deque<std::string> leftOrder_;
+  std::size_t inDoubtCount_ = 0;
   std::optional<SlotArbiter> arbiter_;
 };
 
--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -33,6 +33,9 @@
 // Largest cost of an upstream that an entry prefers least: about what one more
 // request of another entry costs.
 constexpr double kAffinityCostMs = 50;
+// Remembered incarnations that announced their exit. An upstream's directory
+// entry can reappear for as long as the log can be restored to an older state.
+constexpr std::size_t kMaxLeft = 4096;
 
 // Hash of the upstream and the entry in [0, 1): 0 is the entry's most preferred
 // upstream.
@@ -95,7 +98,8 @@
                          const PlacementQuery& aQuery,
                          Millis aNow) const
 {
-  if (aState.record.service != aQuery.service || aState.record.draining) {
+  if (aState.record.service != aQuery.service || aState.record.draining ||
+      aState.leaving) {
     return false;
   }
   if (aQuery.engine == nullptr) {
@@ -126,6 +130,7 @@
                               Millis aNow) const
 {
   return Serves(aState, aQuery, aNow) && aState.health.IsUsable(aNow) &&
+         aNow >= aState.pausedUntil &&
          std::ranges::find(aQuery.excluded, aState.record.id) ==
            aQuery.excluded.end();
 }
@@ -139,6 +144,104 @@
   });
 }
 
+std::optional<Millis>
+UpstreamRegistry::FindPauseEnd(const PlacementQuery& aQuery, Millis aNow) const
+{
+  std::optional<Millis> end;
+  for (const auto& [id, state] : upstreams_) {
+    if (!Serves(*state, aQuery, aNow)) {
+      continue;
+    }
+    if (aNow >= state->pausedUntil) {
+      return std::nullopt;
+    }
+    end = std::min(end.value_or(state->pausedUntil), state->pausedUntil);
+  }
+  return end;
+}
+
+void
+UpstreamRegistry::RecordLeave(UpstreamState& aState, Millis aNow)
+{
+  aState.leaving = true;
+  aState.leaveObservedAt = aState.leaveObservedAt.value_or(aNow);
+  RememberLeave(aState.record);
+}
+
+void
+UpstreamRegistry::ApplyLeave(std::uint64_t aHash, std::int64_t aStartedMs)
+{
+  auto row = byHash_.find(aHash);
+  if (row != byHash_.end() && row->second->record.startedMs == aStartedMs) {
+    row->second->leaving = true;
+    RememberLeave(row->second->record);
+  }
+}
+
+std::vector<UpstreamPointer>
+UpstreamRegistry::ListLeavingSince(Millis aSince) const
+{
+  std::vector<UpstreamPointer> found;
+  for (const auto& [id, state] : upstreams_) {
+    if (state->leaveObservedAt && *state->leaveObservedAt >= aSince) {
+      found.push_back(state);
+    }
+  }
+  return found;
+}
+
+void
+UpstreamRegistry::RememberLeave(const platform::Upstream& aRecord)
+{
+  auto [row, isNew] = left_.insert_or_assign(aRecord.id, aRecord.startedMs);
+  if (!isNew) {
+    return;
+  }
+  leftOrder_.push_back(aRecord.id);
+  if (leftOrder_.size() > kMaxLeft) {
+    left_.erase(leftOrder_.front());
+    leftOrder_.pop_front();
+  }
+}
+
+bool
+UpstreamRegistry::HasLeft(const platform::Upstream& aRecord) const
+{
+  auto row = left_.find(aRecord.id);
+  return row != left_.end() && row->second == aRecord.startedMs;
+}
+
+void
+UpstreamRegistry::SetInDoubt(const std::string& aId, bool aInDoubt)
+{
+  auto state = Find(aId);
+  if (!state || state->inDoubt == aInDoubt) {
+    return;
+  }
+  state->inDoubt = aInDoubt;
+  inDoubtCount_ += aInDoubt ? 1 : -1;
+}
+
+// A single missing entry mostly belongs to an upstream that leaves. If half of
+// a service is missing, the entries have expired with the log's outage, and the
+// other half could not carry the load.
+bool
+UpstreamRegistry::NeedsThoseInDoubt(const PlacementQuery& aQuery,
+                                    Millis aNow) const
+{
+  if (inDoubtCount_ == 0) {
+    return false;
+  }
+  std::size_t serving = 0;
+  std::size_t inDoubt = 0;
+  for (const auto& [id, state] : upstreams_) {
+    bool serves = Serves(*state, aQuery, aNow);
+    serving += serves ? 1 : 0;
+    inDoubt += serves && state->inDoubt ? 1 : 0;
+  }
+  return inDoubt * 2 >= serving;
+}
+
 Placement
 UpstreamRegistry::MakePlacement(const UpstreamPointer& aState,
                                 const PlacementQuery& aQuery,
@@ -197,8 +300,10 @@
   auto limit = static_cast<double>(aQuery.timeLeft.value) * kObjectiveShare;
   // The bias is measured for the engine model only.
   limit -= aQuery.engine != nullptr ? aQuery.biasMs : 0;
+  bool needsThoseInDoubt = NeedsThoseInDoubt(aQuery, aNow);
   for (const auto& [id, state] : upstreams_) {
-    if (!IsCandidate(*state, aQuery, aNow)) {
+    if (!IsCandidate(*state, aQuery, aNow) ||
+        (state->inDoubt && !needsThoseInDoubt)) {
       continue;
     }
     if (aMustMeetObjective && aQuery.engine != nullptr &&
@@ -243,12 +348,17 @@
   auto& state = upstreams_[aRecord.id];
   bool restarted = state && state->record.startedMs != aRecord.startedMs;
   if (!state || restarted) {
+    inDoubtCount_ -= state && state->inDoubt ? 1 : 0;
     state = std::make_shared<UpstreamState>();
     state->hash = utils::StableHash(aRecord.id);
     byHash_[state->hash] = state;
   }
   state->record = aRecord;
   state->staleUntil = Millis(0);
+  if (aRecord.draining) {
+    RememberLeave(aRecord);
+  }
+  state->leaving = HasLeft(aRecord);
 }
 
 void
@@ -256,6 +366,7 @@
 {
   auto row = upstreams_.find(aId);
   if (row != upstreams_.end()) {
+    SetInDoubt(aId, false);
     byHash_.erase(row->second->hash);
     upstreams_.erase(row);
   }
--- a/libs/dispatch/tests/UpstreamRegistryTest.cpp
+++ b/libs/dispatch/tests/UpstreamRegistryTest.cpp
@@ -250,6 +250,94 @@
   CHECK(fixture.registry.FindPlacement(fixture.MakeQuery(), kNow));
 }
 
+// The directory reports a leave late, and after a restore of the log it may
+// state an older state again.
+TEST_CASE("leave: an upstream that announced its exit gets no work again")
+{
+  Fixture fixture;
+  fixture.registry.Put(MakeUpstream("a"));
+  auto query = fixture.MakeQuery();
+  REQUIRE(fixture.registry.FindPlacement(query, kNow));
+  fixture.registry.RecordLeave(*fixture.registry.Find("a"), kNow);
+  CHECK_FALSE(fixture.registry.FindPlacement(query, kNow));
+  CHECK_FALSE(fixture.registry.FindFallbackPlacement(query, kNow));
+  CHECK_FALSE(fixture.registry.HasServingUpstream(query, kNow));
+  CHECK(fixture.registry.ListLeavingSince(kNow).size() == 1);
+  CHECK(fixture.registry.ListLeavingSince(kNow + Millis(1)).empty());
+  // Heartbeats and reappearance under the same start time change nothing.
+  fixture.registry.Put(MakeUpstream("a"));
+  CHECK_FALSE(fixture.registry.FindFallbackPlacement(query, kNow));
+  fixture.registry.Remove("a");
+  fixture.registry.Put(MakeUpstream("a"));
+  CHECK_FALSE(fixture.registry.FindFallbackPlacement(query, kNow));
+  // A new incarnation under the same id serves.
+  auto restarted = MakeUpstream("a");
+  restarted.startedMs = 2;
+  fixture.registry.Put(restarted);
+  CHECK(fixture.registry.FindPlacement(query, kNow));
+  // Another entry's report of the old incarnation doesn't apply to it.
+  auto hash = fixture.registry.Find("a")->hash;
+  fixture.registry.ApplyLeave(hash, 1);
+  CHECK(fixture.registry.FindPlacement(query, kNow));
+  fixture.registry.ApplyLeave(hash, 2);
+  CHECK_FALSE(fixture.registry.FindPlacement(query, kNow));
+  CHECK(fixture.registry.ListLeavingSince(kNow).empty());
+}
+
+TEST_CASE("leave: a record that was draining and is ready again is not used")
+{
+  Fixture fixture;
+  auto draining = MakeUpstream("a");
+  draining.draining = true;
+  fixture.registry.Put(draining);
+  fixture.registry.Put(MakeUpstream("a"));
+  CHECK_FALSE(
+    fixture.registry.FindFallbackPlacement(fixture.MakeQuery(), kNow));
+}
+
+TEST_CASE("pause: a paused upstream gets nothing, then serves at once")
+{
+  Fixture fixture;
+  fixture.registry.Put(MakeUpstream("a"));
+  fixture.registry.Put(MakeUpstream("b"));
+  auto query = fixture.MakeQuery();
+  auto a = fixture.registry.Find("a");
+  auto b = fixture.registry.Find("b");
+  a->pausedUntil = kNow + Millis(900);
+  auto placement = fixture.registry.FindPlacement(query, kNow);
+  REQUIRE(placement);
+  CHECK(placement->upstream == b);
+  CHECK_FALSE(fixture.registry.FindPauseEnd(query, kNow));
+  b->pausedUntil = kNow + Millis(400);
+  CHECK_FALSE(fixture.registry.FindPlacement(query, kNow));
+  CHECK_FALSE(fixture.registry.FindFallbackPlacement(query, kNow));
+  CHECK(fixture.registry.HasServingUpstream(query, kNow));
+  CHECK(fixture.registry.FindPauseEnd(query, kNow) == kNow + Millis(400));
+  CHECK(fixture.registry.FindPlacement(query, kNow + Millis(400)));
+  // It was no fault of the upstream.
+  CHECK(b->health.GetFailedShare() == 0);
+}
+
+// Entries that the log turned away learn of a leave only as a missing entry.
+TEST_CASE("lapse: an upstream in doubt is used only if the others can't do")
+{
+  Fixture fixture;
+  for (const auto* id : { "a", "b", "c", "d" }) {
+    fixture.registry.Put(MakeUpstream(id));
+  }
+  auto query = fixture.MakeQuery();
+  fixture.registry.SetInDoubt("a", true);
+  query.excluded = { "b", "c", "d" };
+  CHECK_FALSE(fixture.registry.FindFallbackPlacement(query, kNow));
+  fixture.registry.SetInDoubt("b", true);
+  CHECK(fixture.registry.FindFallbackPlacement(query, kNow));
+  // Registered again.
+  fixture.registry.SetInDoubt("b", false);
+  CHECK_FALSE(fixture.registry.FindFallbackPlacement(query, kNow));
+  fixture.registry.SetInDoubt("a", false);
+  CHECK(fixture.registry.FindFallbackPlacement(query, kNow));
+}
+
 TEST_CASE("upstreams that are unreachable or fail often are ejected")
 {
   UpstreamHealth health;
--- a/libs/fleet/src/EventRelay.cpp
+++ b/libs/fleet/src/EventRelay.cpp
@@ -40,6 +40,20 @@
   return {};
 }
 
+// False for blank lines and comments, which begin with a colon.
+bool
+HasFields(std::string_view aEvent)
+{
+  bool atLineStart = true;
+  for (char byte : aEvent) {
+    if (atLineStart && byte != ':' && byte != '\n' && byte != '\r') {
+      return true;
+    }
+    atLineStart = byte == '\n';
+  }
+  return false;
+}
+
 std::optional<std::int64_t>
 ParseNumber(std::string_view aText)
 {
@@ -84,6 +98,7 @@
     std::string_view event(pending_.data() + taken, next - taken);
     if (!IsDuplicate(event)) {
       events += event;
+      eventCount_ += HasFields(event) ? 1 : 0;
     }
     taken = next;
   }
--- a/libs/fleet/src/EventRelay.h
+++ b/libs/fleet/src/EventRelay.h
@@ -22,6 +22,15 @@
   /** Removes and returns the complete events; empty if there are none. */
   std::string TakeEvents();
 
+  /**
+   * The number of events taken that carry data. Comments, which only keep a
+   * connection alive, do not count.
+   */
+  std::uint64_t GetEventCount() const { return eventCount_; }
+
+  /** Whether the buffered event is larger than any that is relayed. */
+  bool IsEventTooLarge() const { return pending_.size() > kMaxEventBytes; }
+
   /** Whether bytes of an incomplete event are buffered. */
   bool HasRemainder() const { return !pending_.empty(); }
 
@@ -38,10 +47,13 @@
   const std::string& GetLastEventId() const { return lastEventId_; }
 
 private:
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
   bool IsDuplicate(std::string_view aEvent);
 
   std::string pending_;
   std::string lastEventId_;
+  std::uint64_t eventCount_ = 0;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -232,6 +232,32 @@
   return true;
 }
 
+// How long all upstreams that serve the request still ask to be left alone.
+std::optional<Millis>
+Exchange::GetPauseLeft() const
+{
+  auto now = services_.Now();
+  auto end = services_.GetUpstreams().FindPauseEnd(query_, now);
+  return end ? std::optional(*end - now) : std::nullopt;
+}
+
+// Refuses a request that no wait in the queue can help.
+bool
+Exchange::RefuseIfUnservable()
+{
+  if (!IsRetry() &&
+      !services_.GetUpstreams().HasServingUpstream(query_, services_.Now())) {
+    Refuse(ErrorKind::NoUpstream, "no upstream currently serves this request");
+    return true;
+  }
+  auto pauseLeft = GetPauseLeft();
+  if (pauseLeft && *pauseLeft >= GetWaitLimit()) {
+    Refuse(ErrorKind::Overloaded, "all upstreams have asked for a pause");
+    return true;
+  }
+  return false;
+}
+
 // Waits for a slot if none is free; refuses the request if there is none in
 // time.
 bool
@@ -241,9 +267,7 @@
   if (waitQueue.IsEmpty() && AcquirePlacement(true)) {
     return true;
   }
-  if (!IsRetry() &&
-      !services_.GetUpstreams().HasServingUpstream(query_, services_.Now())) {
-    Refuse(ErrorKind::NoUpstream, "no upstream currently serves this request");
+  if (RefuseIfUnservable()) {
     return false;
   }
   boost::fibers::mutex mutex;
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -57,6 +57,8 @@
   void MakeQuery();
 
   bool WaitForPlacement();
+  bool RefuseIfUnservable();
+  std::optional<utils::Millis> GetPauseLeft() const;
   utils::Millis GetWaitLimit() const;
   bool AcquirePlacement(bool aMustMeetObjective);
 
@@ -68,10 +70,15 @@
   bool ShouldRetryElsewhere(int aStatus);
   void RelayStream();
   bool ForwardEvents();
+  bool ForwardPart(const std::string& aPart);
+  bool FinishStream();
+  void RecordBrokenStream();
+  net::ReadResult ReadPart(std::string& aPart, utils::Millis aQuietSince);
   void RecordEvents();
   bool ResumeElsewhere();
   void RecordLostConnection();
 
+  void RecordRefusal();
   void Refuse(utils::ErrorKind aKind, std::string_view aText);
   void Deny(int aStatus, std::string_view aText);
   void Fail(std::string_view aText);
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -23,6 +23,16 @@
 
 } // namespace
 
+// Lets this and other entries recognise the caller's retry.
+void
+Exchange::RecordRefusal()
+{
+  dispatch::Refusal refusal{ digest_, arrivedAt_ - elapsedBefore_ };
+  services_.GetRefusals().RecordRefusal(refusal, services_.Now());
+  services_.GetRefusals().Announce(refusal);
+  services_.MarkUseChanged();
+}
+
 void
 Exchange::Refuse(ErrorKind aKind, std::string_view aText)
 {
@@ -36,11 +46,12 @@
     return;
   }
   auto retryAfter = kRetryAfterWithoutConfig;
-  if (service_ != nullptr) {
-    dispatch::Refusal refusal{ digest_, arrivedAt_ - elapsedBefore_ };
-    services_.GetRefusals().RecordRefusal(refusal, services_.Now());
-    services_.GetRefusals().Announce(refusal);
-    services_.MarkUseChanged();
+  auto pauseLeft = service_ != nullptr ? GetPauseLeft() : std::nullopt;
+  if (pauseLeft) {
+    RecordRefusal();
+    retryAfter = *pauseLeft;
+  } else if (service_ != nullptr) {
+    RecordRefusal();
     retryAfter = services_.GetService(service_->name)
                    .retryPlanner.PlanRetry(services_.Now());
     // If no upstream serves the request, no slot becomes free soon: use the
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -31,6 +31,9 @@
 // the longest pauses that the route allows.
 constexpr int kStreamTimeoutPauses = 3;
 constexpr Millis kMinStreamTimeout(1200);
+// Largest body of an answer that is not a stream. It is read completely before
+// it is delivered.
+constexpr std::size_t kMaxAnswerBytes = 4 << 20;
 // Up to this many failed connects are followed by a send to another upstream.
 constexpr int kMaxConnectFailures = 3;
 
@@ -167,8 +170,15 @@
 Exchange::ReadBody(std::string& aBody)
 {
   std::string part;
+  // An answer that is nearly there is still awaited at the deadline.
+  auto end = services_.Now() + std::max(GetTimeLeft(), kMinTimeLeft);
   while (true) {
-    auto left = std::max(GetTimeLeft(), kMinTimeLeft);
+    auto left = end - services_.Now();
+    if (left <= Millis(0) || aBody.size() > kMaxAnswerBytes) {
+      answer_.reason.Set(ErrorKind::AnswerBroken,
+                         "the answer's body does not end");
+      return false;
+    }
     switch (answer_.stream->Read(part, left, answer_.reason)) {
       case net::ReadResult::Data:
         aBody += part;
@@ -264,49 +274,102 @@
   lastEventAt_ = now;
 }
 
+// Reads what the upstream sends next. An upstream that has sent no event since
+// aQuietSince is treated as failed, also if it sends other bytes.
+net::ReadResult
+Exchange::ReadPart(std::string& aPart, Millis aQuietSince)
+{
+  auto idleTimeout =
+    std::max(route_->pauseLimit * kStreamTimeoutPauses, kMinStreamTimeout);
+  auto idleLeft = aQuietSince + idleTimeout - services_.Now();
+  auto wait = std::min(idleLeft, GetTimeLeft());
+  if (wait <= Millis(0)) {
+    answer_.reason.Set(ErrorKind::TimedOut,
+                       idleLeft <= Millis(0) ? "no event in time"
+                                             : "the deadline has passed");
+    return net::ReadResult::Failed;
+  }
+  auto result = answer_.stream->Read(aPart, wait, answer_.reason);
+  // Without a length, a response that broke off ends like a complete one; the
+  // partial event shows it.
+  bool isCutOff = result == net::ReadResult::End && relay_.HasRemainder() &&
+                  answer_.stream->IsEndedByClose();
+  if (isCutOff) {
+    answer_.reason.Set(ErrorKind::ConnectionLost,
+                       "the stream ended within an event");
+    return net::ReadResult::Failed;
+  }
+  return result;
+}
+
+void
+Exchange::RecordBrokenStream()
+{
+  if (IsCallerDisconnected()) {
+    return;
+  }
+  lease_->GetUpstream().health.RecordOutcome(Outcome::Failed, services_.Now());
+  RecordLostConnection();
+}
+
+bool
+Exchange::FinishStream()
+{
+  lease_->GetUpstream().health.RecordOutcome(Outcome::Served, services_.Now());
+  services_.GetCrashes().Clear(digest_);
+  lease_.reset();
+  auto remainder = relay_.TakeRemainder();
+  bool sent =
+    (remainder.empty() || writer_.Write(remainder)) && writer_.Finish();
+  end_ = sent ? End::Served : End::CallerDisconnected;
+  return true;
+}
+
+// Forwards the events that aPart completes; false if the stream can't go on.
+bool
+Exchange::ForwardPart(const std::string& aPart)
+{
+  relay_.Add(aPart);
+  auto eventsBefore = relay_.GetEventCount();
+  auto events = relay_.TakeEvents();
+  if (relay_.IsEventTooLarge()) {
+    answer_.reason.Set(ErrorKind::AnswerBroken, "an event is too large");
+    RecordBrokenStream();
+    return false;
+  }
+  if (relay_.GetEventCount() > eventsBefore) {
+    RecordEvents();
+    lease_->MarkPromptProcessed();
+  }
+  if (!events.empty() && !writer_.Write(events)) {
+    canceller_.Cancel();
+    return false;
+  }
+  return true;
+}
+
 // Forwards events as they arrive; false if the stream broke off.
 bool
 Exchange::ForwardEvents()
 {
-  auto idleTimeout =
-    std::max(route_->pauseLimit * kStreamTimeoutPauses, kMinStreamTimeout);
-  auto& health = lease_->GetUpstream().health;
   std::string part;
+  auto quietSince = services_.Now();
   while (true) {
-    auto wait = std::min(idleTimeout, GetTimeLeft());
-    if (wait <= Millis(0)) {
-      answer_.reason.Set(ErrorKind::DeadlineExceeded,
-                         "the deadline has passed");
-      return false;
+    switch (ReadPart(part, quietSince)) {
+      case net::ReadResult::Failed:
+        RecordBrokenStream();
+        return false;
+      case net::ReadResult::End:
+        return FinishStream();
+      case net::ReadResult::Data:
+        break;
     }
-    auto result = answer_.stream->Read(part, wait, answer_.reason);
-    if (result == net::ReadResult::Failed) {
-      if (!IsCallerDisconnected()) {
-        health.RecordOutcome(Outcome::Failed, services_.Now());
-        RecordLostConnection();
-      }
+    auto eventsBefore = relay_.GetEventCount();
+    if (!ForwardPart(part)) {
       return false;
     }
-    if (result == net::ReadResult::End) {
-      health.RecordOutcome(Outcome::Served, services_.Now());
-      services_.GetCrashes().Clear(digest_);
-      lease_.reset();
-      auto remainder = relay_.TakeRemainder();
-      bool sent =
-        (remainder.empty() || writer_.Write(remainder)) && writer_.Finish();
-      end_ = sent ? End::Served : End::CallerDisconnected;
-      return true;
-    }
-    relay_.Add(part);
-    auto events = relay_.TakeEvents();
-    if (events.empty()) {
-      continue;
-    }
-    RecordEvents();
-    lease_->MarkPromptProcessed();
-    if (!writer_.Write(events)) {
-      canceller_.Cancel();
-      return false;
+    if (relay_.GetEventCount() > eventsBefore) {
+      quietSince = services_.Now();
     }
   }
 }
--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -32,6 +32,30 @@
   aLease.GetUpstream().health.AvoidUntil(aServices.Now() + avoidTime);
 }
 
+// Applies what the upstream states about itself in any of its answers.
+void
+RecordUpstreamState(EntryServices& aServices,
+                    UpstreamLease& aLease,
+                    const platform::UpstreamHead& aHead)
+{
+  auto& upstream = aLease.GetUpstream();
+  const auto& id = upstream.record.id;
+  if (aHead.leaving && !upstream.leaving) {
+    aServices.GetUpstreams().RecordLeave(upstream, aServices.Now());
+    aServices.MarkUseChanged();
+    aServices.GetLogger().Info("an upstream announced its exit",
+                               { { "upstream", id } });
+  }
+  if (aHead.pause) {
+    upstream.pausedUntil =
+      std::max(upstream.pausedUntil, aServices.Now() + *aHead.pause);
+    aServices.GetLogger().Info(
+      "an upstream asked for a pause",
+      { { "upstream", id },
+        { "pause_ms", std::to_string(aHead.pause->value) } });
+  }
+}
+
 // A success response without the upstream's stamp, or with an altered body, is
 // not the upstream's own and is not delivered.
 bool
@@ -114,6 +138,7 @@
   }
   answer.fields = answer.stream->GetFields();
   answer.head = dialect.ReadHead(answer.stream->GetStatus(), answer.fields);
+  RecordUpstreamState(aServices, aLease, answer.head);
   if (answer.head.notRun) {
     answer.result = SendResult::NotRun;
     RecordNotRun(aServices, aLease, answer.head);
--- a/libs/platform/include/platform/RequestDialect.h
+++ b/libs/platform/include/platform/RequestDialect.h
@@ -57,6 +57,10 @@
   bool encoded = false;
   /** Version of the weights that served the request; 0: not given. */
   std::uint64_t version = 0;
+  /** The upstream exits soon and accepts no new work. */
+  bool leaving = false;
+  /** The upstream asks for no further requests for this long. */
+  std::optional<utils::Millis> pause;
 };
 
 /** Translates requests and answers between callers and upstreams; the port that
