Fleet: a log that is restored from an older copy

The adapter hands out the log's epoch with each page. Followers read anew at the first answer of a new epoch, also where offsets have passed their own; reports between processes carry the epoch, and the configuration's version, which never goes back. Nothing held goes back: configuration, named versions, upstreams that left or were removed. Members write their records again, spread over 3 s. Entries report leaves to each other. Updates apply before the first read of the directory, which an entry that the log refuses could not make.

A peer's record is compared by the configuration's version instead of its offset; the test of records without text states the newer version now, and is as strict.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+PeerPosition
+ReadPosition(const schema::EntryNotice& aNotice)
+{
+  return { aNotice.operator_end(),
+           aNotice.operator_epoch(),
+           aNotice.config_version() };
+}
+
+void
+FillPosition(const PeerPosition& aPosition, schema::EntryNotice& aNotice)
+{
+  aNotice.set_operator_end(aPosition.end);
+  aNotice.set_operator_epoch(aPosition.epoch);
+  aNotice.set_config_version(aPosition.configVersion);
+}
+
 ConfigFollower::ConfigFollower(platform::KeyedLog& aLog,
                                const platform::FleetCodecs& aCodecs,
                                const PollOptions& aOptions)
@@ -89,7 +105,7 @@
   std::unique_lock lock(mutex_);
   if (!options_.prefersPeers) {
     updateAvailable_.wait_for(
-      lock, options_.interval.ToChrono(), [this] { return peerEnd_ > end_; });
+      lock, options_.interval.ToChrono(), [this] { return IsPeerAhead(end_); });
     return;
   }
   while (GetAge() < options_.interval) {
@@ -98,37 +114,121 @@
 }
 
 void
-ConfigFollower::ApplyPeerEnd(std::uint64_t aEnd)
+ConfigFollower::ApplyPeerPosition(const PeerPosition& aPosition)
 {
-  peerEnd_ = std::max(peerEnd_, aEnd);
-  if (started_ && peerEnd_ > end_) {
+  peer_.configVersion = std::max(peer_.configVersion, aPosition.configVersion);
+  if (aPosition.epoch > peer_.epoch) {
+    peer_.epoch = aPosition.epoch;
+    peer_.end = aPosition.end;
+  } else if (aPosition.epoch == peer_.epoch) {
+    peer_.end = std::max(peer_.end, aPosition.end);
+  }
+  if (started_ && IsPeerAhead(end_)) {
     updateAvailable_.notify_all();
   }
 }
 
+PeerPosition
+ConfigFollower::GetPosition() const
+{
+  return { end_, epoch_, GetConfigVersion() };
+}
+
+// Offsets of an older epoch say nothing about this one.
+bool
+ConfigFollower::IsPeerAhead(std::uint64_t aEnd) const
+{
+  return peer_.epoch == epoch_ ? peer_.end > aEnd : peer_.epoch > epoch_;
+}
+
+// A restored log may lack a configuration that a peer holds; only its version
+// shows that.
+bool
+ConfigFollower::IsBehind() const
+{
+  return IsPeerAhead(std::max(end_, appliedPeerEnd_)) ||
+         peer_.configVersion > GetConfigVersion();
+}
+
+// Reads everything anew from a log that was restored from an older copy. What
+// this process holds stays in force. Records that no process has read before
+// the restore may be missing in the copy, so reads confirm nothing until the
+// operator had time to write them again.
+void
+ConfigFollower::BeginEpoch(std::uint64_t aEpoch)
+{
+  bool isRestored = epoch_ != 0;
+  epoch_ = aEpoch;
+  started_ = false;
+  end_ = 0;
+  appliedPeerEnd_ = 0;
+  if (!isRestored) {
+    return;
+  }
+  // A version that is first read now was named while this process ran.
+  hadReadFailure_ = true;
+  unconfirmedUntil_ = clock_.Now() + options_.rewriteTime;
+  logger_.Warn("the log was restored from an older copy",
+               { { "epoch", std::to_string(aEpoch) },
+                 { "config", std::to_string(GetConfigVersion()) },
+                 { "age_ms", std::to_string(GetAge().value) } });
+}
+
+// While nothing is confirmed after a restore of the log, reads end with that
+// time, and the first one after it is answered at once.
+Millis
+ConfigFollower::GetReadWait(Millis aNow) const
+{
+  bool isConfirmed = confirmedAt_ && *confirmedAt_ >= unconfirmedUntil_;
+  auto untilConfirmed = std::max(unconfirmedUntil_ - aNow, Millis(0));
+  return isConfirmed ? options_.wait : std::min(options_.wait, untilConfirmed);
+}
+
 bool
 ConfigFollower::Poll()
 {
   // An answer confirms the state of the log at the time of the request.
   auto sentAt = clock_.Now();
   utils::Error reason;
-  auto page = started_ ? log_.Read(Topic::Operator, end_, options_.wait, reason)
-                       : log_.ReadNewest(Topic::Operator, reason);
+  auto page = started_
+                ? log_.Read(Topic::Operator, end_, GetReadWait(sentAt), reason)
+                : log_.ReadNewest(Topic::Operator, reason);
   RecordLogResult(page.has_value(), reason);
   if (!page) {
     started_ = started_ && reason.kind != utils::ErrorKind::LogTrimmed;
     return false;
   }
   backoff_.Reset();
-  std::ranges::for_each(page->records,
+  bool isNewEpoch = page->epoch != epoch_;
+  bool isIncomplete = isNewEpoch && started_;
+  if (isNewEpoch) {
+    BeginEpoch(page->epoch);
+  }
+  if (isIncomplete) {
+    return Poll();
+  }
+  ApplyPage(*page, sentAt);
+  return true;
+}
+
+void
+ConfigFollower::ApplyPage(const platform::KeyedPage& aPage, Millis aSentAt)
+{
+  auto versionBefore = GetConfigVersion();
+  std::ranges::for_each(aPage.records,
                         [this](const auto& aRecord) { Apply(aRecord); });
-  end_ = std::max(end_, page->end);
-  confirmedAt_ = std::max(confirmedAt_.value_or(sentAt), sentAt);
+  end_ = std::max(end_, aPage.end);
   started_ = true;
-  if (onChange_ && !page->records.empty()) {
+  // A newer configuration shows that the operator has written again.
+  if (GetConfigVersion() > versionBefore) {
+    unconfirmedUntil_ = aSentAt;
+  }
+  if (aSentAt >= unconfirmedUntil_) {
+    confirmedAt_ = std::max(confirmedAt_.value_or(aSentAt), aSentAt);
+  }
+  if (onChange_ && !aPage.records.empty()) {
     onChange_();
   }
-  return true;
 }
 
 void
@@ -160,17 +260,18 @@
   }
 }
 
-void
+std::uint64_t
 ConfigFollower::ApplyConfig(const std::string& aText, std::uint64_t aOffset)
 {
   utils::Error reason;
   auto config = codecs_.parseConfig(aText, reason);
   if (!config) {
     logger_.Report(reason, { { "offset", std::to_string(aOffset) } });
-    return;
+    return 0;
   }
-  if (config_ && config->version <= config_->version) {
-    return;
+  auto version = config->version;
+  if (config_ && version <= config_->version) {
+    return version;
   }
   logger_.Info("configuration in force",
                { { "version", std::to_string(config->version) },
@@ -179,6 +280,7 @@
   text_ = aText;
   offset_ = aOffset;
   config_ = std::make_shared<const platform::FleetConfig>(std::move(*config));
+  return version;
 }
 
 void
@@ -281,6 +383,8 @@
   }
   record.set_offset(offset_);
   record.set_end(std::max(end_, appliedPeerEnd_));
+  record.set_epoch(epoch_);
+  record.set_config_version(config_->version);
   record.set_age_ms(static_cast<std::uint64_t>(GetAge().value));
   for (const auto& [model, versions] : versions_) {
     for (const auto& named : versions) {
@@ -317,20 +421,20 @@
     }
     AddVersion(row.model(), named);
   }
-  appliedPeerEnd_ = std::max(appliedPeerEnd_, aRecord.end());
+  if (aRecord.epoch() > epoch_) {
+    BeginEpoch(aRecord.epoch());
+  }
+  if (aRecord.epoch() == epoch_) {
+    appliedPeerEnd_ = std::max(appliedPeerEnd_, aRecord.end());
+  }
+  auto version = aRecord.config().empty()
+                   ? aRecord.config_version()
+                   : ApplyConfig(aRecord.config(), aRecord.offset());
+  // The peer's record doesn't confirm a newer configuration, which was read
+  // after the record was made, nor an older one.
   auto confirmedAt = timeOfAge(aRecord.age_ms());
-  if (!confirmedAt_ || confirmedAt > *confirmedAt_) {
-    bool hasText = !aRecord.config().empty();
-    if (hasText) {
-      ApplyConfig(aRecord.config(), aRecord.offset());
-    }
-    // The peer's record doesn't confirm a configuration that was read from the
-    // log after the record was made. A record without text doesn't confirm a
-    // configuration older than its own.
-    if (config_ && (offset_ == aRecord.offset() ||
-                    (hasText && offset_ < aRecord.offset()))) {
-      confirmedAt_ = confirmedAt;
-    }
+  if (version > 0 && version == GetConfigVersion()) {
+    confirmedAt_ = std::max(confirmedAt_.value_or(confirmedAt), confirmedAt);
   }
   if (config_) {
     updateAvailable_.notify_all();
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -39,10 +39,29 @@
   bool observedLive = false;
 };
 
+/** How far a peer has read the operator's topic. */
+struct PeerPosition
+{
+  /** Offset after the last record, and the epoch of the log that it counts in.
+   */
+  std::uint64_t end = 0;
+  std::uint64_t epoch = 0;
+  /** Version of the configuration that the peer holds; 0: none. */
+  std::uint64_t configVersion = 0;
+
+  bool operator==(const PeerPosition&) const = default;
+};
+
+/** The position that an entry's notice reports, and the reverse. */
+PeerPosition
+ReadPosition(const schema::EntryNotice& aNotice);
+void
+FillPosition(const PeerPosition& aPosition, schema::EntryNotice& aNotice);
+
 /**
  * Follows the operator's topic: the configuration in force and the versions
- * that are named. Neither moves backwards during the life of the process. Used
- * by one thread.
+ * that are named. Neither moves backwards during the life of the process, also
+ * if the log is restored from an older copy. Used by one thread.
  */
 class ConfigFollower
 {
@@ -65,6 +84,12 @@
     bool prefersPeers = false;
     /** Upper bound of the backoff between reads that fail. */
     utils::Millis maxBackoff;
+    /**
+     * After the log was restored from an older copy, the operator writes again
+     * what the copy lacks. Within this time a read doesn't confirm that there
+     * is no newer configuration.
+     */
+    utils::Millis rewriteTime;
   };
 
   ConfigFollower(platform::KeyedLog& aLog,
@@ -81,13 +106,13 @@
   bool Poll();
 
   /**
-   * Applies a peer's report that it has read up to offset aEnd: if the offset
-   * is new, a waiting follower reads at once, unless it prefers peers.
+   * Applies a peer's report of its position: if it is ahead, a waiting follower
+   * reads at once, unless it prefers peers.
    */
-  void ApplyPeerEnd(std::uint64_t aEnd);
+  void ApplyPeerPosition(const PeerPosition& aPosition);
 
-  /** Offset after the last record that this process read from the topic. */
-  std::uint64_t GetEnd() const { return end_; }
+  /** This process's position, for its peers. */
+  PeerPosition GetPosition() const;
 
   /** Null until the first configuration is received. */
   std::shared_ptr<const platform::FleetConfig> GetConfig() const
@@ -127,8 +152,11 @@
    */
   std::optional<schema::OperatorRecord> MakeRecord(bool aWithText = true) const;
 
-  /** Offset of the configuration in force. */
-  std::uint64_t GetOffset() const { return offset_; }
+  /** Version of the configuration in force; 0: none. */
+  std::uint64_t GetConfigVersion() const
+  {
+    return config_ ? config_->version : 0;
+  }
 
   /**
    * Applies the record of a peer that was made aDelay ago. Only what is newer,
@@ -141,15 +169,20 @@
    * Whether a peer has read further than this process and the records that it
    * applied.
    */
-  bool IsBehind() const { return peerEnd_ > std::max(end_, appliedPeerEnd_); }
+  bool IsBehind() const;
 
 private:
   void Loop();
   void WaitForPeers();
   void WaitForUpdate();
   void BackOff();
+  utils::Millis GetReadWait(utils::Millis aNow) const;
+  bool IsPeerAhead(std::uint64_t aEnd) const;
+  void BeginEpoch(std::uint64_t aEpoch);
+  void ApplyPage(const platform::KeyedPage& aPage, utils::Millis aSentAt);
   void Apply(const platform::KeyedRecord& aRecord);
-  void ApplyConfig(const std::string& aText, std::uint64_t aOffset);
+  /** Returns the text's version, also if it is not newer; 0: unreadable. */
+  std::uint64_t ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
   void AddVersion(const std::string& aModel, const NamedVersion& aNamed);
   void RecordLogResult(bool aAvailable, const utils::Error& aReason);
@@ -175,7 +208,11 @@
   bool hadReadFailure_ = false;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable updateAvailable_;
-  std::uint64_t peerEnd_ = 0;
+  /** Epoch of the log in which end_ and offset_ count; 0: not stated. */
+  std::uint64_t epoch_ = 0;
+  /** Until then reads don't confirm the configuration; see BeginEpoch. */
+  utils::Millis unconfirmedUntil_;
+  PeerPosition peer_;
   /** How far the sender of the last applied record had read. */
   std::uint64_t appliedPeerEnd_ = 0;
 };
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -114,20 +114,20 @@
                  { "end", std::to_string(record.end()) },
                  { "age_ms", std::to_string(record.age_ms()) } });
   config_.ApplyPeerRecord(record, clock_.Now() - requestedAt);
-  ScheduleTextFetch(record.offset());
+  ScheduleTextFetch(record.config_version());
 }
 
 void
-ConfigSharing::ScheduleTextFetch(std::uint64_t aOffset)
+ConfigSharing::ScheduleTextFetch(std::uint64_t aVersion)
 {
   bool hasConfig = config_.GetConfig() != nullptr;
-  if (hasConfig && aOffset <= config_.GetOffset()) {
+  if (hasConfig && aVersion <= config_.GetConfigVersion()) {
     textDueAt_.reset();
   } else if (!hasConfig) {
     textDueAt_ = clock_.Now();
   } else if (!textDueAt_) {
     auto delay =
-      utils::StableHash(peers_.GetOwnEndpoint().ToString(), aOffset) %
+      utils::StableHash(peers_.GetOwnEndpoint().ToString(), aVersion) %
       static_cast<std::uint64_t>(options_.textDelay.value + 1);
     textDueAt_ = clock_.Now() + Millis(static_cast<std::int64_t>(delay));
   }
--- a/libs/fleet/src/ConfigSharing.h
+++ b/libs/fleet/src/ConfigSharing.h
@@ -48,7 +48,7 @@
   void Loop();
   std::optional<Peer> PickEntry();
   void FetchFrom(const Peer& aPeer, bool aWithText);
-  void ScheduleTextFetch(std::uint64_t aOffset);
+  void ScheduleTextFetch(std::uint64_t aVersion);
 
   net::HttpClient& client_;
   ConfigFollower& config_;
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -40,6 +40,9 @@
 // Running upstreams register again within about two seconds of the log's
 // recovery.
 constexpr Millis kReregistrationGrace(2500);
+// Time for which removed upstreams are remembered. A copy from which the log is
+// restored is at most some seconds old.
+constexpr Millis kRemovalMemory(60000);
 
 } // namespace
 
@@ -136,8 +139,20 @@
   if (!page) {
     return false;
   }
+  bool isRestored = page->epoch != epoch_ && BeginEpoch(page->epoch);
+  if (isRestored) {
+    std::erase_if(page->records,
+                  [this](const auto& aRecord) { return WasRemoved(aRecord); });
+  }
+  ApplyAll(*page);
+  return true;
+}
+
+void
+DirectoryFollower::ApplyAll(const platform::KeyedPage& aPage)
+{
   std::set<std::string> listed;
-  for (const auto& record : page->records) {
+  for (const auto& record : aPage.records) {
     Apply(record);
     listed.insert(record.key);
   }
@@ -146,9 +161,38 @@
       Remove(aId, false);
     }
   });
-  end_ = page->end;
+  end_ = aPage.end;
   started_ = true;
-  return true;
+}
+
+// True if the log was restored from an older copy. Upstreams that registered
+// since the copy are missing in it and write their entries again, as after an
+// outage.
+bool
+DirectoryFollower::BeginEpoch(std::uint64_t aEpoch)
+{
+  bool isRestored = epoch_ != 0;
+  epoch_ = aEpoch;
+  if (isRestored) {
+    graceUntil_ = clock_.Now() + kReregistrationGrace;
+    logger_.Warn("the log was restored from an older copy",
+                 { { "epoch", std::to_string(aEpoch) } });
+  }
+  return isRestored;
+}
+
+// Whether the record is of an incarnation that has been removed since the copy
+// was made. If it runs after all, its next heartbeat adds it again.
+bool
+DirectoryFollower::WasRemoved(const platform::KeyedRecord& aRecord) const
+{
+  auto removal = removed_.find(aRecord.key);
+  if (removal == removed_.end()) {
+    return false;
+  }
+  utils::Error ignored;
+  auto upstream = codecs_.parseUpstream(aRecord.key, aRecord.value, ignored);
+  return upstream && upstream->startedMs == removal->second.startedMs;
 }
 
 bool
@@ -166,6 +210,10 @@
   if (!page) {
     return false;
   }
+  if (page->epoch != epoch_) {
+    started_ = false;
+    return ReadAll();
+  }
   std::vector<platform::KeyedRecord> changes;
   for (const auto& record : page->records) {
     // An update of another entry may have been applied while the read waited.
@@ -191,6 +239,7 @@
   }
   schema::DirectoryNews update;
   update.set_from(aFrom);
+  update.set_epoch(epoch_);
   for (const auto& record : aChanges) {
     auto size = update.ByteSizeLong() + record.key.size() + record.value.size();
     if (update.records_size() > 0 && size > kMaxUpdateBytes) {
@@ -198,6 +247,7 @@
       onUpdate_(update);
       update.Clear();
       update.set_from(record.offset);
+      update.set_epoch(epoch_);
     }
     auto& row = *update.add_records();
     row.set_key(record.key);
@@ -212,23 +262,27 @@
 void
 DirectoryFollower::ApplyUpdate(const schema::DirectoryNews& aUpdate)
 {
-  if (!started_ || aUpdate.end() < end_) {
+  bool isComparable = started_ && aUpdate.epoch() == epoch_;
+  bool isOutdated =
+    aUpdate.epoch() < epoch_ || (isComparable && aUpdate.end() < end_);
+  if (isOutdated) {
     return;
   }
   // All entries read within this time, so the log was unavailable to all of
   // them.
-  if (clock_.Now() - *confirmedAt_ > kOutageThreshold) {
+  if (confirmedAt_ && clock_.Now() - *confirmedAt_ > kOutageThreshold) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
   }
   for (const auto& row : aUpdate.records()) {
-    if (row.offset() >= end_) {
+    if (!isComparable || row.offset() >= end_) {
       Apply({ row.key(), row.value(), row.offset(), row.dropped() });
     }
   }
-  // After a gap the update isn't complete, but its records are still valid, and
-  // an entry that the log refuses can't read the missing ones. The next read
-  // starts at the gap and includes these records again.
-  bool hasGap = aUpdate.from() > end_;
+  // After a gap, or a restore of the log, the update isn't complete, but its
+  // records are still valid, and an entry that the log refuses can't read the
+  // missing ones. The next read starts at the gap and includes these records
+  // again.
+  bool hasGap = !isComparable || aUpdate.from() > end_;
   missedUpdate_ = missedUpdate_ || hasGap;
   if (!hasGap) {
     end_ = aUpdate.end();
@@ -257,6 +311,7 @@
     return Remove(aRecord.key, true);
   }
   bool reappeared = missing_.erase(aRecord.key) > 0;
+  registry_.SetInDoubt(aRecord.key, false);
   auto existing = registry_.Find(aRecord.key);
   if (existing && existing->record == *upstream) {
     return reappeared;
@@ -281,6 +336,9 @@
   if (!registry_.Find(aId)) {
     return false;
   }
+  // Whether the upstream has left or its entry has expired can't be
+  // distinguished.
+  registry_.SetInDoubt(aId, true);
   missing_.try_emplace(aId, aImmediately ? clock_.Now() : graceUntil_);
   return true;
 }
@@ -295,9 +353,16 @@
       continue;
     }
     logger_.Info("upstream gone", { { "id", row->first } });
+    auto state = registry_.Find(row->first);
+    if (state) {
+      removed_[row->first] = { state->record.startedMs, now };
+    }
     registry_.Remove(row->first);
     row = missing_.erase(row);
   }
+  std::erase_if(removed_, [now](const auto& aRow) {
+    return now - aRow.second.at > kRemovalMemory;
+  });
 }
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -21,8 +21,9 @@
 
 /**
  * Keeps an UpstreamRegistry in line with the platform's directory. Upstreams
- * whose entries expired while the log was unavailable stay registered until
- * they have had time to register again. Used by one thread.
+ * whose entries expired while the log was unavailable, or are missing after it
+ * was restored from an older copy, stay registered until they have had time to
+ * register again. Used by one thread.
  */
 class DirectoryFollower
 {
@@ -65,6 +66,9 @@
   void Loop();
   utils::Millis GetNextReadTime() const;
   bool ReadAll();
+  void ApplyAll(const platform::KeyedPage& aPage);
+  bool BeginEpoch(std::uint64_t aEpoch);
+  bool WasRemoved(const platform::KeyedRecord& aRecord) const;
   bool ReadChanges(utils::Millis aWait);
   void PublishUpdate(std::uint64_t aFrom,
                      std::uint64_t aEnd,
@@ -90,6 +94,8 @@
   bool missedUpdate_ = false;
   bool started_ = false;
   std::uint64_t end_ = 0;
+  /** Epoch of the log in which end_ counts; 0: not stated. */
+  std::uint64_t epoch_ = 0;
   bool logAvailable_ = true;
   /**
    * Until then a dropped entry may belong to an upstream that registers again.
@@ -97,6 +103,13 @@
   utils::Millis graceUntil_;
   /** Upstreams without an entry, and when each is removed. */
   std::map<std::string, utils::Millis> missing_;
+  /** An upstream that was removed, by its id. */
+  struct Removal
+  {
+    std::int64_t startedMs = 0;
+    utils::Millis at;
+  };
+  std::map<std::string, Removal> removed_;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -39,13 +39,15 @@
 constexpr Millis kOperatorEndInterval(1000);
 // The requests of an entry that sent no notice for this long no longer count.
 constexpr Millis kEntryTimeout(1500);
-constexpr Millis kCrashRepeat(2000);
+// Crashes and leaves of upstreams are reported in all notices for this long.
+constexpr Millis kEventRepeat(2000);
 // The balancer checks readiness each second and removes an entry after two
 // failed checks.
 constexpr Millis kUnreadyDelay(2200);
 // Share of the grace period in which running requests may finish.
 constexpr double kGraceShare = 0.9;
 constexpr Millis kDrainPoll(20);
+constexpr Millis kCloseDelay(100);
 constexpr Millis kLogInterval(250);
 // Other entries are asked for the configuration once it is older than this
 // share of the time for which an API key may be accepted without confirmation.
@@ -123,7 +125,7 @@
   void AddUses(PeerGroup& aGroup, schema::EntryNotice& aEntry);
   void AddEvents(const PeerGroup& aGroup, schema::EntryNotice& aEntry);
   void SendDirectoryUpdate(const schema::DirectoryNews& aUpdate);
-  void NotifySides(std::uint64_t aEnd);
+  void NotifySides(const PeerPosition& aPosition);
   void ExpireEntries();
   void UpdateRanks();
   void HandleNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
@@ -148,8 +150,8 @@
     { PeerScope::RemoteRegion, kRemoteNoticeInterval, false, {}, {}, {} },
   } };
   std::map<std::string, ActiveEntry> activeEntries;
-  /** End of the operator's topic that the sides were last notified of. */
-  std::uint64_t notifiedEnd = 0;
+  /** Position in the operator's topic that the sides were last notified of. */
+  PeerPosition notifiedPosition;
   Millis sidesNotifiedAt;
   bool draining = false;
   bool wasReady = false;
@@ -197,6 +199,8 @@
   auto end = clock.Now() + Scale(impl.settings.bounds.grace, kGraceShare);
   net::Runtime::Sleep(kUnreadyDelay);
   impl.callerServer->Close();
+  // The server first has to accept the connections that wait for it.
+  net::Runtime::Sleep(kCloseDelay);
   while (impl.callerServer->GetActiveCount() > 0 && clock.Now() < end) {
     net::Runtime::Sleep(kDrainPoll);
   }
@@ -286,11 +290,11 @@
       }
     }
     ExpireEntries();
-    auto end = services.GetConfig().GetEnd();
-    if (end != notifiedEnd ||
+    auto position = services.GetConfig().GetPosition();
+    if (position != notifiedPosition ||
         services.Now() - sidesNotifiedAt >= kOperatorEndInterval) {
       services.MarkUseChanged();
-      NotifySides(end);
+      NotifySides(position);
     }
   }
 }
@@ -338,13 +342,18 @@
 {
   // An entry whose read of the log lost its answer still has to receive a new
   // version in time.
-  aEntry.set_operator_end(services.GetConfig().GetEnd());
-  auto since = services.Now() - kCrashRepeat;
+  FillPosition(services.GetConfig().GetPosition(), aEntry);
+  auto since = services.Now() - kEventRepeat;
   for (const auto& crash : services.GetCrashes().ListSince(since)) {
     auto& report = *aEntry.add_crashes();
     report.set_request(crash.request);
     report.set_upstream(crash.upstream);
   }
+  for (const auto& state : services.GetUpstreams().ListLeavingSince(since)) {
+    auto& report = *aEntry.add_leaving();
+    report.set_upstream(state->hash);
+    report.set_started_ms(state->record.startedMs);
+  }
   if (aGroup.scope == PeerScope::RemoteRegion) {
     return;
   }
@@ -367,12 +376,12 @@
 }
 
 void
-Entry::Impl::NotifySides(std::uint64_t aEnd)
+Entry::Impl::NotifySides(const PeerPosition& aPosition)
 {
-  notifiedEnd = aEnd;
+  notifiedPosition = aPosition;
   sidesNotifiedAt = services.Now();
   schema::FleetNotice notice;
-  notice.mutable_entry()->set_operator_end(aEnd);
+  FillPosition(aPosition, *notice.mutable_entry());
   peers.Send(PeerRole::Side, notice);
 }
 
@@ -442,7 +451,10 @@
   if (isNew) {
     UpdateRanks();
   }
-  services.GetConfig().ApplyPeerEnd(aNotice.operator_end());
+  services.GetConfig().ApplyPeerPosition(ReadPosition(aNotice));
+  for (const auto& leave : aNotice.leaving()) {
+    services.GetUpstreams().ApplyLeave(leave.upstream(), leave.started_ms());
+  }
   if (aNotice.has_directory()) {
     directory.ApplyUpdate(aNotice.directory());
   }
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -7,6 +7,7 @@
 #include <schema/Json.h>
 #include <telemetry/Metrics.h>
 #include <utils/Backoff.h>
+#include <utils/Hash.h>
 
 namespace waxwingyoke::fleet {
 
@@ -36,6 +37,10 @@
 // again after it. Each read is charged, so only entries, which are few, do
 // this.
 constexpr Millis kFirstMembersInterval(1500);
+// Interval of checks whether the log was restored from an older copy.
+constexpr Millis kEpochPollInterval(500);
+// The records that such a copy lacks are written again within this time.
+constexpr Millis kReregisterSpread(3000);
 // A hello may be lost, and a process may restart without its list of peers: a
 // few hellos are sent in quick succession, then they are repeated.
 constexpr int kFirstHellos = 3;
@@ -119,9 +124,34 @@
   return member;
 }
 
+std::uint64_t
+PeerLink::GetLogEpoch() const
+{
+  return std::max(log_.GetEpoch(), peerLogEpoch_);
+}
+
+// Each process sleeps for another time before it registers again, so that they
+// don't write all at once.
+void
+PeerLink::SleepInEpoch(Millis aTime)
+{
+  auto end = clock_.Now() + aTime;
+  while (clock_.Now() < end) {
+    net::Runtime::Sleep(std::min(end - clock_.Now(), kEpochPollInterval));
+    if (GetLogEpoch() > registeredEpoch_) {
+      auto delay = utils::StableHash(settings_.vm, GetLogEpoch()) %
+                   static_cast<std::uint64_t>(kReregisterSpread.value);
+      net::Runtime::Sleep(Millis(static_cast<std::int64_t>(delay)));
+      Register();
+      return;
+    }
+  }
+}
+
 void
 PeerLink::Register()
 {
+  auto epochBefore = GetLogEpoch();
   utils::Error reason;
   auto key = settings_.vm + "/" + std::string(GetName(role_));
   utils::Backoff backoff(kPauseAfterFailure, kLongestPause);
@@ -130,6 +160,7 @@
     logger_.Report(reason, { { "step", "register" } });
     net::Runtime::Sleep(backoff.NextDelay());
   }
+  registeredEpoch_ = std::max(log_.GetEpoch(), epochBefore);
 }
 
 void
@@ -138,6 +169,7 @@
   Register();
   bool started = false;
   std::uint64_t end = 0;
+  std::uint64_t epoch = 0;
   utils::Backoff backoff(kPauseAfterFailure, kLongestPause);
   while (true) {
     utils::Error reason;
@@ -149,6 +181,12 @@
       continue;
     }
     backoff.Reset();
+    bool isIncomplete = started && page->epoch != epoch;
+    epoch = page->epoch;
+    if (isIncomplete) {
+      started = false;
+      continue;
+    }
     bool first = !std::exchange(started, true);
     end = page->end;
     std::ranges::for_each(page->records,
@@ -157,8 +195,7 @@
       SendHello();
     }
     bool readsAgainSoon = first && role_ == PeerRole::Entry;
-    net::Runtime::Sleep(readsAgainSoon ? kFirstMembersInterval
-                                       : kMembersInterval);
+    SleepInEpoch(readsAgainSoon ? kFirstMembersInterval : kMembersInterval);
   }
 }
 
@@ -223,6 +260,7 @@
   aNotice.set_vm(settings_.vm);
   aNotice.set_started_ms(startedMs_);
   aNotice.set_sequence(++sequence_);
+  aNotice.set_log_epoch(GetLogEpoch());
 }
 
 void
@@ -286,6 +324,7 @@
     sBroken.Add();
     return;
   }
+  peerLogEpoch_ = std::max(peerLogEpoch_, notice.log_epoch());
   auto row = std::ranges::find_if(peers_, [&aFrom](const auto& aRow) {
     return aRow.second.endpoint == aFrom;
   });
--- a/libs/fleet/src/PeerLink.h
+++ b/libs/fleet/src/PeerLink.h
@@ -96,6 +96,9 @@
   void HelloLoop();
   void SendHello();
   void Register();
+  /** Sleeps for aTime, or until the log turns out to have been restored. */
+  void SleepInEpoch(utils::Millis aTime);
+  std::uint64_t GetLogEpoch() const;
   schema::FleetMember MakeMember() const;
   void SendToAll(schema::FleetNotice& aNotice);
   void FillSender(schema::FleetNotice& aNotice);
@@ -110,6 +113,10 @@
   net::Endpoint ownEndpoint_;
   std::uint64_t startedMs_;
   std::uint64_t sequence_ = 0;
+  /** The newest epoch of the log that peers have reported. */
+  std::uint64_t peerLogEpoch_ = 0;
+  /** Epoch in which this process's own record was last written. */
+  std::uint64_t registeredEpoch_ = 0;
   Handler handler_;
   std::unique_ptr<net::DatagramSocket> socket_;
   std::map<std::string, Peer> peers_;
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -73,7 +73,7 @@
     , upstream(aUpstream)
     , config(aPorts.log,
              aPorts.codecs,
-             { Millis(0), kConfigInterval, true, kLongestPause })
+             { Millis(0), kConfigInterval, true, kLongestPause, Millis(0) })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , sharing(aPorts.client,
               config,
@@ -185,7 +185,7 @@
 Side::Impl::HandleNotice(const Peer& aFrom, const schema::FleetNotice& aNotice)
 {
   if (aNotice.has_entry()) {
-    config.ApplyPeerEnd(aNotice.entry().operator_end());
+    config.ApplyPeerPosition(ReadPosition(aNotice.entry()));
   }
   if (!aNotice.has_side()) {
     return;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -96,6 +96,8 @@
     }
     platform::Upstream upstream;
     upstream.id = aId;
+    upstream.service = "service";
+    upstream.startedMs = 1;
     upstream.draining = aText == "draining";
     return upstream;
   };
@@ -159,7 +161,7 @@
     named.set_learnt_live(true);
     return record;
   };
-  follower.ApplyPeerEnd(6);
+  follower.ApplyPeerPosition({ 6 });
   CHECK(follower.IsBehind());
   follower.ApplyPeerRecord(makeRecord(1400), Millis(100));
   CHECK_FALSE(follower.IsBehind());
@@ -418,6 +420,7 @@
   auto newer = *same;
   newer.set_offset(7);
   newer.set_end(8);
+  newer.set_config_version(6);
   utils::Clock clock;
   auto before = receiver.GetAge();
   while (receiver.GetAge() == before) {
@@ -464,7 +467,7 @@
   log.changes = MakePage({ { "m", "2", 1, false } }, 2);
   REQUIRE(sender.Poll());
   CHECK_FALSE(receiver.IsBehind());
-  receiver.ApplyPeerEnd(sender.GetEnd());
+  receiver.ApplyPeerPosition(sender.GetPosition());
   CHECK(receiver.IsBehind());
   // The record is 600 ms old: the limit counts from the sender's time.
   receiver.ApplyPeerRecord(*sender.MakeRecord(), Millis(600));
@@ -502,3 +505,194 @@
   REQUIRE(follower.Poll());
   CHECK(registry.Find("b"));
 }
+
+// An entry that the log turned away can't tell an upstream that left from one
+// whose entry expired. Holding it must not mean sending to it.
+TEST_CASE("an upstream that leaves around an entry's outage gets no new work")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "a", "ready", 0, false },
+                          { "b", "ready", 1, false },
+                          { "c", "ready", 2, false } },
+                        3);
+  dispatch::UpstreamRegistry registry;
+  Millis now(1000);
+  DirectoryFollower follower(
+    log, MakeCodecs(), registry, utils::Clock([&now] { return now; }));
+  REQUIRE(follower.Poll());
+  log.available = false;
+  now = now + Millis(4000);
+  CHECK_FALSE(follower.Poll());
+  log.available = true;
+  log.changes = MakePage({ { "a", "", 3, true } }, 4);
+  REQUIRE(follower.Poll());
+  CHECK(registry.Find("a"));
+  dispatch::PlacementQuery query;
+  query.service = "service";
+  query.excluded = { "b", "c" };
+  CHECK_FALSE(registry.FindFallbackPlacement(query, now));
+  // It registers again: its entry had only expired.
+  log.changes = MakePage({ { "a", "ready", 4, false } }, 5);
+  REQUIRE(follower.Poll());
+  CHECK(registry.FindFallbackPlacement(query, now));
+}
+
+// An entry whose first read fails for seconds still receives leaves.
+TEST_CASE("updates apply before the first read of the directory")
+{
+  ScriptedLog log;
+  log.available = false;
+  dispatch::UpstreamRegistry registry;
+  DirectoryFollower follower(log, MakeCodecs(), registry);
+  CHECK_FALSE(follower.Poll());
+  schema::DirectoryNews update;
+  update.set_from(5);
+  update.set_end(6);
+  auto& row = *update.add_records();
+  row.set_key("a");
+  row.set_value("ready");
+  row.set_offset(5);
+  follower.ApplyUpdate(update);
+  CHECK(registry.Find("a"));
+}
+
+TEST_CASE("restored log: the directory is read anew and brings nothing back")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "drained", "draining", 0, false },
+                          { "removed", "ready", 1, false },
+                          { "late", "ready", 2, false },
+                          { "kept", "ready", 3, false } },
+                        40);
+  log.newest.epoch = 1;
+  dispatch::UpstreamRegistry registry;
+  Millis now(1000);
+  DirectoryFollower follower(
+    log, MakeCodecs(), registry, utils::Clock([&now] { return now; }));
+  std::vector<schema::DirectoryNews> updates;
+  follower.OnUpdate(
+    [&updates](const auto& aUpdate) { updates.push_back(aUpdate); });
+  REQUIRE(follower.Poll());
+  log.changes = MakePage({ { "removed", "", 40, true } }, 41);
+  log.changes.epoch = 1;
+  REQUIRE(follower.Poll());
+  REQUIRE_FALSE(registry.Find("removed"));
+  auto oldUpdate = updates.back();
+  // The copy's offsets have passed the old ones already, so that the read from
+  // the old end succeeds. "late" registered after the copy was made.
+  log.newest = MakePage({ { "drained", "ready", 0, false },
+                          { "removed", "ready", 1, false },
+                          { "kept", "ready", 3, false } },
+                        44);
+  log.newest.epoch = 2;
+  log.changes = MakePage({ { "kept", "ready", 43, false } }, 44);
+  log.changes.epoch = 2;
+  REQUIRE(follower.Poll());
+  dispatch::PlacementQuery query;
+  query.service = "service";
+  query.excluded = { "kept", "late" };
+  CHECK_FALSE(registry.Find("removed"));
+  CHECK(registry.Find("late"));
+  CHECK_FALSE(registry.FindFallbackPlacement(query, now));
+  // An update of the old epoch changes nothing, one of a newer epoch applies
+  // whatever its offsets.
+  auto& row = *oldUpdate.mutable_records(0);
+  row.set_key("kept");
+  row.set_offset(400);
+  oldUpdate.set_end(401);
+  follower.ApplyUpdate(oldUpdate);
+  now = now + Millis(100);
+  follower.ApplyUpdate(updates.back());
+  CHECK(registry.Find("kept"));
+  schema::DirectoryNews newUpdate;
+  newUpdate.set_epoch(3);
+  newUpdate.set_from(7);
+  newUpdate.set_end(8);
+  auto& newRow = *newUpdate.add_records();
+  newRow.set_key("kept");
+  newRow.set_value("draining");
+  newRow.set_offset(7);
+  follower.ApplyUpdate(newUpdate);
+  CHECK(registry.Find("kept")->record.draining);
+  // Upstreams that don't register again in time are removed, and one that runs
+  // after all comes back with its next heartbeat.
+  log.newest.epoch = 3;
+  log.newest.end = 8;
+  log.changes = MakePage({}, 8);
+  log.changes.epoch = 3;
+  REQUIRE(follower.Poll());
+  now = now + Millis(6000);
+  REQUIRE(follower.Poll());
+  CHECK_FALSE(registry.Find("late"));
+  log.changes = MakePage({ { "removed", "ready", 8, false } }, 9);
+  log.changes.epoch = 3;
+  REQUIRE(follower.Poll());
+  CHECK(registry.Find("removed"));
+}
+
+TEST_CASE("restored log: configuration and versions don't go back")
+{
+  ScriptedLog log;
+  log.newest =
+    MakePage({ { "config", "5", 8, false }, { "m", "3", 9, false } }, 10);
+  log.newest.epoch = 1;
+  ConfigFollower::PollOptions options;
+  options.rewriteTime = Millis(5000);
+  ConfigFollower follower(log, MakeCodecs(), options);
+  REQUIRE(follower.Poll());
+  REQUIRE(follower.GetAge() < Millis(1000));
+  auto oldRecord = *follower.MakeRecord();
+  // Offsets have passed the old ones: only the epoch shows the restore.
+  log.newest =
+    MakePage({ { "config", "4", 3, false }, { "m", "2", 4, false } }, 20);
+  log.newest.epoch = 2;
+  log.changes = MakePage({}, 20);
+  log.changes.epoch = 2;
+  utils::Clock clock;
+  auto start = clock.Now();
+  while (clock.Now() - start < Millis(20)) {
+  }
+  REQUIRE(follower.Poll());
+  CHECK(follower.GetConfig()->version == 5);
+  CHECK(follower.FindVersion("m")->version == 3);
+  CHECK(follower.GetPosition() == PeerPosition{ 20, 2, 5 });
+  // The copy doesn't show what was written and lost since the last read.
+  CHECK(follower.GetAge() >= Millis(20));
+  // A peer of the old epoch has read further, which is no reason to read.
+  follower.ApplyPeerPosition({ 900, 1, 5 });
+  CHECK_FALSE(follower.IsBehind());
+  // The operator writes again, at an offset that the old epoch had used.
+  log.changes = MakePage({ { "config", "6", 20, false } }, 21);
+  log.changes.epoch = 2;
+  REQUIRE(follower.Poll());
+  CHECK(follower.GetConfig()->version == 6);
+  CHECK(follower.GetAge() < Millis(20));
+  // A record made before the restore brings back neither.
+  follower.ApplyPeerRecord(oldRecord, Millis(0));
+  CHECK(follower.GetConfig()->version == 6);
+  CHECK(follower.GetPosition() == PeerPosition{ 21, 2, 6 });
+}
+
+// It reads an older configuration than the others hold, and can't know that a
+// key was revoked since.
+TEST_CASE(
+  "restored log: a process that starts later asks a peer that holds more")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "config", "4", 3, false } }, 10);
+  log.newest.epoch = 2;
+  ConfigFollower follower(log, MakeCodecs(), {});
+  REQUIRE(follower.Poll());
+  CHECK_FALSE(follower.IsBehind());
+  follower.ApplyPeerPosition({ 10, 2, 5 });
+  CHECK(follower.IsBehind());
+  schema::OperatorRecord record;
+  record.set_config("5");
+  record.set_config_version(5);
+  record.set_offset(8);
+  record.set_end(10);
+  record.set_epoch(2);
+  follower.ApplyPeerRecord(record, Millis(0));
+  CHECK(follower.GetConfig()->version == 5);
+  CHECK_FALSE(follower.IsBehind());
+}
--- a/libs/platform/include/platform/KeyedLog.h
+++ b/libs/platform/include/platform/KeyedLog.h
@@ -37,6 +37,12 @@
   std::vector<KeyedRecord> records;
   /** Offset at which the next read begins. */
   std::uint64_t end = 0;
+  /**
+   * Epoch of the log that answered; 0: not stated. It rises each time the log
+   * is restored from an older copy. Offsets compare only within an epoch, and
+   * records of the last seconds of the epoch before may be missing.
+   */
+  std::uint64_t epoch = 0;
 };
 
 /** Keyed topics of the platform's log; the port that adapters implement. */
@@ -63,6 +69,9 @@
                       const std::string& aKey,
                       const std::string& aValue,
                       utils::Error& aReason) = 0;
+
+  /** The newest epoch that any answer has stated; 0: none yet. */
+  virtual std::uint64_t GetEpoch() const { return 0; }
 };
 
 } // namespace waxwingyoke::platform
