Sides: an origin's recovery is noticed at once; orders state what they were decided on

Now one side of the origin's region probes every 150 ms, with any missing piece whatever its rank, and its announcement lets the others begin; ranks count from the recovery, so that other regions leave the origin's link to the nearest sides.

An order carries the number of orders that the upstream had accepted in the state that it was decided on. Of two processes of one VM around a hand-over the second one's order is refused (409) instead of loading again. The test needs the new parameter, so on the code before it does not compile.

--- a/libs/fleet/src/OriginHealth.cpp
+++ b/libs/fleet/src/OriginHealth.cpp
@@ -8,8 +8,11 @@
 
 using utils::Millis;
 
-// Every side retries an origin that does not answer. The pause grows with each
-// failure to limit the total number of requests.
+// Pause of the side that probes for its region. It delays the fleet's recovery
+// by its whole length.
+constexpr Millis kProbePause(150);
+// The other sides retry too, in case the prober can't reach the origin. Their
+// pause grows with each failure to limit the total number of requests.
 constexpr Millis kPause(250);
 constexpr Millis kLongestPause(1000);
 
@@ -28,8 +31,9 @@
   if (aSucceeded) {
     backoff_.Reset();
   } else {
-    failedAt_ = clock_.Now();
-    usableFrom_ = failedAt_ + backoff_.NextDelay();
+    ranksSince_ = clock_.Now();
+    auto pause = backoff_.NextDelay();
+    usableFrom_ = ranksSince_ + (isProber_ ? kProbePause : pause);
   }
   if (std::exchange(isAnswering_, aSucceeded) == aSucceeded) {
     return;
@@ -46,6 +50,7 @@
 OriginHealth::MarkUsable()
 {
   usableFrom_ = clock_.Now();
+  ranksSince_ = usableFrom_;
   backoff_.Reset();
 }
 
--- a/libs/fleet/src/OriginHealth.h
+++ b/libs/fleet/src/OriginHealth.h
@@ -10,7 +10,9 @@
 
 /**
  * Tracks whether the weight origin answers. After a failure it is not to be
- * used until a backoff pause has passed.
+ * used until a pause has passed: a short, constant one for the side that probes
+ * the origin for its region, a growing one for all others, which that side's
+ * announcements notify of the recovery.
  */
 class OriginHealth
 {
@@ -23,18 +25,24 @@
   /** Ends the backoff pause, as another side got an answer of the origin. */
   void MarkUsable();
 
+  void SetProber(bool aIsProber) { isProber_ = aIsProber; }
+
   bool IsAnswering() const { return isAnswering_; }
   bool IsUsable() const { return clock_.Now() >= usableFrom_; }
 
-  /** Time of the last failure; 0 if there was none. */
-  utils::Millis GetFailedAt() const { return failedAt_; }
+  /**
+   * Start of the time in which sides use the origin by rank: the last failure,
+   * or the recovery that another side announced; 0 if there was neither.
+   */
+  utils::Millis GetRanksSince() const { return ranksSince_; }
 
 private:
   utils::Clock clock_;
   utils::Backoff backoff_;
   bool isAnswering_ = true;
   utils::Millis usableFrom_;
-  utils::Millis failedAt_;
+  utils::Millis ranksSince_;
+  bool isProber_ = false;
   telemetry::Logger logger_{ "pieces" };
 };
 
--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -363,7 +363,7 @@
   AddSides(aTask, query);
   // Counted from the origin's last failure: otherwise all sides that became due
   // while it was unavailable would send their requests at once.
-  auto since = std::max(listWantedAt_, originHealth_.GetFailedAt());
+  auto since = std::max(listWantedAt_, originHealth_.GetRanksSince());
   return clock_.Now() - since >= GetListDelay(query, aVersion);
 }
 
@@ -378,9 +378,12 @@
   query.activeDownloads = downloads_;
   query.elapsed = clock_.Now() - startedAt_;
   query.originElapsed =
-    clock_.Now() - std::max(startedAt_, originHealth_.GetFailedAt());
+    clock_.Now() - std::max(startedAt_, originHealth_.GetRanksSince());
   query.originUsable = aTask.origin != nullptr && originHealth_.IsUsable();
   AddSides(aTask, query);
+  bool isProber = IsOriginProber(query, list.version);
+  originHealth_.SetProber(isProber);
+  query.probesOrigin = isProber && !originHealth_.IsAnswering();
   auto sides =
     std::accumulate(query.sides.begin(),
                     query.sides.end(),
--- a/libs/fleet/src/PiecePicker.cpp
+++ b/libs/fleet/src/PiecePicker.cpp
@@ -151,8 +151,9 @@
   }
   auto found = std::ranges::find_if(aQuery.missing, [&](std::uint32_t aPiece) {
     return !IsHeld(aQuery, aPiece, true) && !IsHeld(aQuery, aPiece, false) &&
-           aQuery.originElapsed >=
-             kOriginRankDelay * aQuery.ranks[aPiece].origin;
+           (aQuery.probesOrigin ||
+            aQuery.originElapsed >=
+              kOriginRankDelay * aQuery.ranks[aPiece].origin);
   });
   return found == aQuery.missing.end()
            ? std::nullopt
@@ -194,6 +195,22 @@
   return ranks;
 }
 
+bool
+IsOriginProber(const PickQuery& aQuery, std::uint64_t aVersion)
+{
+  bool isOriginRegionStaffed =
+    aQuery.isInOriginRegion ||
+    std::ranges::any_of(aQuery.sides, &PieceHolder::isInOriginRegion);
+  if (isOriginRegionStaffed && !aQuery.isInOriginRegion) {
+    return false;
+  }
+  auto ownOrder = utils::MixBits(aQuery.ownHash + aVersion);
+  return std::ranges::none_of(aQuery.sides, [&](const PieceHolder& aSide) {
+    return aSide.isInLocalRegion &&
+           utils::MixBits(aSide.hash + aVersion) < ownOrder;
+  });
+}
+
 // Ranks only the sides of one region: other regions receive announcements late,
 // and a list is small. The order differs by version.
 Millis
--- a/libs/fleet/src/PiecePicker.h
+++ b/libs/fleet/src/PiecePicker.h
@@ -62,6 +62,8 @@
   /** The version was named recently, so no side had it at that time. */
   bool isNew = false;
   bool originUsable = true;
+  /** This side finds out whether the origin has recovered, with any piece. */
+  bool probesOrigin = false;
 };
 
 struct PieceChoice
@@ -86,6 +88,13 @@
 std::vector<PieceRank>
 RankPieces(const PickQuery& aQuery, std::uint32_t aPieces);
 
+/**
+ * Whether this side is the one that probes an unavailable origin: one side in
+ * the origin's region, or in each region if there is none.
+ */
+bool
+IsOriginProber(const PickQuery& aQuery, std::uint64_t aVersion);
+
 /**
  * How long this side waits before it requests a version's piece list from the
  * origin. A few sides request it; the others get it from them meanwhile.
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -296,11 +296,15 @@
                  { { "pieces", std::to_string(store_.GetMissing().size()) } });
     return false;
   }
+  // Decided on this state of the upstream: if another process of this VM, such
+  // as one that it replaces, has ordered since, the order is refused.
+  auto expectedOrders = report_ ? report_->orders : 0;
   loading_ = Loading{ aTarget.version, clock_.Now() };
   onServing_();
   net::Runtime::Sleep(kAnnounceDelay);
   utils::Error reason;
-  auto result = upstream_.OrderLoad(aEngine.model, aTarget.version, reason);
+  auto result = upstream_.OrderLoad(
+    aEngine.model, aTarget.version, expectedOrders, reason);
   if (!result) {
     // The upstream may have accepted the order all the same; the next reports
     // show whether it did.
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -54,6 +54,7 @@
     return true;
   }
   std::optional<platform::OrderResult> OrderLoad(const std::string&,
+                                                 std::uint64_t,
                                                  std::uint64_t,
                                                  utils::Error&) override
   {
@@ -450,6 +451,81 @@
   CHECK(health.IsAnswering());
 }
 
+// Versions are named while the origin is unavailable, and the fleet serves
+// nothing once the old one's limit has passed. Each ms until a side notices the
+// recovery is lost for all.
+TEST_CASE("origin outage: one side probes often, the others back off")
+{
+  constexpr int kSides = 8;
+  auto vms = MakeVmNames(3 * kSides);
+  auto countProbers = [&](int aOwnRegion, int aOriginRegion) {
+    int probers = 0;
+    for (int own = aOwnRegion * kSides; own < (aOwnRegion + 1) * kSides;
+         ++own) {
+      PickQuery query;
+      query.ownVm = vms[own];
+      query.ownHash = utils::StableHash(vms[own]);
+      query.isInOriginRegion = aOwnRegion == aOriginRegion;
+      for (int other = 0; other < 3 * kSides; ++other) {
+        if (other != own) {
+          query.sides.push_back(
+            MakeSide(vms[other], {}, other / kSides == aOwnRegion));
+          query.sides.back().hash = utils::StableHash(vms[other]);
+          query.sides.back().isInOriginRegion =
+            other / kSides == aOriginRegion;
+        }
+      }
+      probers += IsOriginProber(query, 7) ? 1 : 0;
+    }
+    return probers;
+  };
+  CHECK(countProbers(1, 1) == 1);
+  CHECK(countProbers(0, 1) == 0);
+  // No side is in the origin's region: each region probes.
+  CHECK(countProbers(0, 5) == 1);
+  Millis now(1000);
+  utils::Clock clock([&now] { return now; });
+  OriginHealth prober(clock);
+  OriginHealth other(clock);
+  prober.SetProber(true);
+  utils::Error reason;
+  reason.Set(utils::ErrorKind::ConnectFailed, "refused");
+  for (int i = 0; i < 8; ++i) {
+    prober.RecordResult(false, reason);
+    other.RecordResult(false, reason);
+    now = now + Millis(200);
+    CHECK(prober.IsUsable());
+    CHECK_FALSE(other.IsUsable());
+    now = now + Millis(800);
+  }
+  // The prober has no piece to fetch at once by its ranks.
+  PickQuery query;
+  query.ownVm = vms[0];
+  query.isNew = true;
+  query.missing = { 5 };
+  query.sides = { MakeSide(vms[1], {}), MakeSide(vms[2], {}) };
+  query.ranks.assign(6, PieceRank{ 2, 2 });
+  query.remoteElapsed.assign(6, Millis(0));
+  CHECK_FALSE(PickPiece(query));
+  query.probesOrigin = true;
+  CHECK(PickPiece(query));
+}
+
+TEST_CASE("origin recovers: other regions leave its link to the nearest sides")
+{
+  Millis now(1000);
+  OriginHealth health(utils::Clock([&now] { return now; }));
+  utils::Error reason;
+  reason.Set(utils::ErrorKind::ConnectFailed, "refused");
+  health.RecordResult(false, reason);
+  now = now + Millis(2900);
+  // A side near the origin announces a piece. Ranks that counted from this
+  // side's own last request would let it take pieces that are on their way.
+  health.MarkUsable();
+  CHECK(health.IsUsable());
+  CHECK(health.GetRanksSince() == now);
+}
+
 TEST_CASE("cold fleet: a side fetches one piece at a time from the origin")
 {
   PickQuery query;
--- a/libs/platform/include/platform/UpstreamCalls.h
+++ b/libs/platform/include/platform/UpstreamCalls.h
@@ -63,6 +63,7 @@
    * first. */
   virtual std::optional<OrderResult> OrderLoad(const std::string& aModel,
                                                std::uint64_t aVersion,
+                                               std::uint64_t aExpectedOrders,
                                                utils::Error& aReason) = 0;
 };
 
