Entries: two readers of the configuration a region, directory read in batches

Now two entries a region read the topic and the others ask them, or read if they don't answer; the directory's reader pauses 0.2 s after each read. Notices to other regions are sent less often the more entries there are, up to 0.5 s.

Ruled out: confirming a configuration by datagrams, as their time on the way is not known and a revoked key's bound hangs on it; the request's round trip is part of the age.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -64,6 +64,7 @@
     WaitForPeers();
   }
   while (true) {
+    WaitUntilReadDue();
     auto before = end_;
     if (!Poll()) {
       BackOff();
@@ -75,6 +76,29 @@
   }
 }
 
+void
+ConfigFollower::SetReader(bool aIsReader)
+{
+  isReader_ = aIsReader;
+  updateAvailable_.notify_all();
+}
+
+bool
+ConfigFollower::IsReadDue() const
+{
+  return isReader_ || GetAge() >= options_.peersInterval;
+}
+
+void
+ConfigFollower::WaitUntilReadDue()
+{
+  std::unique_lock lock(mutex_);
+  while (!IsReadDue()) {
+    updateAvailable_.wait_for(lock,
+                              (options_.peersInterval - GetAge()).ToChrono());
+  }
+}
+
 void
 ConfigFollower::WaitForPeers()
 {
@@ -146,8 +170,7 @@
 bool
 ConfigFollower::IsBehind() const
 {
-  return IsPeerAhead(std::max(end_, appliedPeerEnd_)) ||
-         peer_.configVersion > GetConfigVersion();
+  return IsPeerAhead(std::max(end_, appliedPeerEnd_)) || IsConfigOutdated();
 }
 
 // Reads everything anew from a log that was restored from an older copy. What
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -82,6 +82,8 @@
      * interval.
      */
     bool prefersPeers = false;
+    /** The same interval for a process that SetReader told not to read. */
+    utils::Millis peersInterval;
     /** Upper bound of the backoff between reads that fail. */
     utils::Millis maxBackoff;
     /**
@@ -111,6 +113,24 @@
    */
   void ApplyPeerPosition(const PeerPosition& aPosition);
 
+  /**
+   * Whether this process reads the topic all the time, or relies on peers and
+   * reads only if they don't confirm the configuration. By default it reads.
+   */
+  void SetReader(bool aIsReader);
+
+  /**
+   * Whether a read is due now. Without it, peers are asked and the topic is not
+   * read.
+   */
+  bool IsReadDue() const;
+
+  /** Whether a peer holds a newer configuration. */
+  bool IsConfigOutdated() const
+  {
+    return peer_.configVersion > GetConfigVersion();
+  }
+
   /** This process's position, for its peers. */
   PeerPosition GetPosition() const;
 
@@ -175,6 +195,7 @@
   void Loop();
   void WaitForPeers();
   void WaitForUpdate();
+  void WaitUntilReadDue();
   void BackOff();
   utils::Millis GetReadWait(utils::Millis aNow) const;
   bool IsPeerAhead(std::uint64_t aEnd) const;
@@ -198,6 +219,7 @@
   std::uint64_t offset_ = 0;
   /** Versions by model, in ascending order. */
   std::map<std::string, std::vector<NamedVersion>> versions_;
+  bool isReader_ = true;
   bool started_ = false;
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -19,9 +19,21 @@
 constexpr Millis kRequestTimeout(400);
 // Covers a text of some hundred KB over this process's link.
 constexpr Millis kTextTimeout(2500);
+// Two, so that one that fails, or is cut off from the log, leaves another.
+constexpr std::size_t kReadersPerRegion = 2;
+// One request in so many goes to any entry, as the preferred ones may all fail.
+constexpr std::size_t kAnyEntryPeriod = 4;
 
 } // namespace
 
+std::vector<std::string>
+PickConfigReaders(std::vector<std::string> aVms)
+{
+  auto ranked = utils::RankMembers("config", std::move(aVms));
+  ranked.resize(std::min(ranked.size(), kReadersPerRegion));
+  return ranked;
+}
+
 ConfigSharing::ConfigSharing(net::HttpClient& aClient,
                              ConfigFollower& aConfig,
                              PeerLink& aPeers,
@@ -61,14 +73,16 @@
     bool textDue = textDueAt_ && clock_.Now() >= *textDueAt_;
     auto entry = needed || textDue ? PickEntry() : std::nullopt;
     if (entry) {
-      bool withText = textDue || options_.textDelay == Millis(0) ||
-                      config_.GetConfig() == nullptr;
+      bool withText =
+        textDue || config_.GetConfig() == nullptr ||
+        (options_.textDelay == Millis(0) && config_.IsConfigOutdated());
       FetchFrom(*entry, withText);
     }
   }
 }
 
-// Picks entries in rotation, only those of the own region if there are any.
+// Picks entries in rotation, only those of the own region if there are any, and
+// mostly the preferred ones.
 std::optional<Peer>
 ConfigSharing::PickEntry()
 {
@@ -80,6 +94,14 @@
   if (firstRemote != entries.begin()) {
     entries.erase(firstRemote, entries.end());
   }
+  auto firstOther =
+    std::partition(entries.begin(), entries.end(), [this](const Peer& aPeer) {
+      return std::ranges::find(preferredVms_, aPeer.vm) != preferredVms_.end();
+    });
+  bool isAnyDue = nextEntry_ % kAnyEntryPeriod == kAnyEntryPeriod - 1;
+  if (firstOther != entries.begin() && !isAnyDue) {
+    entries.erase(firstOther, entries.end());
+  }
   return entries.empty()
            ? std::nullopt
            : std::optional(entries[nextEntry_++ % entries.size()]);
--- a/libs/fleet/src/ConfigSharing.h
+++ b/libs/fleet/src/ConfigSharing.h
@@ -27,6 +27,14 @@
   utils::Millis textDelay;
 };
 
+/**
+ * The entries of one region that read the operator's topic, by rank; the others
+ * ask them. Each read is charged, and a region of many entries needs no more
+ * reads than one of few.
+ */
+std::vector<std::string>
+PickConfigReaders(std::vector<std::string> aVms);
+
 /**
  * Serves this process's state of the operator's topic to other processes, and
  * requests it from entries where the log doesn't answer. Used by one thread.
@@ -44,6 +52,12 @@
   /** Starts the loop that requests the state from entries when due. */
   void Start(net::Runtime& aRuntime);
 
+  /** Names the VMs of the entries to ask first; empty: any. */
+  void SetPreferred(std::vector<std::string> aVms)
+  {
+    preferredVms_ = std::move(aVms);
+  }
+
 private:
   void Loop();
   std::optional<Peer> PickEntry();
@@ -56,6 +70,7 @@
   SharingOptions options_;
   utils::Clock clock_;
   std::size_t nextEntry_ = 0;
+  std::vector<std::string> preferredVms_;
   /**
    * When to request the text of a newer configuration; empty if there is none.
    */
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -28,8 +28,11 @@
 constexpr Millis kOutageThreshold(2500);
 // Interval between two checks for upstreams to remove.
 constexpr Millis kExpiryPollInterval(150);
-// Delay after a read, so that changes in a row are read together.
-constexpr Millis kChangeBatchDelay(20);
+// Delay after a read, so that many records are read together: heartbeats of a
+// hundred upstreams would otherwise end each read as soon as it begins, and
+// reads are charged. Short beside the time in which a draining upstream must
+// get no more requests.
+constexpr Millis kChangeBatchDelay(200);
 // A lost answer must not use up a draining upstream's two seconds. Doubled with
 // each failure in a row, as failed reads are charged like others.
 constexpr Millis kInitialBackoff(40);
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -31,6 +31,10 @@
 // The same to entries of other regions. They send here only what their own
 // region has no free slots for, and traffic between regions is expensive.
 constexpr Millis kRemoteNoticeInterval(180);
+// Added up over the entries of other regions, so that what an entry sends to
+// them does not grow with their number; up to the longest interval.
+constexpr Millis kRemoteIntervalPerEntry(10);
+constexpr Millis kMaxRemoteInterval(500);
 // All counts are sent again after this time, so that the effect of a lost
 // notice ends.
 constexpr Millis kCompleteInterval(500);
@@ -52,6 +56,9 @@
 // Other entries are asked for the configuration once it is older than this
 // share of the time for which an API key may be accepted without confirmation.
 constexpr double kPeerFetchAgeShare = 0.4;
+// The same as a share of the time in which a configuration takes effect: beyond
+// that time an unknown route or key can't be denied.
+constexpr double kPeerFetchApplyShare = 0.75;
 // Longer than a successful read of the log takes, so that this read comes
 // before the first request to a peer.
 constexpr Millis kPeerFetchInterval(150);
@@ -107,12 +114,14 @@
     , services(aRuntime, aSettings, aPorts)
     , directory(aPorts.log, aPorts.codecs, services.GetUpstreams())
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Entry)
-    , sharing(aPorts.client,
-              services.GetConfig(),
-              peers,
-              { Scale(aSettings.bounds.revoke, kPeerFetchAgeShare),
-                kPeerFetchInterval,
-                Millis(0) })
+    , sharing(
+        aPorts.client,
+        services.GetConfig(),
+        peers,
+        { std::min(Scale(aSettings.bounds.revoke, kPeerFetchAgeShare),
+                   Scale(aSettings.bounds.configApply, kPeerFetchApplyShare)),
+          kPeerFetchInterval,
+          Millis(0) })
   {
   }
 
@@ -121,6 +130,7 @@
   bool IsReady() const;
   net::HttpLimits GetLimits();
   void NoticeLoop();
+  Millis GetRemoteInterval() const;
   void SendNotice(PeerGroup& aGroup);
   void AddUses(PeerGroup& aGroup, schema::EntryNotice& aEntry);
   void AddEvents(const PeerGroup& aGroup, schema::EntryNotice& aEntry);
@@ -128,6 +138,7 @@
   void NotifySides(const PeerPosition& aPosition);
   void ExpireEntries();
   void UpdateRanks();
+  void UpdateConfigReaders();
   void HandleNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
   void ApplyEntryNotice(const Peer& aFrom, const schema::EntryNotice& aNotice);
   void ApplySideNotice(const schema::SideNotice& aNotice);
@@ -276,11 +287,26 @@
   return limits;
 }
 
+Millis
+Entry::Impl::GetRemoteInterval() const
+{
+  auto remoteCount =
+    std::ranges::count_if(activeEntries, [this](const auto& aRow) {
+      return aRow.second.region != settings.region;
+    });
+  return std::clamp(kRemoteIntervalPerEntry * remoteCount,
+                    kRemoteNoticeInterval,
+                    kMaxRemoteInterval);
+}
+
 void
 Entry::Impl::NoticeLoop()
 {
+  auto& remote =
+    *std::ranges::find(peerGroups, PeerScope::RemoteRegion, &PeerGroup::scope);
   while (true) {
     net::Runtime::Sleep(kNoticeInterval);
+    remote.interval = GetRemoteInterval();
     bool changed = services.TakeUseChange();
     for (auto& peerGroup : peerGroups) {
       peerGroup.isDue = peerGroup.isDue || changed;
@@ -403,11 +429,30 @@
     std::max(activeEntries.size(), peers.List(PeerRole::Entry).size()) + 1);
 }
 
+// Lets few entries of the region read the operator's topic; the others ask
+// them.
+void
+Entry::Impl::UpdateConfigReaders()
+{
+  std::vector<std::string> localVms{ settings.vm };
+  for (const auto& [vm, entry] : activeEntries) {
+    if (entry.region == settings.region) {
+      localVms.push_back(vm);
+    }
+  }
+  auto readers = PickConfigReaders(std::move(localVms));
+  bool isReader = std::ranges::find(readers, settings.vm) != readers.end();
+  services.GetConfig().SetReader(isReader);
+  std::erase(readers, settings.vm);
+  sharing.SetPreferred(std::move(readers));
+}
+
 // Computes ranks among the entries that are active now.
 void
 Entry::Impl::UpdateRanks()
 {
   auto before = activeEntries.lower_bound(settings.vm);
+  UpdateConfigReaders();
   directory.SetReadRank(
     static_cast<std::size_t>(std::distance(activeEntries.begin(), before)));
   dispatch::SlotArbiter arbiter(
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -13,6 +13,10 @@
 // configuration takes effect: what one read confirmed may be twice as old by
 // the end of the next.
 constexpr std::int64_t kConfigWaitDivisor = 2;
+// Age of the configuration, in tenths of the time for which a key may be
+// accepted without confirmation, from which an entry that relies on others
+// reads the log itself.
+constexpr std::int64_t kPeersIntervalInTenths = 5;
 // Upper bound of the backoff while the log fails. Short, because API keys are
 // not accepted until the configuration is confirmed again.
 constexpr Millis kMaxBackoff(400);
@@ -67,6 +71,7 @@
             { aSettings.bounds.configApply / kConfigWaitDivisor,
               Millis(0),
               false,
+              aSettings.bounds.revoke * kPeersIntervalInTenths / 10,
               kMaxBackoff,
               aSettings.bounds.revoke * kRewriteShareInTenths / 10 })
   , metrics_(EntryMetrics::Make())
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -73,7 +73,12 @@
     , upstream(aUpstream)
     , config(aPorts.log,
              aPorts.codecs,
-             { Millis(0), kConfigInterval, true, kLongestPause, Millis(0) })
+             { Millis(0),
+               kConfigInterval,
+               true,
+               Millis(0),
+               kLongestPause,
+               Millis(0) })
     , peers(aRuntime, aSettings, aPorts.log, PeerRole::Side)
     , sharing(aPorts.client,
               config,
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -303,8 +303,8 @@
   onServing_();
   net::Runtime::Sleep(kAnnounceDelay);
   utils::Error reason;
-  auto result = upstream_.OrderLoad(
-    aEngine.model, aTarget.version, expectedOrders, reason);
+  auto result =
+    upstream_.OrderLoad(aEngine.model, aTarget.version, expectedOrders, reason);
   if (!result) {
     // The upstream may have accepted the order all the same; the next reports
     // show whether it did.
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include <ConfigFollower.h>
+#include <ConfigSharing.h>
 #include <DirectoryFollower.h>
 
 using namespace waxwingyoke;
@@ -696,3 +697,48 @@
   CHECK(follower.GetConfig()->version == 5);
   CHECK_FALSE(follower.IsBehind());
 }
+
+// Fifty entries that all read the operator's topic cost more than half of the
+// fleet's calls to the log.
+TEST_CASE("large fleet: the entries that read the configuration don't grow")
+{
+  for (int entries : { 2, 10, 100 }) {
+    std::vector<std::string> vms;
+    for (int i = 0; i < entries; ++i) {
+      vms.push_back("vm" + std::to_string(i));
+    }
+    auto readers = PickConfigReaders(vms);
+    CHECK(readers.size() == 2);
+    // If one falls silent, the other goes on and the next one steps in.
+    std::erase(vms, readers.front());
+    auto next = PickConfigReaders(vms);
+    CHECK(next.front() == readers.back());
+    CHECK(next.size() == std::min<std::size_t>(vms.size(), 2));
+  }
+  CHECK(PickConfigReaders({ "alone" }).size() == 1);
+}
+
+TEST_CASE(
+  "an entry that relies on others reads the log only if they are silent")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  ConfigFollower::PollOptions options;
+  options.peersInterval = Millis(2500);
+  ConfigFollower reader(log, MakeCodecs(), options);
+  REQUIRE(reader.Poll());
+  CHECK(reader.IsReadDue());
+  ConfigFollower other(log, MakeCodecs(), options);
+  // Before it holds a configuration it reads, whatever its rank.
+  other.SetReader(false);
+  CHECK(other.IsReadDue());
+  other.ApplyPeerRecord(*reader.MakeRecord(), Millis(0));
+  CHECK_FALSE(other.IsReadDue());
+  other.SetReader(true);
+  CHECK(other.IsReadDue());
+  // A confirmation that is too old is none.
+  ConfigFollower silent(log, MakeCodecs(), options);
+  silent.SetReader(false);
+  silent.ApplyPeerRecord(*reader.MakeRecord(), Millis(2600));
+  CHECK(silent.IsReadDue());
+}
--- a/libs/fleet/tests/StagingTest.cpp
+++ b/libs/fleet/tests/StagingTest.cpp
@@ -471,8 +471,7 @@
           query.sides.push_back(
             MakeSide(vms[other], {}, other / kSides == aOwnRegion));
           query.sides.back().hash = utils::StableHash(vms[other]);
-          query.sides.back().isInOriginRegion =
-            other / kSides == aOriginRegion;
+          query.sides.back().isInOriginRegion = other / kSides == aOriginRegion;
         }
       }
       probers += IsOriginProber(query, 7) ? 1 : 0;
