Entries: a complete read of the directory is published like any other

The reader, which now pauses between reads, then mostly finds its offset gone and reads everything, which published nothing: after 0.9 s each of the 53 entries read the complete directory itself.

A complete read now publishes what it changed, and for 3 s after one the reader pauses 20 ms only. Sides don't ask again for a record whose text they have scheduled.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -165,14 +165,6 @@
   return peer_.epoch == epoch_ ? peer_.end > aEnd : peer_.epoch > epoch_;
 }
 
-// A restored log may lack a configuration that a peer holds; only its version
-// shows that.
-bool
-ConfigFollower::IsBehind() const
-{
-  return IsPeerAhead(std::max(end_, appliedPeerEnd_)) || IsConfigOutdated();
-}
-
 // Reads everything anew from a log that was restored from an older copy. What
 // this process holds stays in force. Records that no process has read before
 // the restore may be missing in the copy, so reads confirm nothing until the
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -187,9 +187,15 @@
 
   /**
    * Whether a peer has read further than this process and the records that it
-   * applied.
+   * applied, or holds a newer configuration, which a restored log may lack.
    */
-  bool IsBehind() const;
+  bool IsBehind() const { return IsPeerAhead() || IsConfigOutdated(); }
+
+  /** The same by the offsets alone. */
+  bool IsPeerAhead() const
+  {
+    return IsPeerAhead(std::max(end_, appliedPeerEnd_));
+  }
 
 private:
   void Loop();
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -69,7 +69,8 @@
 {
   while (true) {
     net::Runtime::Sleep(options_.interval);
-    bool needed = config_.GetAge() > options_.maxAge || config_.IsBehind();
+    bool needed = config_.GetAge() > options_.maxAge || config_.IsPeerAhead() ||
+                  (config_.IsConfigOutdated() && !textDueAt_);
     bool textDue = textDueAt_ && clock_.Now() >= *textDueAt_;
     auto entry = needed || textDue ? PickEntry() : std::nullopt;
     if (entry) {
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -33,6 +33,11 @@
 // reads are charged. Short beside the time in which a draining upstream must
 // get no more requests.
 constexpr Millis kChangeBatchDelay(200);
+// The same for some time after the log had dropped records before they were
+// read: the complete directory is read then, which takes much more than a few
+// reads more.
+constexpr Millis kTrimmedBatchDelay(20);
+constexpr Millis kTrimmedTime(3000);
 // A lost answer must not use up a draining upstream's two seconds. Doubled with
 // each failure in a row, as failed reads are charged like others.
 constexpr Millis kInitialBackoff(40);
@@ -79,13 +84,20 @@
       RemoveExpired();
     } else if (Poll(readRank_ == 0 ? kReadWait : Millis(0))) {
       backoff.Reset();
-      net::Runtime::Sleep(kChangeBatchDelay);
+      net::Runtime::Sleep(GetBatchDelay());
     } else {
       net::Runtime::Sleep(backoff.NextDelay());
     }
   }
 }
 
+Millis
+DirectoryFollower::GetBatchDelay() const
+{
+  bool isTrimming = trimmedAt_ && clock_.Now() - *trimmedAt_ < kTrimmedTime;
+  return isTrimming ? kTrimmedBatchDelay : kChangeBatchDelay;
+}
+
 // The entry with rank 0, and each entry that missed an update, reads at once.
 Millis
 DirectoryFollower::GetNextReadTime() const
@@ -133,8 +145,9 @@
   }
 }
 
+// Publishes the changes since aPublishFrom, if it is set.
 bool
-DirectoryFollower::ReadAll()
+DirectoryFollower::ReadAll(std::optional<std::uint64_t> aPublishFrom)
 {
   utils::Error reason;
   auto page = log_.ReadNewest(Topic::Upstreams, reason);
@@ -147,25 +160,35 @@
     std::erase_if(page->records,
                   [this](const auto& aRecord) { return WasRemoved(aRecord); });
   }
-  ApplyAll(*page);
+  auto changes = ApplyAll(*page);
+  if (aPublishFrom && !isRestored) {
+    std::ranges::sort(changes, {}, &platform::KeyedRecord::offset);
+    PublishUpdate(*aPublishFrom, page->end, changes);
+  }
   return true;
 }
 
-void
+// Returns what changed, with a removal for each upstream that is not listed.
+std::vector<platform::KeyedRecord>
 DirectoryFollower::ApplyAll(const platform::KeyedPage& aPage)
 {
+  std::vector<platform::KeyedRecord> changes;
   std::set<std::string> listed;
   for (const auto& record : aPage.records) {
-    Apply(record);
     listed.insert(record.key);
+    if (Apply(record)) {
+      changes.push_back(record);
+    }
   }
   std::ranges::for_each(registry_.ListIds(), [&](const std::string& aId) {
     if (!listed.contains(aId)) {
       Remove(aId, false);
+      changes.push_back({ aId, "", aPage.end, true });
     }
   });
   end_ = aPage.end;
   started_ = true;
+  return changes;
 }
 
 // True if the log was restored from an older copy. Upstreams that registered
@@ -207,8 +230,10 @@
   bool trimmed = !page && reason.kind == utils::ErrorKind::LogTrimmed;
   RecordLogResult(page.has_value() || trimmed);
   if (trimmed) {
+    // Without an update all other entries would read the directory as well.
     started_ = false;
-    return ReadAll();
+    trimmedAt_ = clock_.Now();
+    return ReadAll(from);
   }
   if (!page) {
     return false;
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -31,10 +31,6 @@
 // The same to entries of other regions. They send here only what their own
 // region has no free slots for, and traffic between regions is expensive.
 constexpr Millis kRemoteNoticeInterval(180);
-// Added up over the entries of other regions, so that what an entry sends to
-// them does not grow with their number; up to the longest interval.
-constexpr Millis kRemoteIntervalPerEntry(10);
-constexpr Millis kMaxRemoteInterval(500);
 // All counts are sent again after this time, so that the effect of a lost
 // notice ends.
 constexpr Millis kCompleteInterval(500);
@@ -130,7 +126,6 @@
   bool IsReady() const;
   net::HttpLimits GetLimits();
   void NoticeLoop();
-  Millis GetRemoteInterval() const;
   void SendNotice(PeerGroup& aGroup);
   void AddUses(PeerGroup& aGroup, schema::EntryNotice& aEntry);
   void AddEvents(const PeerGroup& aGroup, schema::EntryNotice& aEntry);
@@ -287,26 +282,11 @@
   return limits;
 }
 
-Millis
-Entry::Impl::GetRemoteInterval() const
-{
-  auto remoteCount =
-    std::ranges::count_if(activeEntries, [this](const auto& aRow) {
-      return aRow.second.region != settings.region;
-    });
-  return std::clamp(kRemoteIntervalPerEntry * remoteCount,
-                    kRemoteNoticeInterval,
-                    kMaxRemoteInterval);
-}
-
 void
 Entry::Impl::NoticeLoop()
 {
-  auto& remote =
-    *std::ranges::find(peerGroups, PeerScope::RemoteRegion, &PeerGroup::scope);
   while (true) {
     net::Runtime::Sleep(kNoticeInterval);
-    remote.interval = GetRemoteInterval();
     bool changed = services.TakeUseChange();
     for (auto& peerGroup : peerGroups) {
       peerGroup.isDue = peerGroup.isDue || changed;
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -13,6 +13,9 @@
 // configuration takes effect: what one read confirmed may be twice as old by
 // the end of the next.
 constexpr std::int64_t kConfigWaitDivisor = 2;
+// The same for the time in which a key is revoked: entries that ask this one
+// get what is as old as its last read, and ask before half of that time.
+constexpr std::int64_t kRevokeWaitDivisor = 5;
 // Age of the configuration, in tenths of the time for which a key may be
 // accepted without confirmation, from which an entry that relies on others
 // reads the log itself.
@@ -68,7 +71,8 @@
   , ports_(aPorts)
   , config_(ports_.log,
             ports_.codecs,
-            { aSettings.bounds.configApply / kConfigWaitDivisor,
+            { std::min(aSettings.bounds.configApply / kConfigWaitDivisor,
+                       aSettings.bounds.revoke / kRevokeWaitDivisor),
               Millis(0),
               false,
               aSettings.bounds.revoke * kPeersIntervalInTenths / 10,
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -742,3 +742,40 @@
   silent.ApplyPeerRecord(*reader.MakeRecord(), Millis(2600));
   CHECK(silent.IsReadDue());
 }
+
+// A log that drops its history quickly makes the reader read the complete
+// directory. If it published nothing, all entries of a large fleet would read
+// it as well, hundreds of KB each, once a second.
+TEST_CASE("large fleet: after a trimmed read the others need not read")
+{
+  Millis now(1000);
+  utils::Clock clock([&now] { return now; });
+  ScriptedLog log;
+  log.newest =
+    MakePage({ { "a", "ready", 0, false }, { "b", "ready", 1, false } }, 2);
+  dispatch::UpstreamRegistry readerRegistry;
+  DirectoryFollower reader(log, MakeCodecs(), readerRegistry, clock);
+  std::vector<schema::DirectoryNews> updates;
+  reader.OnUpdate(
+    [&updates](const auto& aUpdate) { updates.push_back(aUpdate); });
+  dispatch::UpstreamRegistry registry;
+  DirectoryFollower other(log, MakeCodecs(), registry, clock);
+  REQUIRE(reader.Poll());
+  REQUIRE(other.Poll());
+  log.trimmed = true;
+  log.newest =
+    MakePage({ { "a", "draining", 7, false }, { "c", "ready", 5, false } }, 8);
+  REQUIRE(reader.Poll());
+  REQUIRE(updates.size() == 1);
+  CHECK(updates.front().from() == 2);
+  CHECK(updates.front().end() == 8);
+  other.ApplyUpdate(updates.front());
+  CHECK(registry.Find("a")->record.draining);
+  CHECK(registry.Find("c"));
+  CHECK_FALSE(registry.Find("b"));
+  // Without a gap: the next update follows the last.
+  log.changes = MakePage({ { "c", "draining", 8, false } }, 9);
+  REQUIRE(reader.Poll());
+  other.ApplyUpdate(updates.back());
+  CHECK(registry.Find("c")->record.draining);
+}
