Entries: the directory's reader pauses 20 ms again

The bytes come while processes start, when each entry reads for itself: with the longer pause all read the same batch of changes and each sends it to all others. That an entry's own read is published by more than one is an open point.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -28,16 +28,8 @@
 constexpr Millis kOutageThreshold(2500);
 // Interval between two checks for upstreams to remove.
 constexpr Millis kExpiryPollInterval(150);
-// Delay after a read, so that many records are read together: heartbeats of a
-// hundred upstreams would otherwise end each read as soon as it begins, and
-// reads are charged. Short beside the time in which a draining upstream must
-// get no more requests.
-constexpr Millis kChangeBatchDelay(200);
-// The same for some time after the log had dropped records before they were
-// read: the complete directory is read then, which takes much more than a few
-// reads more.
-constexpr Millis kTrimmedBatchDelay(20);
-constexpr Millis kTrimmedTime(3000);
+// Delay after a read, so that changes in a row are read together.
+constexpr Millis kChangeBatchDelay(20);
 // A lost answer must not use up a draining upstream's two seconds. Doubled with
 // each failure in a row, as failed reads are charged like others.
 constexpr Millis kInitialBackoff(40);
@@ -84,20 +76,13 @@
       RemoveExpired();
     } else if (Poll(readRank_ == 0 ? kReadWait : Millis(0))) {
       backoff.Reset();
-      net::Runtime::Sleep(GetBatchDelay());
+      net::Runtime::Sleep(kChangeBatchDelay);
     } else {
       net::Runtime::Sleep(backoff.NextDelay());
     }
   }
 }
 
-Millis
-DirectoryFollower::GetBatchDelay() const
-{
-  bool isTrimming = trimmedAt_ && clock_.Now() - *trimmedAt_ < kTrimmedTime;
-  return isTrimming ? kTrimmedBatchDelay : kChangeBatchDelay;
-}
-
 // The entry with rank 0, and each entry that missed an update, reads at once.
 Millis
 DirectoryFollower::GetNextReadTime() const
@@ -232,7 +217,6 @@
   if (trimmed) {
     // Without an update all other entries would read the directory as well.
     started_ = false;
-    trimmedAt_ = clock_.Now();
     return ReadAll(from);
   }
   if (!page) {
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -67,7 +67,6 @@
   utils::Millis GetNextReadTime() const;
   bool ReadAll(std::optional<std::uint64_t> aPublishFrom = std::nullopt);
   std::vector<platform::KeyedRecord> ApplyAll(const platform::KeyedPage& aPage);
-  utils::Millis GetBatchDelay() const;
   bool BeginEpoch(std::uint64_t aEpoch);
   bool WasRemoved(const platform::KeyedRecord& aRecord) const;
   bool ReadChanges(utils::Millis aWait);
@@ -95,8 +94,6 @@
   bool missedUpdate_ = false;
   bool started_ = false;
   std::uint64_t end_ = 0;
-  /** When the log last lacked the records after end_. */
-  std::optional<utils::Millis> trimmedAt_;
   /** Epoch of the log in which end_ counts; 0: not stated. */
   std::uint64_t epoch_ = 0;
   bool logAvailable_ = true;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -703,10 +703,9 @@
 TEST_CASE("large fleet: the entries that read the configuration don't grow")
 {
   for (int entries : { 2, 10, 100 }) {
-    std::vector<std::string> vms;
-    for (int i = 0; i < entries; ++i) {
-      vms.push_back("vm" + std::to_string(i));
-    }
+    std::vector<std::string> vms(entries);
+    std::ranges::generate(
+      vms, [n = 0]() mutable { return "vm" + std::to_string(n++); });
     auto readers = PickConfigReaders(vms);
     CHECK(readers.size() == 2);
     // If one falls silent, the other goes on and the next one steps in.
