--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -13,6 +13,13 @@
 // configuration takes effect: what one read confirmed may be twice as old by
 // the end of the next.
 constexpr std::int64_t kConfigWaitDivisor = 2;
+// The same for the time in which a key is revoked: entries that ask this one
+// get what is as old as its last read, and ask before half of that time.
+constexpr std::int64_t kRevokeWaitDivisor = 5;
+// Age of the configuration, in tenths of the time for which a key may be
+// accepted without confirmation, from which an entry that relies on others
+// reads the log itself.
+constexpr std::int64_t kPeersIntervalInTenths = 5;
 // Upper bound of the backoff while the log fails. Short, because API keys are
 // not accepted until the configuration is confirmed again.
 constexpr Millis kMaxBackoff(400);
@@ -32,6 +39,10 @@
 // was counted in.
 constexpr double kSlackShare = 0.6;
 constexpr double kRatioShare = 0.8;
+// Share of the time for which a key may be accepted without confirmation, in
+// tenths. With the log's absence it has to leave a part of that time, or all
+// requests with keys would be refused after a restore of the log.
+constexpr std::int64_t kRewriteShareInTenths = 3;
 // Other processes send hundreds of notices a second. The queues are served at
 // most once in this time for slots that the notices report as free.
 constexpr Millis kServeQueuesInterval(10);
@@ -60,10 +71,13 @@
   , ports_(aPorts)
   , config_(ports_.log,
             ports_.codecs,
-            { aSettings.bounds.configApply / kConfigWaitDivisor,
+            { std::min(aSettings.bounds.configApply / kConfigWaitDivisor,
+                       aSettings.bounds.revoke / kRevokeWaitDivisor),
               Millis(0),
               false,
-              kMaxBackoff })
+              aSettings.bounds.revoke * kPeersIntervalInTenths / 10,
+              kMaxBackoff,
+              aSettings.bounds.revoke * kRewriteShareInTenths / 10 })
   , metrics_(EntryMetrics::Make())
 {
 }
