Fleet: unstated epochs, and what arrived while a process was suspended

Found on reading the change: an answer without an epoch, or of the epoch before, would have begun a new one and with it complete reads; a stream or body whose bytes had arrived while this process was suspended would have been given up unread. Bytes that had arrived are read now, a bounded number of times. The test of epochs fails on the commit before (an older one was taken for new).

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -214,13 +214,17 @@
     return false;
   }
   backoff_.Reset();
-  bool isNewEpoch = page->epoch != epoch_;
-  bool isIncomplete = isNewEpoch && started_;
-  if (isNewEpoch) {
-    BeginEpoch(page->epoch);
+  // An answer that was on its way while a peer reported a newer epoch.
+  bool isOutdated = page->epoch != 0 && page->epoch < epoch_;
+  if (isOutdated) {
+    return false;
   }
-  if (isIncomplete) {
-    return Poll();
+  bool wasStarted = started_;
+  if (page->epoch > epoch_) {
+    BeginEpoch(page->epoch);
+    if (wasStarted) {
+      return Poll();
+    }
   }
   ApplyPage(*page, sentAt);
   return true;
--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -140,7 +140,10 @@
   if (!page) {
     return false;
   }
-  bool isRestored = page->epoch != epoch_ && BeginEpoch(page->epoch);
+  if (page->epoch > epoch_) {
+    BeginEpoch(page->epoch);
+  }
+  bool isRestored = std::exchange(isRestored_, false);
   if (isRestored) {
     std::erase_if(page->records,
                   [this](const auto& aRecord) { return WasRemoved(aRecord); });
@@ -176,20 +179,19 @@
   return changes;
 }
 
-// True if the log was restored from an older copy. Upstreams that registered
-// since the copy are missing in it and write their entries again, as after an
-// outage.
-bool
+// If the log was restored from an older copy, upstreams that registered since
+// the copy are missing in it and write their entries again, as after an outage.
+void
 DirectoryFollower::BeginEpoch(std::uint64_t aEpoch)
 {
-  bool isRestored = epoch_ != 0;
+  isRestored_ = epoch_ != 0;
   epoch_ = aEpoch;
-  if (isRestored) {
+  started_ = false;
+  if (isRestored_) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
     logger_.Warn("the log was restored from an older copy",
                  { { "epoch", std::to_string(aEpoch) } });
   }
-  return isRestored;
 }
 
 // Whether the record is of an incarnation that has been removed since the copy
@@ -222,8 +224,8 @@
   if (!page) {
     return false;
   }
-  if (page->epoch != epoch_) {
-    started_ = false;
+  if (page->epoch > epoch_) {
+    BeginEpoch(page->epoch);
     return ReadAll();
   }
   std::vector<platform::KeyedRecord> changes;
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -67,7 +67,7 @@
   utils::Millis GetNextReadTime() const;
   bool ReadAll(std::optional<std::uint64_t> aPublishFrom = std::nullopt);
   std::vector<platform::KeyedRecord> ApplyAll(const platform::KeyedPage& aPage);
-  bool BeginEpoch(std::uint64_t aEpoch);
+  void BeginEpoch(std::uint64_t aEpoch);
   bool WasRemoved(const platform::KeyedRecord& aRecord) const;
   bool ReadChanges(utils::Millis aWait);
   void PublishUpdate(std::uint64_t aFrom,
@@ -96,6 +96,8 @@
   std::uint64_t end_ = 0;
   /** Epoch of the log in which end_ counts; 0: not stated. */
   std::uint64_t epoch_ = 0;
+  /** The epoch began with a restore and its directory was not read yet. */
+  bool isRestored_ = false;
   bool logAvailable_ = true;
   /**
    * Until then a dropped entry may belong to an upstream that registers again.
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -73,7 +73,9 @@
   bool ForwardPart(const std::string& aPart);
   bool FinishStream();
   void RecordBrokenStream();
-  net::ReadResult ReadPart(std::string& aPart, utils::Millis aQuietSince);
+  net::ReadResult ReadPart(std::string& aPart,
+                           utils::Millis aQuietSince,
+                           int& aLateReads);
   void RecordEvents();
   bool ResumeElsewhere();
   void RecordLostConnection();
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -34,6 +34,10 @@
 // Largest body of an answer that is not a stream. It is read completely before
 // it is delivered.
 constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+// Reads after the deadline, or after the time without an event, for what had
+// arrived before: this process itself may have been suspended.
+constexpr int kMaxLateReads = 64;
+constexpr Millis kLateReadTimeout(20);
 // Up to this many failed connects are followed by a send to another upstream.
 constexpr int kMaxConnectFailures = 3;
 
@@ -170,11 +174,12 @@
 Exchange::ReadBody(std::string& aBody)
 {
   std::string part;
-  // An answer that is nearly there is still awaited at the deadline.
-  auto end = services_.Now() + std::max(GetTimeLeft(), kMinTimeLeft);
+  int lateReads = 0;
   while (true) {
-    auto left = end - services_.Now();
-    if (left <= Millis(0) || aBody.size() > kMaxAnswerBytes) {
+    auto left = GetTimeLeft();
+    lateReads += left <= Millis(0) ? 1 : 0;
+    left = std::max(left, kMinTimeLeft);
+    if (lateReads > kMaxLateReads || aBody.size() > kMaxAnswerBytes) {
       answer_.reason.Set(ErrorKind::AnswerBroken,
                          "the answer's body does not end");
       return false;
@@ -277,18 +282,21 @@
 // Reads what the upstream sends next. An upstream that has sent no event since
 // aQuietSince is treated as failed, also if it sends other bytes.
 net::ReadResult
-Exchange::ReadPart(std::string& aPart, Millis aQuietSince)
+Exchange::ReadPart(std::string& aPart, Millis aQuietSince, int& aLateReads)
 {
   auto idleTimeout =
     std::max(route_->pauseLimit * kStreamTimeoutPauses, kMinStreamTimeout);
   auto idleLeft = aQuietSince + idleTimeout - services_.Now();
-  auto wait = std::min(idleLeft, GetTimeLeft());
-  if (wait <= Millis(0)) {
-    answer_.reason.Set(ErrorKind::TimedOut,
-                       idleLeft <= Millis(0) ? "no event in time"
-                                             : "the deadline has passed");
+  if (GetTimeLeft() <= Millis(0)) {
+    answer_.reason.Set(ErrorKind::DeadlineExceeded, "the deadline has passed");
     return net::ReadResult::Failed;
   }
+  aLateReads += idleLeft <= Millis(0) ? 1 : 0;
+  if (aLateReads > kMaxLateReads) {
+    answer_.reason.Set(ErrorKind::TimedOut, "no event in time");
+    return net::ReadResult::Failed;
+  }
+  auto wait = std::min(std::max(idleLeft, kLateReadTimeout), GetTimeLeft());
   auto result = answer_.stream->Read(aPart, wait, answer_.reason);
   // Without a length, a response that broke off ends like a complete one; the
   // partial event shows it.
@@ -354,8 +362,9 @@
 {
   std::string part;
   auto quietSince = services_.Now();
+  int lateReads = 0;
   while (true) {
-    switch (ReadPart(part, quietSince)) {
+    switch (ReadPart(part, quietSince, lateReads)) {
       case net::ReadResult::Failed:
         RecordBrokenStream();
         return false;
@@ -370,6 +379,7 @@
     }
     if (relay_.GetEventCount() > eventsBefore) {
       quietSince = services_.Now();
+      lateReads = 0;
     }
   }
 }
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -181,8 +181,8 @@
       continue;
     }
     backoff.Reset();
-    bool isIncomplete = started && page->epoch != epoch;
-    epoch = page->epoch;
+    bool isIncomplete = started && page->epoch > epoch;
+    epoch = std::max(epoch, page->epoch);
     if (isIncomplete) {
       started = false;
       continue;
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -778,3 +778,32 @@
   other.ApplyUpdate(updates.back());
   CHECK(registry.Find("c")->record.draining);
 }
+
+// Some answers may not state the epoch, and answers of the old one may still be
+// on their way when a peer reports the new one.
+TEST_CASE("restored log: an unstated or outdated epoch changes nothing")
+{
+  ScriptedLog log;
+  log.newest = MakePage({ { "config", "5", 0, false } }, 4);
+  log.newest.epoch = 3;
+  ConfigFollower follower(log, MakeCodecs(), {});
+  REQUIRE(follower.Poll());
+  log.changes = MakePage({}, 4);
+  REQUIRE(follower.Poll());
+  CHECK(follower.GetPosition() == PeerPosition{ 4, 3, 5 });
+  log.changes.epoch = 2;
+  CHECK_FALSE(follower.Poll());
+  CHECK(follower.GetPosition() == PeerPosition{ 4, 3, 5 });
+  dispatch::UpstreamRegistry registry;
+  DirectoryFollower directory(log, MakeCodecs(), registry);
+  log.newest = MakePage({ { "a", "ready", 0, false } }, 4);
+  REQUIRE(directory.Poll());
+  // The epoch is stated with changes only. They are read once more, then from
+  // their end on.
+  log.changes = MakePage({ { "a", "ready", 4, false } }, 5);
+  log.changes.epoch = 3;
+  REQUIRE(directory.Poll());
+  log.newest = MakePage({}, 4);
+  REQUIRE(directory.Poll());
+  CHECK(registry.Find("a"));
+}
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -558,12 +558,8 @@
   auto deadline = clock.Now() + aTimeouts.body;
   std::string part;
   while (true) {
-    auto left = deadline - clock.Now();
-    if (left <= utils::Millis(0)) {
-      aReason.Set(ErrorKind::TimedOut,
-                  aPeer.ToString() + ": the response's body does not end");
-      return std::nullopt;
-    }
+    // What has arrived by then is still read.
+    auto left = std::max(deadline - clock.Now(), utils::Millis(1));
     switch (stream->Read(part, left, aReason)) {
       case ReadResult::Data:
         if (response.body.size() + part.size() > aOptions.maxBodyBytes) {
