Comments: what the reading of the change as a newcomer left unclear

The order's new parameter, the body's timeout of a call, what an exception in a handler leaves behind, when a follower reads, the reason of limits (largest event, delay after the close, remembered exits, attempts of a read).

--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -33,8 +33,8 @@
 // Largest cost of an upstream that an entry prefers least: about what one more
 // request of another entry costs.
 constexpr double kAffinityCostMs = 50;
-// Remembered incarnations that announced their exit. An upstream's directory
-// entry can reappear for as long as the log can be restored to an older state.
+// Incarnations whose announced exit is remembered, as a restored log may list
+// them again. The oldest is forgotten first.
 constexpr std::size_t kMaxLeft = 4096;
 
 // Hash of the upstream and the entry in [0, 1): 0 is the entry's most preferred
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -52,9 +52,10 @@
   bool operator==(const PeerPosition&) const = default;
 };
 
-/** The position that an entry's notice reports, and the reverse. */
+/** The position that an entry's notice reports. */
 PeerPosition
 ReadPosition(const schema::EntryNotice& aNotice);
+/** Writes the position into an entry's notice. */
 void
 FillPosition(const PeerPosition& aPosition, schema::EntryNotice& aNotice);
 
@@ -120,8 +121,8 @@
   void SetReader(bool aIsReader);
 
   /**
-   * Whether a read is due now. Without it, peers are asked and the topic is not
-   * read.
+   * Whether to read the topic now: always for a reader, otherwise once the
+   * configuration is older than peersInterval.
    */
   bool IsReadDue() const;
 
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -47,6 +47,8 @@
 // Share of the grace period in which running requests may finish.
 constexpr double kGraceShare = 0.9;
 constexpr Millis kDrainPoll(20);
+// Before the first check for running requests: the server accepts and begins to
+// read what callers have sent until its close.
 constexpr Millis kCloseDelay(100);
 constexpr Millis kLogInterval(250);
 // Other entries are asked for the configuration once it is older than this
@@ -205,7 +207,6 @@
   auto end = clock.Now() + Scale(impl.settings.bounds.grace, kGraceShare);
   net::Runtime::Sleep(kUnreadyDelay);
   impl.callerServer->Close();
-  // The server first has to accept the connections that wait for it.
   net::Runtime::Sleep(kCloseDelay);
   while (impl.callerServer->GetActiveCount() > 0 && clock.Now() < end) {
     net::Runtime::Sleep(kDrainPoll);
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -39,9 +39,10 @@
 // was counted in.
 constexpr double kSlackShare = 0.6;
 constexpr double kRatioShare = 0.8;
-// Share of the time for which a key may be accepted without confirmation, in
-// tenths. With the log's absence it has to leave a part of that time, or all
-// requests with keys would be refused after a restore of the log.
+// PollOptions::rewriteTime in tenths of the time for which a key may be
+// accepted without confirmation. The log's unavailability before the restore
+// counts against the same time; if both exceed it, all requests with keys are
+// refused.
 constexpr std::int64_t kRewriteShareInTenths = 3;
 // Other processes send hundreds of notices a second. The queues are served at
 // most once in this time for slots that the notices report as free.
--- a/libs/fleet/src/EventRelay.h
+++ b/libs/fleet/src/EventRelay.h
@@ -47,6 +47,7 @@
   const std::string& GetLastEventId() const { return lastEventId_; }
 
 private:
+  // Bounds the memory that an upstream takes up with an event without end.
   static constexpr std::size_t kMaxEventBytes = 256 * 1024;
 
   bool IsDuplicate(std::string_view aEvent);
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -135,8 +135,9 @@
 
   /**
    * Returns the complete response, whatever its status. Fails with TooLarge
-   * if the body exceeds the options' limit and with TimedOut if it does not end
-   * in time, so that no peer can exhaust this process's memory.
+   * if the body exceeds the options' limit, so that no peer can exhaust this
+   * process's memory. After the body's timeout it reads on only while bytes are
+   * available, then fails with TimedOut.
    */
   std::optional<HttpResponse> Call(const Endpoint& aPeer,
                                    const HttpRequest& aRequest,
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -235,6 +235,7 @@
 
   /** Reads the header of the next final response on the connection. */
   IoResult ReadHead();
+  /** The same, also if the response is an interim one (1xx). */
   IoResult ReadAnyHead();
   bool IsInterim() const;
   /** Reads and discards the body of the response whose header was read. */
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -81,10 +81,12 @@
   bool ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
                     bool aIsFirst);
-  /** Runs the handler and responds 500 if it throws. */
+  /** Runs the handler. An exception is logged and leaves the response as it is.
+   */
   void CallHandler(const HttpRequest& aRequest, ResponseWriter& aWriter);
   /** Accepts what arrived before the close, so that it is served. */
   void AcceptPending();
+  /** Serves an accepted connection on a fiber of its own. */
   void Serve(std::shared_ptr<Tcp::socket> aSocket, asio::io_context& aIo);
   /** Runs the handler; false if the connection has to be closed after it. */
   bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
@@ -316,8 +318,8 @@
   return keep;
 }
 
-// One request that a library can't cope with must not end the process, which
-// serves others.
+// An exception that left the fiber would end the process and with it the other
+// requests that it serves.
 void
 HttpServer::Impl::CallHandler(const HttpRequest& aRequest,
                               ResponseWriter& aWriter)
--- a/libs/platform/include/platform/UpstreamCalls.h
+++ b/libs/platform/include/platform/UpstreamCalls.h
@@ -59,8 +59,12 @@
                          const std::string& aBytes,
                          utils::Error& aReason) = 0;
 
-  /** Orders a load of all layers from the staged pieces; running work ends
-   * first. */
+  /**
+   * Orders a load of all layers from the staged pieces; running work ends
+   * first. Conflict if the number of accepted orders is not aExpectedOrders,
+   * the number in the report that the order was decided on: another process
+   * has ordered since.
+   */
   virtual std::optional<OrderResult> OrderLoad(const std::string& aModel,
                                                std::uint64_t aVersion,
                                                std::uint64_t aExpectedOrders,
