Entries: logs and metrics state how a stream's end was marked and where it broke

From an entry's line for a request nobody could tell whether an upstream's answer had a length, chunks or only its connection's end, nor whether it ended within an event, which the three hypotheses differ in; a break after which the stream went on elsewhere left no trace of its own but a counter.

A request's line now has 'framing' and 'events'; each break of a stream has a line with the upstream, framing, events, bytes of the incomplete event and the reason; two counters. ResponseStream::GetFraming takes the place of IsEndedByClose. No decision changes.

The test that asked IsEndedByClose asks for the framing Close now, which is as strict.

--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -60,6 +60,8 @@
            metrics.GetCounter("fleet_failed_total"),
            metrics.GetCounter("fleet_sends_total"),
            metrics.GetCounter("fleet_streams_resumed_total"),
+           metrics.GetCounter("fleet_streams_broken_total"),
+           metrics.GetCounter("fleet_streams_truncated_total"),
            metrics.GetDistribution("fleet_first_part_ms"),
            metrics.GetDistribution("fleet_request_ms") };
 }
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -43,6 +43,8 @@
   telemetry::Counter& failed;
   telemetry::Counter& sends;
   telemetry::Counter& resumed;
+  telemetry::Counter& brokenStreams;
+  telemetry::Counter& truncatedStreams;
   telemetry::Distribution& firstPartMs;
   telemetry::Distribution& requestMs;
 
--- a/libs/fleet/src/EventRelay.h
+++ b/libs/fleet/src/EventRelay.h
@@ -34,6 +34,9 @@
   /** Whether bytes of an incomplete event are buffered. */
   bool HasRemainder() const { return !pending_.empty(); }
 
+  /** The number of buffered bytes, all of an incomplete event. */
+  std::size_t GetRemainderBytes() const { return pending_.size(); }
+
   /** Removes and returns the bytes that are left when a response ends. */
   std::string TakeRemainder();
 
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -73,6 +73,7 @@
   bool ForwardPart(const std::string& aPart);
   bool FinishStream();
   void RecordBrokenStream();
+  std::string GetFramingName() const;
   net::ReadResult ReadPart(std::string& aPart,
                            utils::Millis aQuietSince,
                            int& aLateReads);
@@ -124,6 +125,8 @@
   bool mayHaveRun_ = false;
   EventRelay relay_;
   bool streaming_ = false;
+  /** Framing of the last response that an upstream began. */
+  std::optional<net::BodyFraming> framing_;
 
   End end_ = End::Failed;
   int status_ = 0;
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -103,6 +103,12 @@
     aStatus, aText, caller_.attemptId, aRetryAfter));
 }
 
+std::string
+Exchange::GetFramingName() const
+{
+  return framing_ ? std::string(net::GetName(*framing_)) : "";
+}
+
 void
 Exchange::LogEnd()
 {
@@ -149,6 +155,8 @@
       { "elapsed_before_ms", text(elapsedBefore_.value) },
       { "sends", text(sends_) },
       { "status", text(status_) },
+      { "framing", GetFramingName() },
+      { "events", text(relay_.GetEventCount()) },
       { "why", reason_ } });
 }
 
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -123,6 +123,9 @@
   upstreams_ +=
     (upstreams_.empty() ? "" : ",") + parameters.metadata.upstreamId;
   answer_ = SendToUpstream(services_, *lease_, parameters);
+  if (answer_.stream) {
+    framing_ = answer_.stream->GetFraming();
+  }
   if (answer_.result == SendResult::NotSent) {
     ++connectFailures_;
   } else {
@@ -301,8 +304,9 @@
   // Without a length, a response that broke off ends like a complete one; the
   // partial event shows it.
   bool isCutOff = result == net::ReadResult::End && relay_.HasRemainder() &&
-                  answer_.stream->IsEndedByClose();
+                  answer_.stream->GetFraming() == net::BodyFraming::Close;
   if (isCutOff) {
+    services_.GetMetrics().truncatedStreams.Add();
     answer_.reason.Set(ErrorKind::ConnectionLost,
                        "the stream ended within an event");
     return net::ReadResult::Failed;
@@ -318,6 +322,16 @@
   }
   lease_->GetUpstream().health.RecordOutcome(Outcome::Failed, services_.Now());
   RecordLostConnection();
+  services_.GetMetrics().brokenStreams.Add();
+  services_.GetLogger().Info(
+    "a stream broke off",
+    { { "request", caller_.attemptId },
+      { "upstream", lease_->GetUpstream().record.id },
+      { "framing", GetFramingName() },
+      { "events", std::to_string(relay_.GetEventCount()) },
+      { "partial_bytes", std::to_string(relay_.GetRemainderBytes()) },
+      { "resumable", route_->resumable ? "yes" : "no" },
+      { "why", answer_.reason.detail } });
 }
 
 bool
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <net/Endpoint.h>
 #include <net/Http.h>
@@ -13,6 +14,19 @@
 
 namespace waxwingyoke::net {
 
+/** What marks the end of a response's body. */
+enum class BodyFraming
+{
+  Length,
+  Chunks,
+  /** Only the close of the connection: a truncated body looks complete. */
+  Close
+};
+
+/** For logs. */
+std::string_view
+GetName(BodyFraming aFraming);
+
 /** The result of a read from a response's body. */
 enum class ReadResult
 {
@@ -34,11 +48,7 @@
 
   int GetStatus() const;
   const HttpFields& GetFields() const;
-  /**
-   * Whether only the close of the connection ends the body, so that a body that
-   * was cut off looks complete.
-   */
-  bool IsEndedByClose() const;
+  BodyFraming GetFraming() const;
 
   /**
    * Replaces aPart by the next bytes of the body. Fails with TimedOut if
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include <net/HttpClient.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <limits>
 #include <map>
@@ -220,8 +221,27 @@
   return message;
 }
 
+struct FramingName
+{
+  BodyFraming framing;
+  std::string_view name;
+};
+
+constexpr std::array<FramingName, 3> kFramingNames{ {
+  { BodyFraming::Length, "length" },
+  { BodyFraming::Chunks, "chunks" },
+  { BodyFraming::Close, "close" },
+} };
+
 } // namespace
 
+std::string_view
+GetName(BodyFraming aFraming)
+{
+  return std::ranges::find(kFramingNames, aFraming, &FramingName::framing)
+    ->name;
+}
+
 struct ResponseStream::Impl
 {
   Endpoint peer;
@@ -313,10 +333,13 @@
   }
 }
 
-bool
-ResponseStream::IsEndedByClose() const
+BodyFraming
+ResponseStream::GetFraming() const
 {
-  return impl_->parser->need_eof();
+  if (impl_->parser->need_eof()) {
+    return BodyFraming::Close;
+  }
+  return impl_->parser->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
 }
 
 int
--- a/libs/net/tests/FaultyServerTest.cpp
+++ b/libs/net/tests/FaultyServerTest.cpp
@@ -221,7 +221,7 @@
     utils::Error reason;
     auto stream = aClient.Open(aPeer, {}, {}, reason);
     REQUIRE(stream);
-    CHECK(stream->IsEndedByClose());
+    CHECK(stream->GetFraming() == BodyFraming::Close);
     stream.reset();
     auto response = aClient.Call(aPeer, {}, {}, reason);
     REQUIRE(response);
