--- a/libs/net/tests/RawServer.cpp
+++ b/libs/net/tests/RawServer.cpp
@@ -6,6 +6,8 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <cstdlib>
+#include <string_view>
 #include <utility>
 
 namespace waxwingyoke::net {
@@ -37,20 +39,36 @@
 
 } // namespace
 
+// Input that is left unread would turn the close into a reset.
 bool
 RawServer::Peer::ReadRequest()
 {
-  std::string head;
+  head_.clear();
   char byte = 0;
-  while (!head.ends_with("\r\n\r\n")) {
+  while (!head_.ends_with("\r\n\r\n")) {
+    if (::recv(socket_, &byte, 1, 0) != 1) {
+      return false;
+    }
+    head_ += byte;
+  }
+  for (auto left = ParseBodyBytes(); left > 0; --left) {
     if (::recv(socket_, &byte, 1, 0) != 1) {
       return false;
     }
-    head += byte;
   }
   return true;
 }
 
+std::size_t
+RawServer::Peer::ParseBodyBytes() const
+{
+  constexpr std::string_view kField = "Content-Length: ";
+  auto at = head_.find(kField);
+  return at == std::string::npos
+           ? 0
+           : std::strtoull(head_.c_str() + at + kField.size(), nullptr, 10);
+}
+
 bool
 RawServer::Peer::Send(const std::string& aBytes)
 {
--- a/libs/net/tests/RawServer.h
+++ b/libs/net/tests/RawServer.h
@@ -26,8 +26,13 @@
     {
     }
 
-    /** Reads one request without a body; false if the client closed. */
+    /**
+     * Reads one request, whose body, if it has one, states its length; false if
+     * the client closed.
+     */
     bool ReadRequest();
+    /** The header of the request that was read last. */
+    const std::string& GetRequestHead() const { return head_; }
     bool Send(const std::string& aBytes);
     /** Repeats aBytes until the client closes or kMaxSent bytes are sent. */
     void SendWithoutEnd(const std::string& aBytes);
@@ -35,7 +40,10 @@
     void Reset();
 
   private:
+    std::size_t ParseBodyBytes() const;
+
     int socket_;
+    std::string head_;
   };
 
   static constexpr std::size_t kMaxSent = 64 << 20;
