Fleet: streams whose lines end in CRLF or CR are relayed event by event

What callers would see: of a stream with CRLF lines nothing arrives before its end, and nothing can be resumed. The relay knew two LFs alone as the end of an event; server-sent events may end lines in LF, CRLF or CR.

HasRemainder is gone: its checks ask EndsInsideEvent and for the number of bytes, which is as strict.

--- a/libs/fleet/src/EventRelay.cpp
+++ b/libs/fleet/src/EventRelay.cpp
@@ -3,21 +3,18 @@
 #include <charconv>
 #include <utility>
 
+#include <net/EventStream.h>
+
 namespace waxwingyoke::fleet {
 
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
-
 std::string_view
 TrimId(std::string_view aText)
 {
   while (!aText.empty() && aText.front() == ' ') {
     aText.remove_prefix(1);
   }
-  while (!aText.empty() && aText.back() == '\r') {
-    aText.remove_suffix(1);
-  }
   return aText;
 }
 
@@ -26,16 +23,10 @@
 FindId(std::string_view aEvent)
 {
   constexpr std::string_view kField = "id:";
-  while (!aEvent.empty()) {
-    auto lineEnd = aEvent.find('\n');
-    auto line = aEvent.substr(0, lineEnd);
-    if (line.starts_with(kField)) {
-      return TrimId(line.substr(kField.size()));
+  while (auto line = net::TakeLine(aEvent)) {
+    if (line->starts_with(kField)) {
+      return TrimId(line->substr(kField.size()));
     }
-    if (lineEnd == std::string_view::npos) {
-      break;
-    }
-    aEvent.remove_prefix(lineEnd + 1);
   }
   return {};
 }
@@ -44,12 +35,10 @@
 bool
 HasFields(std::string_view aEvent)
 {
-  bool atLineStart = true;
-  for (char byte : aEvent) {
-    if (atLineStart && byte != ':' && byte != '\n' && byte != '\r') {
+  while (auto line = net::TakeLine(aEvent)) {
+    if (!line->empty() && line->front() != ':') {
       return true;
     }
-    atLineStart = byte == '\n';
   }
   return false;
 }
@@ -88,24 +77,27 @@
 EventRelay::TakeEvents()
 {
   std::string events;
-  std::size_t taken = 0;
-  while (true) {
-    auto end = pending_.find(kEventEnd, taken);
-    if (end == std::string::npos) {
-      break;
-    }
-    auto next = end + kEventEnd.size();
-    std::string_view event(pending_.data() + taken, next - taken);
+  std::string_view rest(pending_);
+  auto size = net::FindEventEnd(rest);
+  while (size != std::string_view::npos) {
+    auto event = rest.substr(0, size);
     if (!IsDuplicate(event)) {
       events += event;
       eventCount_ += HasFields(event) ? 1 : 0;
     }
-    taken = next;
+    rest.remove_prefix(size);
+    size = net::FindEventEnd(rest);
   }
-  pending_.erase(0, taken);
+  pending_.erase(0, pending_.size() - rest.size());
   return events;
 }
 
+bool
+EventRelay::EndsInsideEvent() const
+{
+  return net::EndsInsideEvent(pending_);
+}
+
 std::string
 EventRelay::TakeRemainder()
 {
--- a/libs/fleet/src/EventRelay.h
+++ b/libs/fleet/src/EventRelay.h
@@ -31,10 +31,10 @@
   /** Whether the buffered event is larger than any that is relayed. */
   bool IsEventTooLarge() const { return pending_.size() > kMaxEventBytes; }
 
-  /** Whether bytes of an incomplete event are buffered. */
-  bool HasRemainder() const { return !pending_.empty(); }
+  /** Whether a stream that ends here has been broken off within an event. */
+  bool EndsInsideEvent() const;
 
-  /** The number of buffered bytes, all of an incomplete event. */
+  /** The number of buffered bytes, which complete no event yet. */
   std::size_t GetRemainderBytes() const { return pending_.size(); }
 
   /** Removes and returns the bytes that are left when a response ends. */
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -303,7 +303,7 @@
   auto result = answer_.stream->Read(aPart, wait, answer_.reason);
   // Without a length, a response that broke off ends like a complete one; the
   // partial event shows it.
-  bool isCutOff = result == net::ReadResult::End && relay_.HasRemainder() &&
+  bool isCutOff = result == net::ReadResult::End && relay_.EndsInsideEvent() &&
                   answer_.stream->GetFraming() == net::BodyFraming::Close;
   if (isCutOff) {
     services_.GetMetrics().truncatedStreams.Add();
--- a/libs/fleet/tests/EventRelayTest.cpp
+++ b/libs/fleet/tests/EventRelayTest.cpp
@@ -10,11 +10,13 @@
   relay.Add("id: 1\ndata: a\n\nid: 2\nda");
   CHECK(relay.TakeEvents() == "id: 1\ndata: a\n\n");
   CHECK(relay.GetLastEventId() == "1");
-  CHECK(relay.HasRemainder());
+  CHECK(relay.EndsInsideEvent());
+  CHECK(relay.GetRemainderBytes() == 8);
   CHECK(relay.TakeEvents().empty());
   relay.Add("ta: b\n\n");
   CHECK(relay.TakeEvents() == "id: 2\ndata: b\n\n");
-  CHECK_FALSE(relay.HasRemainder());
+  CHECK_FALSE(relay.EndsInsideEvent());
+  CHECK(relay.GetRemainderBytes() == 0);
 }
 
 TEST_CASE("another upstream resumes without a gap or a duplicate")
@@ -23,7 +25,7 @@
   relay.Add("id: 1\ndata: a\n\nid: 2\ndata: cut");
   relay.TakeEvents();
   relay.DiscardPartialEvent();
-  CHECK_FALSE(relay.HasRemainder());
+  CHECK(relay.GetRemainderBytes() == 0);
   relay.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
   CHECK(relay.TakeEvents() == "id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
   CHECK(relay.GetLastEventId() == "3");
@@ -44,5 +46,22 @@
   relay.Add("id: 1\ndata: a\n\ntail");
   relay.TakeEvents();
   CHECK(relay.TakeRemainder() == "tail");
-  CHECK_FALSE(relay.HasRemainder());
+  CHECK(relay.GetRemainderBytes() == 0);
+}
+
+// Guards against events that reach the caller only at the end of the stream,
+// and are then taken for one that broke off, as their lines end in CRLF.
+TEST_CASE("events with lines that end in CRLF are forwarded as they arrive")
+{
+  EventRelay relay;
+  relay.Add("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3\r\n");
+  CHECK(relay.TakeEvents() ==
+        "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n");
+  CHECK(relay.GetLastEventId() == "2");
+  CHECK(relay.GetEventCount() == 2);
+  CHECK(relay.EndsInsideEvent());
+  relay.DiscardPartialEvent();
+  relay.Add("id: 2\r\ndata: b\r\n\r\nid: 3\r\ndata: c\r\n\r\n");
+  CHECK(relay.TakeEvents() == "id: 3\r\ndata: c\r\n\r\n");
+  CHECK_FALSE(relay.EndsInsideEvent());
 }
