Entries: a stream that ends within an event is broken off, however it is framed

Cause: the entry took the end of an upstream's response for the end of the answer.

Why it works: what the stream itself says decides. A response is complete only if its bytes end between two events, and, where the connection alone ends it, after at least one. Otherwise the stream goes on at another upstream, or the entry leaves its own answer unfinished. What can't be told: a response without length and chunks that breaks off exactly between two events.

--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -77,6 +77,7 @@
   net::ReadResult ReadPart(std::string& aPart,
                            utils::Millis aQuietSince,
                            int& aLateReads);
+  bool IsTruncated() const;
   void RecordEvents();
   bool ResumeElsewhere();
   void RecordLostConnection();
@@ -125,6 +126,8 @@
   bool mayHaveRun_ = false;
   EventRelay relay_;
   bool streaming_ = false;
+  /** Events relayed before the current upstream's response. */
+  std::uint64_t eventsBeforeResponse_ = 0;
   /** Framing of the last response that an upstream began. */
   std::optional<net::BodyFraming> framing_;
 
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -301,19 +301,28 @@
   }
   auto wait = std::min(std::max(idleLeft, kLateReadTimeout), GetTimeLeft());
   auto result = answer_.stream->Read(aPart, wait, answer_.reason);
-  // Without a length, a response that broke off ends like a complete one; the
-  // partial event shows it.
-  bool isCutOff = result == net::ReadResult::End && relay_.EndsInsideEvent() &&
-                  answer_.stream->GetFraming() == net::BodyFraming::Close;
-  if (isCutOff) {
+  if (result == net::ReadResult::End && IsTruncated()) {
     services_.GetMetrics().truncatedStreams.Add();
-    answer_.reason.Set(ErrorKind::ConnectionLost,
-                       "the stream ended within an event");
+    bool lost = answer_.stream->GetFraming() == net::BodyFraming::Close;
+    answer_.reason.Set(lost ? ErrorKind::ConnectionLost
+                            : ErrorKind::AnswerBroken,
+                       "the stream ended within an event or before the first");
     return net::ReadResult::Failed;
   }
   return result;
 }
 
+// The framing of the response doesn't decide it: an upstream that stops midway
+// may still close in order or end its chunks. A response without any event that
+// ends in a close looks like that of an upstream that exits before its first.
+bool
+Exchange::IsTruncated() const
+{
+  bool isEmpty = relay_.GetEventCount() == eventsBeforeResponse_ &&
+                 answer_.stream->GetFraming() == net::BodyFraming::Close;
+  return isEmpty || relay_.EndsInsideEvent();
+}
+
 void
 Exchange::RecordBrokenStream()
 {
@@ -375,6 +384,7 @@
 Exchange::ForwardEvents()
 {
   std::string part;
+  eventsBeforeResponse_ = relay_.GetEventCount();
   auto quietSince = services_.Now();
   int lateReads = 0;
   while (true) {
