Requests: a plain service's stream that ends within an event is not complete

What callers would see, on the product's own path: of a plain service's event stream that broke off, all that had come, framed as complete.

An engine's stream has an end mark that must be there; a stream without end marks was complete wherever it ended. Now it is complete only between two events. Events are also found with CRLF and CR lines.

HasEndMark is called IsComplete, its checks stay.

--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -265,9 +265,10 @@
     result.error.Set(
       ErrorKind::VersionChanged,
       "the version or the incarnation changed during the answer");
-  } else if (!aProgress.sink.HasEndMark()) {
-    result.error.Set(ErrorKind::AnswerBroken,
-                     "the stream ended without its end mark");
+  } else if (!aProgress.sink.IsComplete()) {
+    result.error.Set(
+      ErrorKind::AnswerBroken,
+      "the stream ended within an event or without its end mark");
   }
 }
 
--- a/libs/requests/src/CallerSink.cpp
+++ b/libs/requests/src/CallerSink.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include <net/EventStream.h>
 #include <utils/Hash.h>
 
 namespace waxwingyoke::requests {
 
 namespace {
 
-constexpr std::string_view kEventDelimiter = "\n\n";
 constexpr std::string_view kEndMark = "data: [DONE]";
 constexpr std::int64_t kMillisPerSecond = 1000;
 
@@ -38,14 +38,23 @@
 void
 ForEachEvent(std::string_view aData, Action aAction)
 {
-  for (auto end = aData.find(kEventDelimiter); end != std::string_view::npos;
-       end = aData.find(kEventDelimiter)) {
-    end += kEventDelimiter.size();
+  for (auto end = net::FindEventEnd(aData); end != std::string_view::npos;
+       end = net::FindEventEnd(aData)) {
     aAction(aData.substr(0, end));
     aData.remove_prefix(end);
   }
 }
 
+// The size of all complete events at the beginning of aData.
+std::size_t
+GetCompleteBytes(std::string_view aData)
+{
+  std::size_t bytes = 0;
+  ForEachEvent(aData,
+               [&bytes](std::string_view aEvent) { bytes += aEvent.size(); });
+  return bytes;
+}
+
 } // namespace
 
 CallerSink::CallerSink(net::ResponseWriter& aWriter, bool aNeedsEndMark)
@@ -81,11 +90,10 @@
 CallerSink::SkipReplayedEvents()
 {
   while (replayedEvents_ < sentEventHashes_.size() && !diverged_) {
-    auto end = buffer_.find(kEventDelimiter);
+    auto end = net::FindEventEnd(buffer_);
     if (end == std::string::npos) {
       return;
     }
-    end += kEventDelimiter.size();
     auto hash = HashEvent(std::string_view(buffer_).substr(0, end));
     diverged_ = hash != sentEventHashes_[replayedEvents_++];
     buffer_.erase(0, end);
@@ -99,9 +107,7 @@
     return true;
   }
   // Sends all complete events, up to the end mark if there is one.
-  auto end = buffer_.rfind(kEventDelimiter);
-  auto ready = end == std::string::npos ? 0 : end + kEventDelimiter.size();
-  ready = std::min(ready, buffer_.find(kEndMark));
+  auto ready = std::min(GetCompleteBytes(buffer_), buffer_.find(kEndMark));
   if (ready == 0) {
     return true;
   }
@@ -122,14 +128,15 @@
 }
 
 bool
-CallerSink::HasEndMark() const
+CallerSink::IsComplete() const
 {
   if (!isStream_) {
     // Only a stream can continue a stream that was partly sent.
     return !hasSentData_;
   }
   bool caughtUp = replayedEvents_ == sentEventHashes_.size();
-  return caughtUp && (!needsEndMark_ || buffer_.starts_with(kEndMark));
+  return caughtUp && (needsEndMark_ ? buffer_.starts_with(kEndMark)
+                                    : !net::EndsInsideEvent(buffer_));
 }
 
 void
--- a/libs/requests/src/CallerSink.h
+++ b/libs/requests/src/CallerSink.h
@@ -39,8 +39,11 @@
   /** False if the caller disconnected or the stream diverged. */
   bool OnData(std::string_view aData);
 
-  /** Whether the answer ended as its type requires. */
-  bool HasEndMark() const;
+  /**
+   * Whether the answer may end here: a stream after its end mark or, if it has
+   * none, not within an event.
+   */
+  bool IsComplete() const;
 
   /** Sends what is buffered and ends the answer, which is complete. */
   void Finish();
--- a/libs/requests/tests/StreamTest.cpp
+++ b/libs/requests/tests/StreamTest.cpp
@@ -132,7 +132,7 @@
   sink.OnData("wo\n\ndata: [DONE]\n\n");
   CHECK(writer.text == "data: one\n\ndata: two\n\n");
   CHECK(sink.GetSentEventCount() == 2);
-  CHECK(sink.HasEndMark());
+  CHECK(sink.IsComplete());
   sink.Finish();
   CHECK(writer.text == "data: one\n\ndata: two\n\ndata: [DONE]\n\n");
   CHECK(writer.finished);
@@ -150,6 +150,37 @@
   CHECK(writer.text.find("\"run\":\"yes\"") != std::string::npos);
 }
 
+// Guards against a plain service's stream that broke off and reached its caller
+// framed as complete: it has no end mark that could be missing.
+TEST_CASE("broken off: a stream without end marks that ends within an event is "
+          "not complete")
+{
+  const std::string event = "data: one\n\n";
+  for (std::size_t bytes = 0; bytes <= event.size(); ++bytes) {
+    CAPTURE(bytes);
+    RecordingWriter writer;
+    CallerSink sink(writer, false);
+    sink.OnHead(MakeStreamHead());
+    sink.OnData(event + event.substr(0, bytes));
+    CHECK(sink.IsComplete() == (bytes == 0 || bytes == event.size()));
+  }
+}
+
+TEST_CASE("events with lines that end in CRLF are sent as they arrive")
+{
+  RecordingWriter writer;
+  CallerSink sink(writer, false);
+  sink.OnHead(MakeStreamHead());
+  sink.OnData("data: one\r\n\r\ndata: two\r\n\r\ndata: thr");
+  CHECK(writer.text == "data: one\r\n\r\ndata: two\r\n\r\n");
+  CHECK(sink.GetSentEventCount() == 2);
+  sink.Reset();
+  sink.OnHead(MakeStreamHead());
+  sink.OnData("data: one\r\n\r\ndata: two\r\n\r\ndata: three\r\n\r\n");
+  CHECK(writer.text == "data: one\r\n\r\ndata: two\r\n\r\ndata: three\r\n\r\n");
+  CHECK(sink.IsComplete());
+}
+
 TEST_CASE("an answer that is not a stream is sent completely or not at all")
 {
   RecordingWriter writer;
@@ -197,7 +228,7 @@
     for (const auto& part : Split(second, random)) {
       CHECK(sink.OnData(part));
     }
-    CHECK(sink.HasEndMark());
+    CHECK(sink.IsComplete());
     sink.Finish();
     CHECK(writer.text == first.substr(0, delivered) + second.substr(delivered));
   }
