Log: a page that was cut between two records confirms nothing

What callers could see: a request with a revoked key accepted, as an entry held its configuration for the newest.

A page of the log is raw records and doesn't mark its end; cut between two records, or within the four bytes of a length, it passed as all there was, and confirmed the configuration at the time of the read. The same held without any fault for a page limited in size. The log's end offset in front of the page was skipped.

Ruled out: the newest records of each key and all other answers of the platform are JSON, which a cut makes unreadable, pieces of weights have digests.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -242,7 +242,7 @@
   if (GetConfigVersion() > versionBefore) {
     unconfirmedUntil_ = aSentAt;
   }
-  if (aSentAt >= unconfirmedUntil_) {
+  if (aSentAt >= unconfirmedUntil_ && aPage.reachesEnd) {
     confirmedAt_ = std::max(confirmedAt_.value_or(aSentAt), aSentAt);
   }
   if (onChange_ && !aPage.records.empty()) {
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <ConfigFollower.h>
@@ -133,6 +134,32 @@
   CHECK(follower.GetConfig()->version == 9);
 }
 
+// Guards against a configuration that counts as the newest because the answer
+// that would have shown a newer one was cut between two records.
+TEST_CASE("a page that stops short of the log's end confirms nothing")
+{
+  ScriptedLog log;
+  ConfigFollower follower(log, MakeCodecs(), {});
+  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+  CHECK(follower.Poll());
+  constexpr Millis kPause(20);
+  std::this_thread::sleep_for(kPause.ToChrono());
+  log.changes = MakePage({ { "config", "6", 1, false } }, 2);
+  log.changes.reachesEnd = false;
+  CHECK(follower.Poll());
+  CHECK(follower.GetConfig()->version == 6);
+  CHECK(follower.GetAge() >= kPause);
+  log.changes = MakePage({ { "config", "7", 2, false } }, 3);
+  // The process may be suspended after a read, so one read may not show it.
+  constexpr int kMaxReads = 100;
+  bool confirmed = false;
+  for (int reads = 0; reads < kMaxReads && !confirmed; ++reads) {
+    CHECK(follower.Poll());
+    confirmed = follower.GetAge() < kPause;
+  }
+  CHECK(confirmed);
+}
+
 TEST_CASE("without a successful read there is no configuration and its age is "
           "unbounded")
 {
--- a/libs/platform/include/platform/KeyedLog.h
+++ b/libs/platform/include/platform/KeyedLog.h
@@ -43,6 +43,12 @@
    * records of the last seconds of the epoch before may be missing.
    */
   std::uint64_t epoch = 0;
+  /**
+   * Whether the records reach the log's end at the time of the answer. A page
+   * that doesn't, because it is limited in size or its answer was cut, says
+   * nothing of what is newest.
+   */
+  bool reachesEnd = true;
 };
 
 /** Keyed topics of the platform's log; the port that adapters implement. */
