Requests: an answer that ends with its connection needs an upstream that lives

What callers would see, on the product's own path: half of a plain service's answer as a complete one, if the service died while it wrote.

The side, which sits beside its upstream, now asks whether it still runs (the check that it makes after a failure anyway) before it takes such an answer for complete; otherwise the attempt has failed. Answers with a length or chunks cost nothing more.

Evidence: the new test fails on the code before (a service that answers without a length and drops the probes) and passes with this; a living service's answer is complete as before.

--- a/libs/requests/src/UpstreamClient.cpp
+++ b/libs/requests/src/UpstreamClient.cpp
@@ -114,6 +114,7 @@
   net::CallTimeouts timeouts{ std::min(remaining, kConnectTimeout),
                               remaining,
                               remaining };
+  auto incarnation = GetIncarnation();
   auto stream =
     client_.Open(upstream_.endpoint, MakeRequest(aRequest), timeouts, aReason);
   // A server error of an engine is a failed attempt, not an answer. One of a
@@ -128,6 +129,13 @@
   }
   bool isComplete =
     stream && CopyAnswer(*stream, aVersion, aDeadline, aAnswer, aReason);
+  // The close alone marks the end, and an upstream that crashes closes too.
+  if (isComplete && stream->GetFraming() == net::BodyFraming::Close &&
+      HasCrashed(incarnation)) {
+    aReason.Set(ErrorKind::UpstreamFailed,
+                "the upstream crashed when it closed its answer");
+    return false;
+  }
   if (isComplete || aReason.kind == ErrorKind::ConnectFailed) {
     return isComplete;
   }
--- /dev/null
+++ b/libs/requests/tests/UpstreamClientTest.cpp
@@ -0,0 +1,85 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include <unistd.h>
+
+#include <RawServer.h>
+#include <net/Runtime.h>
+
+#include "Answer.h"
+#include "UpstreamClient.h"
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::requests;
+using utils::Millis;
+
+namespace {
+
+net::Endpoint
+MakeEndpoint()
+{
+  auto pid = static_cast<unsigned>(getpid());
+  return { "127.80." + std::to_string(pid / 250 % 250) + "." +
+             std::to_string(pid % 250 + 1),
+           7305 };
+}
+
+/** A plain service that answers with aResponse and, unless it has died, to the
+ * probe that follows. */
+net::RawServer::Script
+MakeService(const std::string& aResponse, const bool& aDies)
+{
+  return [&aResponse, &aDies](net::RawServer::Peer& aPeer) {
+    if (!aPeer.ReadRequest()) {
+      return;
+    }
+    if (!aPeer.GetRequestHead().starts_with("OPTIONS")) {
+      aPeer.Send(aResponse);
+    } else if (!aDies) {
+      aPeer.Send("HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n");
+    }
+  };
+}
+
+} // namespace
+
+// Guards against half of an answer that passes as complete: its upstream died
+// while it wrote, and the close of the connection was the only end it had.
+TEST_CASE(
+  "broken off: an answer that ends with its connection is complete only "
+  "if its upstream still runs")
+{
+  const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nhalf";
+  const std::string framed = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull";
+  constexpr Millis kTimeout(10000);
+  std::string response;
+  bool dies = false;
+  auto endpoint = MakeEndpoint();
+  net::RawServer server(endpoint, MakeService(response, dies));
+  REQUIRE(server.IsListening());
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    net::HttpClient client;
+    Upstream upstream{ endpoint, false };
+    UpstreamClient upstreamClient(client, upstream);
+    auto run = [&](const std::string& aResponse, bool aDies) {
+      response = aResponse;
+      dies = aDies;
+      schema::AttemptRequest request;
+      request.set_method("POST");
+      request.set_path("/a");
+      Answer answer;
+      utils::Error reason;
+      utils::Clock clock;
+      bool isComplete =
+        upstreamClient.Run(request, "", clock.Now() + kTimeout, answer, reason);
+      CHECK(isComplete == (reason.kind == utils::ErrorKind::None));
+      return isComplete;
+    };
+    CHECK(run(unframed, false));
+    CHECK_FALSE(run(unframed, true));
+    CHECK(run(framed, true));
+    return 0;
+  });
+}
