--- a/soak/src/FaultInjector.cpp
+++ b/soak/src/FaultInjector.cpp
@@ -52,6 +52,9 @@
 constexpr Millis kStopTimeout(6000);
 constexpr std::uint32_t kDelayMs = 300;
 constexpr std::uint32_t kCutPerMille = 200;
+// The bit of a fault's draw that decides how an upstream ends a stream that it
+// breaks off; other bits pick the upstream.
+constexpr int kEndBrokenResponseBit = 32;
 
 std::int64_t
 Draw(std::mt19937_64& aRandom, std::int64_t aFrom, std::int64_t aTo)
@@ -231,6 +234,7 @@
   switch (aKind) {
     case FaultKind::UpstreamBreaksStreams:
       faults.breakAfterEvents = 2;
+      faults.endBrokenResponse = (aDraw >> kEndBrokenResponseBit & 1) != 0;
       break;
     case FaultKind::UpstreamDropsAnswers:
       faults.dropAnswers = true;
