--- a/libs/net/tests/EventStreamTest.cpp
+++ b/libs/net/tests/EventStreamTest.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <initializer_list>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,18 @@
 
 namespace {
 
+// The lines, each with the line end aEnd; an empty line completes an event.
+std::string
+JoinLines(std::initializer_list<const char*> aLines, const std::string& aEnd)
+{
+  std::string text;
+  for (const auto* line : aLines) {
+    text += line;
+    text += aEnd;
+  }
+  return text;
+}
+
 // The events that a reader finds which gets the stream in two parts.
 std::vector<std::string>
 SplitEvents(const std::string& aStream, std::size_t aFirstBytes)
@@ -37,8 +50,8 @@
 {
   for (const std::string end : { "\n", "\r\n", "\r" }) {
     CAPTURE(end.size());
-    auto first = "id: 1" + end + "data: a" + end + end;
-    auto second = ": comment" + end + "data: b" + end + end;
+    auto first = JoinLines({ "id: 1", "data: a", "" }, end);
+    auto second = JoinLines({ ": comment", "data: b", "" }, end);
     auto stream = first + second;
     for (std::size_t at = 0; at <= stream.size(); ++at) {
       CAPTURE(at);
@@ -53,7 +66,7 @@
 {
   for (const std::string end : { "\n", "\r\n", "\r" }) {
     CAPTURE(end.size());
-    auto event = "id: 1" + end + "data: a" + end + end;
+    auto event = JoinLines({ "id: 1", "data: a", "" }, end);
     for (std::size_t bytes = 1; bytes < event.size(); ++bytes) {
       CAPTURE(bytes);
       // The blank line's LF is missing, which changes nothing.
@@ -63,10 +76,11 @@
     CHECK_FALSE(EndsInsideEvent(""));
     CHECK_FALSE(EndsInsideEvent(event));
     CHECK_FALSE(EndsInsideEvent(end));
-    CHECK_FALSE(EndsInsideEvent(": comment" + end));
-    CHECK_FALSE(EndsInsideEvent(event + end + ": comment" + end));
+    CHECK_FALSE(EndsInsideEvent(JoinLines({ ": comment" }, end)));
+    CHECK_FALSE(EndsInsideEvent(
+      JoinLines({ "id: 1", "data: a", "", "", ": comment" }, end)));
     CHECK(EndsInsideEvent(": comm"));
-    CHECK(EndsInsideEvent(": comment" + end + "data: a" + end));
+    CHECK(EndsInsideEvent(JoinLines({ ": comment", "data: a" }, end)));
   }
 }
 
