Soak: an upstream that announced its exit comes back as a new incarnation

Cause: both upstreams of the plain service had been draining and came back ready with the same id and start time. Entries give an incarnation that has announced its exit no work again, as the platform's pages ask, so they rightly refused: the fake was wrong. Read from the entries' logs, where both are last listed as not draining and no request is sent to either.

FakeUpstream::StartAnew begins an incarnation that holds no version, and the end of a drain calls it, so that the soak now also has upstreams that load again.

--- a/soak/src/SoakBed.cpp
+++ b/soak/src/SoakBed.cpp
@@ -247,6 +247,9 @@
 void
 SoakBed::SetDraining(std::size_t aUpstream, bool aDraining)
 {
+  if (draining_[aUpstream] && !aDraining) {
+    upstreams[aUpstream]->StartAnew();
+  }
   draining_[aUpstream] = aDraining;
   RegisterChanged();
 }
--- a/soak/src/SoakBed.h
+++ b/soak/src/SoakBed.h
@@ -61,6 +61,10 @@
 
   /** Appends changed upstream records to the directory. */
   void RegisterChanged();
+  /**
+   * Makes an upstream announce its exit or, if it had, replaces it by a new
+   * incarnation: one that has announced it never takes work again.
+   */
   void SetDraining(std::size_t aUpstream, bool aDraining);
 
   /** The addresses that the proxy's links listen on. */
