Soak: the log comes back from an older copy

Every other outage of the log (a bit of its draw) now ends with a copy made a second before it; 0.3 s later the operator and the upstreams write again. The checks are the soak's own: a revoked key runs nothing, nothing goes back, all serve afterwards.

--- a/soak/src/FaultInjector.cpp
+++ b/soak/src/FaultInjector.cpp
@@ -55,6 +55,12 @@
 // The bit of a fault's draw that decides how an upstream ends a stream that it
 // breaks off; other bits pick the upstream.
 constexpr int kEndBrokenResponseBit = 32;
+// The bit that decides whether the log comes back from a copy.
+constexpr int kRestoreLogBit = 33;
+// Age of the copy when the log goes away, and the time that the operator and
+// the upstreams take to write again after the log is back.
+constexpr Millis kCopyAge(1000);
+constexpr Millis kRewriteDelay(300);
 
 std::int64_t
 Draw(std::mt19937_64& aRandom, std::int64_t aFrom, std::int64_t aTo)
@@ -119,9 +125,7 @@
       InjectProcessFault(aKind, aDraw, aDuration);
       break;
     case FaultKind::LogUnavailable:
-      bed_.log.SetUnavailable(true);
-      net::Runtime::Sleep(aDuration);
-      bed_.log.SetUnavailable(false);
+      MakeLogUnavailable(aDraw, aDuration);
       break;
     case FaultKind::Publish:
       bed_.Publish();
@@ -201,6 +205,31 @@
   }
 }
 
+// Every other time the log comes back from a copy made before it went away and
+// loses what it acknowledged since.
+void
+FaultInjector::MakeLogUnavailable(std::uint64_t aDraw, Millis aDuration)
+{
+  bool restores = (aDraw >> kRestoreLogBit & 1) != 0 && !isLogCopyInUse_;
+  if (restores) {
+    isLogCopyInUse_ = true;
+    bed_.log.TakeCopy();
+    net::Runtime::Sleep(kCopyAge);
+  }
+  bed_.log.SetUnavailable(true);
+  net::Runtime::Sleep(aDuration);
+  if (restores) {
+    bed_.log.RestoreCopy();
+  }
+  bed_.log.SetUnavailable(false);
+  if (restores) {
+    ++injectedCounts_["log_restored"];
+    net::Runtime::Sleep(kRewriteDelay);
+    bed_.WriteAgain();
+    isLogCopyInUse_ = false;
+  }
+}
+
 // Adds a key and revokes the oldest one, which callers use for a while yet.
 void
 FaultInjector::RotateKey()
--- a/soak/src/FaultInjector.h
+++ b/soak/src/FaultInjector.h
@@ -65,6 +65,7 @@
   void InjectUpstreamFault(FaultKind aKind,
                            std::uint64_t aDraw,
                            utils::Millis aDuration);
+  void MakeLogUnavailable(std::uint64_t aDraw, utils::Millis aDuration);
   void RotateKey();
   void Restart(Daemon& aDaemon);
 
@@ -76,6 +77,7 @@
   std::map<std::string, int> injectedCounts_;
   int running_ = 0;
   int keysMade_ = 0;
+  bool isLogCopyInUse_ = false;
 };
 
 } // namespace waxwingyoke::soak
--- a/soak/src/SoakBed.cpp
+++ b/soak/src/SoakBed.cpp
@@ -213,6 +213,13 @@
 
 void
 SoakBed::Publish()
+{
+  ++configVersion_;
+  AppendConfig();
+}
+
+void
+SoakBed::AppendConfig()
 {
   std::string keys;
   for (const auto& key : activeKeys) {
@@ -220,7 +227,7 @@
   }
   adapter::PublishConfig(
     log,
-    ++configVersion_,
+    configVersion_,
     R"({"Name":"org","ApiKeys":[)" + keys + "]}",
     GetProxyEndpoint(MakeEndpoint(kOriginHost, kOriginPort)));
 }
@@ -231,6 +238,15 @@
   adapter::NameVersion(log, ++namedVersion_);
 }
 
+void
+SoakBed::WriteAgain()
+{
+  AppendConfig();
+  adapter::NameVersion(log, namedVersion_);
+  std::ranges::fill(registeredRecords_, "");
+  RegisterChanged();
+}
+
 void
 SoakBed::RegisterChanged()
 {
--- a/soak/src/SoakBed.h
+++ b/soak/src/SoakBed.h
@@ -59,6 +59,12 @@
   void NameVersion();
   std::uint64_t GetVersion() const { return namedVersion_; }
 
+  /**
+   * Writes the newest configuration, the newest version and all upstream
+   * records, as their writers do after the log was restored from a copy.
+   */
+  void WriteAgain();
+
   /** Appends changed upstream records to the directory. */
   void RegisterChanged();
   /**
@@ -96,6 +102,7 @@
   bool StartProxy(utils::Error& aReason);
   bool StartDaemons(utils::Error& aReason);
   void AddLink(const net::Endpoint& aTarget);
+  void AppendConfig();
 
   std::unique_ptr<bed::AddressBlock> block_;
   std::filesystem::path folder_;
