Entries, sides: logs state when a version was observed and when the process did not run

"version named" states its source, the age from which the limit counts, how long before the topic was last confirmed and whether a read had failed; a request's line states its start timeout; a process that did not run for a second or more logs it when it resumes (fleet_stalls_total). No decision changes.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -315,12 +315,13 @@
   // Versions that are in the topic at a start may be old. If reads failed until
   // now, a version's time limit counts from the log's recovery.
   bool live = started_ || hadReadFailure_;
-  AddVersion(aModel, { *version, clock_.Now(), live });
+  AddVersion(aModel, { *version, clock_.Now(), live }, "log");
 }
 
 void
 ConfigFollower::AddVersion(const std::string& aModel,
-                           const NamedVersion& aNamed)
+                           const NamedVersion& aNamed,
+                           std::string_view aSource)
 {
   auto& named = versions_[aModel];
   if (!named.empty() && aNamed.version <= named.back().version) {
@@ -330,9 +331,16 @@
     named.erase(named.begin());
   }
   named.push_back(aNamed);
-  logger_.Info(
-    "version named",
-    { { "model", aModel }, { "version", std::to_string(aNamed.version) } });
+  auto age = clock_.Now() - aNamed.observedAt;
+  logger_.Info("version named",
+               { { "model", aModel },
+                 { "version", std::to_string(aNamed.version) },
+                 { "source", std::string(aSource) },
+                 { "age_ms", std::to_string(age.value) },
+                 { "timed", aNamed.observedLive ? "yes" : "no" },
+                 // Since then the topic may have changed unnoticed.
+                 { "confirmed_before_ms", std::to_string(GetAge().value) },
+                 { "read_failed", hadReadFailure_ ? "yes" : "no" } });
 }
 
 std::optional<NamedVersion>
@@ -438,7 +446,7 @@
       named.observedAt = now;
       named.observedLive = true;
     }
-    AddVersion(row.model(), named);
+    AddVersion(row.model(), named, "peer");
   }
   if (aRecord.epoch() > epoch_) {
     BeginEpoch(aRecord.epoch());
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/fiber/condition_variable.hpp>
@@ -212,7 +213,9 @@
   /** Returns the text's version, also if it is not newer; 0: unreadable. */
   std::uint64_t ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
-  void AddVersion(const std::string& aModel, const NamedVersion& aNamed);
+  void AddVersion(const std::string& aModel,
+                  const NamedVersion& aNamed,
+                  std::string_view aSource);
   void RecordLogResult(bool aAvailable, const utils::Error& aReason);
 
   platform::KeyedLog& log_;
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -15,6 +15,7 @@
 #include "EntryServices.h"
 #include "Exchange.h"
 #include "PeerLink.h"
+#include "StallMonitor.h"
 
 namespace waxwingyoke::fleet {
 
@@ -163,6 +164,7 @@
   Millis sidesNotifiedAt;
   bool draining = false;
   bool wasReady = false;
+  StallMonitor stalls{ kLogInterval };
 };
 
 Entry::Entry(net::Runtime& aRuntime,
@@ -519,6 +521,7 @@
 {
   while (true) {
     net::Runtime::Sleep(kLogInterval);
+    stalls.Check();
     bool ready = IsReady();
     if (ready != wasReady) {
       wasReady = ready;
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -120,6 +120,8 @@
   std::uint64_t leaseVersion_ = 0;
   double predictedMs_ = 0;
   utils::Millis placedAt_;
+  /** SendParameters::startTimeout of the last send. */
+  std::optional<utils::Millis> startTimeout_;
   UpstreamAnswer answer_;
   int sends_ = 0;
   int connectFailures_ = 0;
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -148,6 +148,8 @@
       { "config_age_ms", text(services_.GetConfig().GetAge().value) },
       { "upstreams", upstreams_ },
       { "weights", text(leaseVersion_) },
+      { "start_timeout_ms",
+        startTimeout_ ? text(startTimeout_->value) : std::string() },
       { "predicted_ms", text(static_cast<std::int64_t>(predictedMs_)) },
       { "first_ms", text(first.value) },
       { "pause_ms", text(longestPause_.value) },
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -107,6 +107,7 @@
     parameters.startTimeout =
       services_.FindStartTimeout(query_.model, leaseVersion_);
   }
+  startTimeout_ = parameters.startTimeout;
   parameters.metadata.upstreamId = lease_->GetUpstream().record.id;
   parameters.metadata.version = leaseVersion_;
   parameters.metadata.timeLeft = left;
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -16,6 +16,7 @@
 #include "PeerLink.h"
 #include "PieceExchange.h"
 #include "PieceStore.h"
+#include "StallMonitor.h"
 #include "WeightLoader.h"
 
 namespace waxwingyoke::fleet {
@@ -128,6 +129,7 @@
   AnnouncementSchedule remoteAnnouncements;
   /** Start of each side's process by VM, from its notices. */
   std::map<std::string, std::uint64_t> processStarts;
+  StallMonitor stalls{ kLogInterval };
 };
 
 Side::Side(net::Runtime& aRuntime,
@@ -299,6 +301,7 @@
 {
   while (true) {
     net::Runtime::Sleep(kLogInterval);
+    stalls.Check();
     telemetry::WriteBufferedLogs();
   }
 }
