Entries, sides: a version's limit counts from when the topic still lacked it

Cause: each process counted the limit from its own observation of the next version. Two entries were suspended from before the naming to 3.9 s after it; they read the version when they resumed and allowed the old one for another 7.1 s. Three more ways to the same: a process whose first read after a start failed took versions of any age for new; one that learnt of a version from a peer of unknown age counted from the message; a read that hangs delays the observation.

The naming now lies between two times. absentAt is the last time at which all that the topic held had been applied: a read's sending, or the end of its wait if it brought nothing. observedAt is the first observation by any process. Both are passed on with ages that stay bounds whatever the transfer took, so they don't drift. The limit counts from absentAt. Only an outage of the log, two failed reads in a row, moves it, as no process could observe the version then, and not beyond another process's observation.

Tests of the followers: three construct observedLive, which is now GetLimitStart; "timed from the recovery" fails two reads, as a single one no longer counts as an outage (the new case beside it checks that); "an entry whose read hangs" had a record that was sent before the receiver's own read, and now takes its times from one clock.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -18,9 +18,9 @@
 // a long configuration when the whole fleet restarts, their links are saturated
 // for seconds.
 constexpr Millis kInitialPeerWait(1500);
-// A version becomes outdated seconds after the next one is named, so a few
-// suffice.
-constexpr std::size_t kMaxVersions = 8;
+// Reads that fail in a row and show an outage of the log. A single one may be
+// due to a lost packet, or to a suspension of this process.
+constexpr int kOutageReads = 2;
 
 } // namespace
 
@@ -46,6 +46,7 @@
   : log_(aLog)
   , codecs_(aCodecs)
   , options_(aOptions)
+  , clock_(aOptions.clock)
   , backoff_(kInitialBackoff, aOptions.maxBackoff)
 {
 }
@@ -180,8 +181,6 @@
   if (!isRestored) {
     return;
   }
-  // A version that is first read now was named while this process ran.
-  hadReadFailure_ = true;
   unconfirmedUntil_ = clock_.Now() + options_.rewriteTime;
   logger_.Warn("the log was restored from an older copy",
                { { "epoch", std::to_string(aEpoch) },
@@ -204,16 +203,17 @@
 {
   // An answer confirms the state of the log at the time of the request.
   auto sentAt = clock_.Now();
+  auto wait = started_ ? GetReadWait(sentAt) : Millis(0);
   utils::Error reason;
-  auto page = started_
-                ? log_.Read(Topic::Operator, end_, GetReadWait(sentAt), reason)
-                : log_.ReadNewest(Topic::Operator, reason);
+  auto page = started_ ? log_.Read(Topic::Operator, end_, wait, reason)
+                       : log_.ReadNewest(Topic::Operator, reason);
   RecordLogResult(page.has_value(), reason);
   if (!page) {
-    started_ = started_ && reason.kind != utils::ErrorKind::LogTrimmed;
+    RecordFailedRead(sentAt, reason);
     return false;
   }
   backoff_.Reset();
+  failedReads_ = 0;
   // An answer that was on its way while a peer reported a newer epoch.
   bool isOutdated = page->epoch != 0 && page->epoch < epoch_;
   if (isOutdated) {
@@ -226,12 +226,27 @@
       return Poll();
     }
   }
-  ApplyPage(*page, sentAt);
+  ApplyPage(*page, sentAt, wait);
   return true;
 }
 
 void
-ConfigFollower::ApplyPage(const platform::KeyedPage& aPage, Millis aSentAt)
+ConfigFollower::RecordFailedRead(Millis aSentAt, const utils::Error& aReason)
+{
+  if (aReason.kind == utils::ErrorKind::LogTrimmed) {
+    started_ = false;
+    return;
+  }
+  ++failedReads_;
+  if (failedReads_ >= kOutageReads) {
+    outageAt_ = aSentAt;
+  }
+}
+
+void
+ConfigFollower::ApplyPage(const platform::KeyedPage& aPage,
+                          Millis aSentAt,
+                          Millis aWait)
 {
   auto versionBefore = GetConfigVersion();
   std::ranges::for_each(aPage.records,
@@ -244,6 +259,10 @@
   }
   if (aSentAt >= unconfirmedUntil_ && aPage.reachesEnd) {
     confirmedAt_ = std::max(confirmedAt_.value_or(aSentAt), aSentAt);
+    // The log answers without records only at the end of the wait.
+    auto waitEnd = aSentAt + aWait;
+    bool waited = aPage.records.empty() && waitEnd <= clock_.Now();
+    appliedAt_ = std::max(appliedAt_, { waited ? waitEnd : aSentAt });
   }
   if (onChange_ && !aPage.records.empty()) {
     onChange_();
@@ -253,7 +272,6 @@
 void
 ConfigFollower::RecordLogResult(bool aAvailable, const utils::Error& aReason)
 {
-  hadReadFailure_ = hadReadFailure_ || !aAvailable;
   if (aAvailable == logAvailable_) {
     return;
   }
@@ -312,10 +330,7 @@
     logger_.Report(reason, { { "model", aModel } });
     return;
   }
-  // Versions that are in the topic at a start may be old. If reads failed until
-  // now, a version's time limit counts from the log's recovery.
-  bool live = started_ || hadReadFailure_;
-  AddVersion(aModel, { *version, clock_.Now(), live }, "log");
+  AddVersion(aModel, { *version, clock_.Now(), appliedAt_, outageAt_ }, "log");
 }
 
 void
@@ -323,71 +338,28 @@
                            const NamedVersion& aNamed,
                            std::string_view aSource)
 {
-  auto& named = versions_[aModel];
-  if (!named.empty() && aNamed.version <= named.back().version) {
+  if (!versions_.Add(aModel, aNamed)) {
     return;
   }
-  if (named.size() == kMaxVersions) {
-    named.erase(named.begin());
-  }
-  named.push_back(aNamed);
-  auto age = clock_.Now() - aNamed.observedAt;
+  auto ageText = [now = clock_.Now()](const std::optional<Millis>& aTime) {
+    return aTime ? std::to_string((now - *aTime).value) : std::string();
+  };
   logger_.Info("version named",
                { { "model", aModel },
                  { "version", std::to_string(aNamed.version) },
                  { "source", std::string(aSource) },
-                 { "age_ms", std::to_string(age.value) },
-                 { "timed", aNamed.observedLive ? "yes" : "no" },
-                 // Since then the topic may have changed unnoticed.
-                 { "confirmed_before_ms", std::to_string(GetAge().value) },
-                 { "read_failed", hadReadFailure_ ? "yes" : "no" } });
-}
-
-std::optional<NamedVersion>
-ConfigFollower::FindVersion(const std::string& aModel) const
-{
-  auto row = versions_.find(aModel);
-  return row == versions_.end() ? std::nullopt
-                                : std::optional(row->second.back());
-}
-
-std::optional<NamedVersion>
-ConfigFollower::FindNextVersion(const std::string& aModel,
-                                std::uint64_t aAfter) const
-{
-  auto row = versions_.find(aModel);
-  if (row == versions_.end()) {
-    return std::nullopt;
-  }
-  auto next =
-    std::ranges::upper_bound(row->second, aAfter, {}, &NamedVersion::version);
-  return next == row->second.end() ? std::nullopt : std::optional(*next);
-}
-
-// A version that was in the topic at the start may have been named long before,
-// so it counts as older than any aAge.
-std::uint64_t
-ConfigFollower::FindVersionOfAge(const std::string& aModel, Millis aAge) const
-{
-  auto row = versions_.find(aModel);
-  if (row == versions_.end()) {
-    return 0;
-  }
-  auto now = clock_.Now();
-  auto found = std::find_if(
-    row->second.rbegin(), row->second.rend(), [&](const NamedVersion& aNamed) {
-      return !aNamed.observedLive || now - aNamed.observedAt >= aAge;
-    });
-  return found == row->second.rend() ? 0 : found->version;
+                 { "limit_age_ms", ageText(aNamed.GetLimitStart()) },
+                 { "observed_ms", ageText(aNamed.observedAt) },
+                 { "absent_ms", ageText(aNamed.absentAt) },
+                 { "outage_ms", ageText(aNamed.outageAt) } });
 }
 
 std::optional<Millis>
-ConfigFollower::FindSuccessorTime(const std::string& aModel,
-                                  std::uint64_t aVersion) const
+ConfigFollower::FindLimitStart(const std::string& aModel,
+                               std::uint64_t aVersion) const
 {
   auto next = FindNextVersion(aModel, aVersion);
-  return next && next->observedLive ? std::optional(next->observedAt)
-                                    : std::nullopt;
+  return next ? next->GetLimitStart() : std::nullopt;
 }
 
 Millis
@@ -413,16 +385,7 @@
   record.set_epoch(epoch_);
   record.set_config_version(config_->version);
   record.set_age_ms(static_cast<std::uint64_t>(GetAge().value));
-  for (const auto& [model, versions] : versions_) {
-    for (const auto& named : versions) {
-      auto& row = *record.add_versions();
-      row.set_model(model);
-      row.set_version(named.version);
-      auto age = clock_.Now() - named.observedAt;
-      row.set_age_ms(static_cast<std::uint64_t>(age.value));
-      row.set_learnt_live(named.observedLive);
-    }
-  }
+  versions_.Fill(record, clock_.Now());
   return record;
 }
 
@@ -431,22 +394,13 @@
                                 Millis aDelay)
 {
   auto now = clock_.Now();
-  auto timeOfAge = [&](std::uint64_t aAge) {
-    return now - aDelay - Millis(static_cast<std::int64_t>(aAge));
-  };
   for (const auto& row : aRecord.versions()) {
-    NamedVersion named{ row.version(),
-                        timeOfAge(row.age_ms()),
-                        row.learnt_live() };
-    // The sender lacks this version's true age. A running process that needs
-    // this record is cut off from the log, and there a version's limit counts
-    // from the log's recovery. For a process that starts, the version was there
-    // before, as it was for the sender.
-    if (!named.observedLive && config_) {
-      named.observedAt = now;
-      named.observedLive = true;
+    auto named = ReadNamedVersion(row, aDelay, now);
+    if (!versions_.Narrow(row.model(), named)) {
+      named.absentAt = std::max(named.absentAt, appliedAt_);
+      named.outageAt = outageAt_;
+      AddVersion(row.model(), named, "peer");
     }
-    AddVersion(row.model(), named, "peer");
   }
   if (aRecord.epoch() > epoch_) {
     BeginEpoch(aRecord.epoch());
@@ -459,7 +413,11 @@
                    : ApplyConfig(aRecord.config(), aRecord.offset());
   // The peer's record doesn't confirm a newer configuration, which was read
   // after the record was made, nor an older one.
-  auto confirmedAt = timeOfAge(aRecord.age_ms());
+  auto confirmedAt =
+    now - aDelay - Millis(static_cast<std::int64_t>(aRecord.age_ms()));
+  if (aRecord.epoch() == epoch_) {
+    appliedAt_ = std::max(appliedAt_, { confirmedAt });
+  }
   if (version > 0 && version == GetConfigVersion()) {
     confirmedAt_ = std::max(confirmedAt_.value_or(confirmedAt), confirmedAt);
   }
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -4,12 +4,10 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
@@ -22,23 +20,9 @@
 #include <utils/Backoff.h>
 #include <utils/Time.h>
 
-namespace waxwingyoke::fleet {
+#include "NamedVersions.h"
 
-/** A version of a model's weights that the operator named. */
-struct NamedVersion
-{
-  std::uint64_t version = 0;
-  /**
-   * When this process, or the peer that reported it, first read the version.
-   */
-  utils::Millis observedAt;
-  /**
-   * Whether the version was first read while the process was running. False if
-   * it was already in the topic at the start, so that it may have been named
-   * long before.
-   */
-  bool observedLive = false;
-};
+namespace waxwingyoke::fleet {
 
 /** How far a peer has read the operator's topic. */
 struct PeerPosition
@@ -94,6 +78,8 @@
      * is no newer configuration.
      */
     utils::Millis rewriteTime;
+    /** For tests; the default is right for all others. */
+    utils::Clock clock = utils::Clock::CountingSuspension();
   };
 
   ConfigFollower(platform::KeyedLog& aLog,
@@ -142,26 +128,36 @@
     return config_;
   }
   /** The newest version of a model; empty if none is named. */
-  std::optional<NamedVersion> FindVersion(const std::string& aModel) const;
+  std::optional<NamedVersion> FindVersion(const std::string& aModel) const
+  {
+    return versions_.Find(aModel);
+  }
   /**
    * The first version after aAfter. Versions are found one after the other
    * because each has its own time limit.
    */
   std::optional<NamedVersion> FindNextVersion(const std::string& aModel,
-                                              std::uint64_t aAfter) const;
+                                              std::uint64_t aAfter) const
+  {
+    return versions_.FindNext(aModel, aAfter);
+  }
   /**
-   * When the first version after aVersion was observed. Empty if there is none,
-   * or if it was in the topic when this process started.
+   * From when the limit of aVersion counts: GetLimitStart of the first version
+   * after it. Empty if there is none.
    */
-  std::optional<utils::Millis> FindSuccessorTime(const std::string& aModel,
-                                                 std::uint64_t aVersion) const;
+  std::optional<utils::Millis> FindLimitStart(const std::string& aModel,
+                                              std::uint64_t aVersion) const;
   /**
-   * The newest version that was observed at least aAge ago; 0 if there is none.
+   * The newest version whose limit for older ones began at least aAge ago; 0 if
+   * there is none.
    */
   std::uint64_t FindVersionOfAge(const std::string& aModel,
-                                 utils::Millis aAge) const;
+                                 utils::Millis aAge) const
+  {
+    return versions_.FindOfAge(aModel, aAge, clock_.Now());
+  }
 
-  /** The time on the clock of NamedVersion and FindSuccessorTime. */
+  /** The time on the clock of NamedVersion and FindLimitStart. */
   utils::Millis Now() const { return clock_.Now(); }
 
   /** Time since the configuration was last confirmed as the newest. */
@@ -208,7 +204,9 @@
   utils::Millis GetReadWait(utils::Millis aNow) const;
   bool IsPeerAhead(std::uint64_t aEnd) const;
   void BeginEpoch(std::uint64_t aEpoch);
-  void ApplyPage(const platform::KeyedPage& aPage, utils::Millis aSentAt);
+  void ApplyPage(const platform::KeyedPage& aPage,
+                 utils::Millis aSentAt,
+                 utils::Millis aWait);
   void Apply(const platform::KeyedRecord& aRecord);
   /** Returns the text's version, also if it is not newer; 0: unreadable. */
   std::uint64_t ApplyConfig(const std::string& aText, std::uint64_t aOffset);
@@ -216,19 +214,21 @@
   void AddVersion(const std::string& aModel,
                   const NamedVersion& aNamed,
                   std::string_view aSource);
+  void RecordFailedRead(utils::Millis aSentAt, const utils::Error& aReason);
   void RecordLogResult(bool aAvailable, const utils::Error& aReason);
 
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
   PollOptions options_;
-  utils::Clock clock_ = utils::Clock::CountingSuspension();
+  utils::Clock clock_;
   telemetry::Logger logger_{ "config" };
   std::function<void()> onChange_;
   std::shared_ptr<const platform::FleetConfig> config_;
   std::string text_;
   std::uint64_t offset_ = 0;
-  /** Versions by model, in ascending order. */
-  std::map<std::string, std::vector<NamedVersion>> versions_;
+  NamedVersions versions_;
+  /** All that the topic held at this time has been applied. */
+  std::optional<utils::Millis> appliedAt_;
   bool isReader_ = true;
   bool started_ = false;
   std::uint64_t end_ = 0;
@@ -236,8 +236,10 @@
   bool logAvailable_ = true;
   /** Backoff between failed reads. */
   utils::Backoff backoff_;
-  /** Whether a read has failed since the start. */
-  bool hadReadFailure_ = false;
+  /** Reads that have failed in a row. */
+  int failedReads_ = 0;
+  /** When the last failed read of the latest outage was sent. */
+  std::optional<utils::Millis> outageAt_;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable updateAvailable_;
   /** Epoch of the log in which end_ and offset_ count; 0: not stated. */
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -147,11 +147,11 @@
 EntryServices::FindStartTimeout(const std::string& aModel,
                                 std::uint64_t aVersion) const
 {
-  auto successorTime = config_.FindSuccessorTime(aModel, aVersion);
-  if (!successorTime) {
+  auto limitStart = config_.FindLimitStart(aModel, aVersion);
+  if (!limitStart) {
     return std::nullopt;
   }
-  auto age = config_.Now() - *successorTime;
+  auto age = config_.Now() - *limitStart;
   return settings_.bounds.version - kStartMargin - age;
 }
 
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -146,7 +146,7 @@
 WeightLoader::ChooseTarget(const platform::EngineTraits& aEngine) const
 {
   auto newest = config_.FindVersion(aEngine.model)
-                  .value_or(NamedVersion{ kFirstVersion, {}, false });
+                  .value_or(NamedVersion{ kFirstVersion, {}, {}, {} });
   const auto& list = store_.GetList();
   if (list.model != aEngine.model || !ShouldFinishSuperseded(newest)) {
     return newest;
@@ -220,7 +220,7 @@
 {
   FetchTask task;
   task.origin = aConfig.FindOrigin();
-  task.isNew = aTarget.observedLive;
+  task.isNew = aTarget.GetLimitStart().has_value();
   task.isWanted = [this, &aEngine, version = aTarget.version] {
     return ChooseTarget(aEngine).version == version;
   };
@@ -275,13 +275,14 @@
                              const NamedVersion& aTarget) const
 {
   auto options = MakeSwitchOptions(aTarget.version);
-  options.idle = GetLoadedVersion() == 0 || !aTarget.observedLive;
+  options.idle = GetLoadedVersion() == 0 || !aTarget.GetLimitStart();
   // If several versions were named in a row, the limit counts from the first
   // one that this upstream does not have.
   auto next = config_.FindNextVersion(aEngine.model, GetExpectedVersion())
                 .value_or(aTarget);
-  options.age = clock_.Now() - next.observedAt;
   options.limit = settings_.bounds.version;
+  auto start = next.GetLimitStart();
+  options.age = start ? clock_.Now() - *start : options.limit;
   return ComputeSwitchDelay(options);
 }
 
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,9 @@
                                 Millis,
                                 utils::Error& aReason) override
   {
+    if (onRead) {
+      onRead();
+    }
     if (trimmed) {
       trimmed = false;
       aReason.Set(utils::ErrorKind::LogTrimmed, "trimmed");
@@ -55,6 +59,8 @@
     return available;
   }
 
+  /** Runs in each read for changes before its answer. */
+  std::function<void()> onRead;
   bool available = true;
   bool trimmed = false;
   KeyedPage newest;
@@ -185,8 +191,8 @@
     auto& named = *record.add_versions();
     named.set_model("model");
     named.set_version(2);
-    named.set_age_ms(3000);
-    named.set_learnt_live(true);
+    named.set_max_age_ms(3000);
+    named.set_is_timed(true);
     return record;
   };
   follower.ApplyPeerPosition({ 6 });
@@ -200,7 +206,7 @@
   // An older confirmation does not increase the age.
   follower.ApplyPeerRecord(makeRecord(90000), Millis(0));
   CHECK(follower.GetAge() < Millis(60000));
-  // A version's age counts from when the sender of the record observed it.
+  // A version's limit counts from when the sender's topic still lacked it.
   CHECK(follower.FindVersion("model")->version == 2);
   CHECK(follower.FindVersionOfAge("model", Millis(3000)) == 2);
   CHECK(follower.FindVersionOfAge("model", Millis(60000)) == 0);
@@ -212,14 +218,167 @@
   log.available = false;
   ConfigFollower follower(log, MakeCodecs(), {});
   follower.Poll();
+  follower.Poll();
   log.available = true;
   log.newest = MakePage({ { "model", "3", 0, false } }, 1);
   follower.Poll();
-  CHECK(follower.FindVersion("model")->observedLive);
+  CHECK(follower.FindVersion("model")->GetLimitStart());
   CHECK(follower.FindVersionOfAge("model", Millis(5000)) == 0);
 }
 
-TEST_CASE("a peer's version of unknown age is timed from its arrival")
+// Guards against a restarted process that gives an old version a new limit
+// because a packet of its first read was lost.
+TEST_CASE("one failed read at the start is no outage: a version that is in the "
+          "topic may have been named any time ago")
+{
+  ScriptedLog log;
+  log.available = false;
+  ConfigFollower follower(log, MakeCodecs(), {});
+  follower.Poll();
+  log.available = true;
+  log.newest = MakePage({ { "model", "3", 0, false } }, 1);
+  follower.Poll();
+  CHECK_FALSE(follower.FindVersion("model")->GetLimitStart());
+  CHECK(follower.FindVersionOfAge("model", Millis(60000)) == 3);
+}
+
+namespace {
+
+/** A follower whose clock the test sets, with a configuration read at 1000. */
+struct TimedFollower
+{
+  TimedFollower()
+  {
+    log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+    log.changes = MakePage({}, 1);
+    REQUIRE(follower.Poll());
+  }
+
+  /** Starts a read that is answered after aTime. */
+  bool PollFor(Millis aTime)
+  {
+    log.onRead = [this, aTime] { now = now + aTime; };
+    return follower.Poll();
+  }
+
+  void NameVersion(const char* aVersion)
+  {
+    log.changes = MakePage({ { "m", aVersion, 1, false } }, 2);
+  }
+
+  Millis now{ 1000 };
+  ScriptedLog log;
+  ConfigFollower follower{ log,
+                           MakeCodecs(),
+                           { Millis(1000),
+                             Millis(0),
+                             false,
+                             Millis(0),
+                             Millis(400),
+                             Millis(0),
+                             utils::Clock([this] { return now; }) } };
+};
+
+} // namespace
+
+// Guards against a limit that counts from when a suspended process observes the
+// next version.
+TEST_CASE("a version that is observed late is timed from when the topic is "
+          "known to have lacked it")
+{
+  TimedFollower process;
+  // The log answers at the end of the wait, so it had no version until 2000.
+  REQUIRE(process.PollFor(Millis(1010)));
+  process.NameVersion("2");
+  SUBCASE("after a suspension")
+  {
+    REQUIRE(process.PollFor(Millis(4000)));
+  }
+  SUBCASE("after a read without an answer")
+  {
+    process.log.available = false;
+    REQUIRE_FALSE(process.PollFor(Millis(1800)));
+    process.log.available = true;
+    REQUIRE(process.PollFor(Millis(2200)));
+  }
+  CHECK(process.now == Millis(6010));
+  CHECK(process.follower.FindLimitStart("m", 1) == Millis(2000));
+  CHECK(process.follower.FindVersionOfAge("m", Millis(4010)) == 2);
+  CHECK(process.follower.FindVersionOfAge("m", Millis(4011)) == 0);
+}
+
+TEST_CASE("reading the topic anew does not change when a version was named")
+{
+  TimedFollower process;
+  REQUIRE(process.PollFor(Millis(1010)));
+  process.NameVersion("2");
+  REQUIRE(process.PollFor(Millis(10)));
+  process.log.changes = MakePage({}, 2);
+  REQUIRE(process.PollFor(Millis(1010)));
+  process.log.trimmed = true;
+  REQUIRE_FALSE(process.PollFor(Millis(10)));
+  process.log.newest =
+    MakePage({ { "config", "5", 0, false }, { "m", "2", 1, false } }, 2);
+  REQUIRE(process.PollFor(Millis(10)));
+  CHECK(process.follower.FindLimitStart("m", 1) == Millis(2000));
+}
+
+TEST_CASE("an outage of the log moves a version's limit, but not beyond the "
+          "time at which another process observed the version")
+{
+  TimedFollower process;
+  REQUIRE(process.PollFor(Millis(1010)));
+  process.log.available = false;
+  REQUIRE_FALSE(process.PollFor(Millis(1000)));
+  REQUIRE_FALSE(process.PollFor(Millis(1000)));
+  REQUIRE_FALSE(process.PollFor(Millis(1000)));
+  process.log.available = true;
+  process.NameVersion("2");
+  REQUIRE(process.PollFor(Millis(10)));
+  // The last read that failed was sent at 4010.
+  CHECK(process.follower.FindLimitStart("m", 1) == Millis(4010));
+  TimedFollower peer;
+  peer.now = Millis(500000);
+  REQUIRE(peer.PollFor(Millis(1010)));
+  peer.NameVersion("2");
+  REQUIRE(peer.PollFor(Millis(10)));
+  peer.now = peer.now + Millis(2000);
+  process.follower.ApplyPeerRecord(*peer.follower.MakeRecord(), Millis(50));
+  CHECK(process.follower.FindLimitStart("m", 1) == Millis(3020));
+}
+
+// Guards against ages that grow, or shrink, each time two processes exchange
+// them.
+TEST_CASE("times that are passed on and back do not drift")
+{
+  TimedFollower first;
+  TimedFollower second;
+  second.now = Millis(900000);
+  for (auto* process : { &first, &second }) {
+    REQUIRE(process->PollFor(Millis(1010)));
+    process->NameVersion("2");
+    REQUIRE(process->PollFor(Millis(500)));
+  }
+  auto firstStart = *first.follower.FindLimitStart("m", 1);
+  auto secondStart = *second.follower.FindLimitStart("m", 1);
+  constexpr Millis kDelay(40);
+  constexpr int kExchanges = 20;
+  for (int i = 0; i < kExchanges; ++i) {
+    auto record = *first.follower.MakeRecord();
+    first.now = first.now + kDelay;
+    second.now = second.now + kDelay;
+    second.follower.ApplyPeerRecord(record, kDelay);
+    record = *second.follower.MakeRecord();
+    first.now = first.now + kDelay;
+    second.now = second.now + kDelay;
+    first.follower.ApplyPeerRecord(record, kDelay);
+  }
+  CHECK(first.follower.FindLimitStart("m", 1) == firstStart);
+  CHECK(second.follower.FindLimitStart("m", 1) == secondStart);
+}
+
+TEST_CASE("a peer's version of unknown age is timed from this process's last "
+          "read without it")
 {
   ScriptedLog log;
   ConfigFollower follower(log, MakeCodecs(), {});
@@ -237,18 +396,18 @@
   CHECK(follower.FindVersionOfAge("model", Millis(5000)) == 0);
 }
 
-TEST_CASE("each named version keeps its own observation time")
+TEST_CASE("each named version has a limit of its own")
 {
   ScriptedLog log;
   ConfigFollower follower(log, MakeCodecs(), {});
   log.newest = MakePage({ { "model", "1", 0, false } }, 1);
   follower.Poll();
-  CHECK_FALSE(follower.FindVersion("model")->observedLive);
+  CHECK_FALSE(follower.FindVersion("model")->GetLimitStart());
   log.changes =
     MakePage({ { "model", "2", 1, false }, { "model", "3", 2, false } }, 3);
   follower.Poll();
   CHECK(follower.FindVersion("model")->version == 3);
-  CHECK(follower.FindVersion("model")->observedLive);
+  CHECK(follower.FindVersion("model")->GetLimitStart());
   CHECK(follower.FindNextVersion("model", 1)->version == 2);
   CHECK_FALSE(follower.FindNextVersion("model", 3));
   // Version 1 was in the topic at the start; the others are recent.
@@ -471,14 +630,14 @@
   ConfigFollower starting(log, MakeCodecs(), {});
   starting.ApplyPeerRecord(*sender.MakeRecord(), Millis(10));
   REQUIRE(starting.FindVersion("m"));
-  CHECK_FALSE(starting.FindVersion("m")->observedLive);
+  CHECK_FALSE(starting.FindVersion("m")->GetLimitStart());
   // A running process was cut off from the log: the limit counts from now.
   log.newest = MakePage({ { "config", "5", 0, false } }, 1);
   ConfigFollower running(log, MakeCodecs(), {});
   REQUIRE(running.Poll());
   running.ApplyPeerRecord(*sender.MakeRecord(), Millis(10));
   REQUIRE(running.FindVersion("m"));
-  CHECK(running.FindVersion("m")->observedLive);
+  CHECK(running.FindVersion("m")->GetLimitStart());
 }
 
 // The limit of a version must count from its naming even if this entry's own
@@ -486,22 +645,19 @@
 TEST_CASE(
   "an entry whose read hangs receives a new version from a peer in time")
 {
-  ScriptedLog log;
-  log.newest = MakePage({ { "config", "5", 0, false } }, 1);
-  ConfigFollower sender(log, MakeCodecs(), {});
-  ConfigFollower receiver(log, MakeCodecs(), {});
-  REQUIRE(sender.Poll());
-  REQUIRE(receiver.Poll());
-  log.changes = MakePage({ { "m", "2", 1, false } }, 2);
-  REQUIRE(sender.Poll());
-  CHECK_FALSE(receiver.IsBehind());
-  receiver.ApplyPeerPosition(sender.GetPosition());
-  CHECK(receiver.IsBehind());
+  TimedFollower sender;
+  TimedFollower receiver;
+  sender.NameVersion("2");
+  REQUIRE(sender.PollFor(Millis(10)));
+  CHECK_FALSE(receiver.follower.IsBehind());
+  receiver.follower.ApplyPeerPosition(sender.follower.GetPosition());
+  CHECK(receiver.follower.IsBehind());
   // The record is 600 ms old: the limit counts from the sender's time.
-  receiver.ApplyPeerRecord(*sender.MakeRecord(), Millis(600));
-  CHECK_FALSE(receiver.IsBehind());
-  CHECK(receiver.FindVersionOfAge("m", Millis(600)) == 2);
-  CHECK(receiver.FindVersionOfAge("m", Millis(2000)) == 0);
+  receiver.now = receiver.now + Millis(600);
+  receiver.follower.ApplyPeerRecord(*sender.follower.MakeRecord(), Millis(600));
+  CHECK_FALSE(receiver.follower.IsBehind());
+  CHECK(receiver.follower.FindVersionOfAge("m", Millis(600)) == 2);
+  CHECK(receiver.follower.FindVersionOfAge("m", Millis(2000)) == 0);
 }
 
 TEST_CASE(
