Entries: reads of the topic are spread, and peers narrow when a version was named

The limit of a version counts from the last time at which the topic lacked the next one, up to the wait of a read (1 s) before the naming.

The first wait after a change now differs by the entry's rank, and three peers are asked after each naming. The start margin no longer has to cover the delay of the observation.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -47,6 +47,7 @@
   , codecs_(aCodecs)
   , options_(aOptions)
   , clock_(aOptions.clock)
+  , firstWait_(aOptions.wait)
   , backoff_(kInitialBackoff, aOptions.maxBackoff)
 {
 }
@@ -84,6 +85,13 @@
   updateAvailable_.notify_all();
 }
 
+void
+ConfigFollower::SetReadRank(std::size_t aRank, std::size_t aCount)
+{
+  firstWait_ = options_.wait * static_cast<std::int64_t>(aRank + 1) /
+               static_cast<std::int64_t>(std::max<std::size_t>(aCount, 1));
+}
+
 bool
 ConfigFollower::IsReadDue() const
 {
@@ -195,7 +203,8 @@
 {
   bool isConfirmed = confirmedAt_ && *confirmedAt_ >= unconfirmedUntil_;
   auto untilConfirmed = std::max(unconfirmedUntil_ - aNow, Millis(0));
-  return isConfirmed ? options_.wait : std::min(options_.wait, untilConfirmed);
+  auto wait = isFirstRead_ ? firstWait_ : options_.wait;
+  return isConfirmed ? wait : std::min(wait, untilConfirmed);
 }
 
 bool
@@ -253,6 +262,7 @@
                         [this](const auto& aRecord) { Apply(aRecord); });
   end_ = std::max(end_, aPage.end);
   started_ = true;
+  isFirstRead_ = !aPage.records.empty();
   // A newer configuration shows that the operator has written again.
   if (GetConfigVersion() > versionBefore) {
     unconfirmedUntil_ = aSentAt;
@@ -341,6 +351,7 @@
   if (!versions_.Add(aModel, aNamed)) {
     return;
   }
+  namingRequests_ = options_.namingRequests;
   auto ageText = [now = clock_.Now()](const std::optional<Millis>& aTime) {
     return aTime ? std::to_string((now - *aTime).value) : std::string();
   };
@@ -354,6 +365,16 @@
                  { "outage_ms", ageText(aNamed.outageAt) } });
 }
 
+bool
+ConfigFollower::TakeNamingRequest()
+{
+  if (namingRequests_ == 0) {
+    return false;
+  }
+  --namingRequests_;
+  return true;
+}
+
 std::optional<Millis>
 ConfigFollower::FindLimitStart(const std::string& aModel,
                                std::uint64_t aVersion) const
@@ -396,11 +417,12 @@
   auto now = clock_.Now();
   for (const auto& row : aRecord.versions()) {
     auto named = ReadNamedVersion(row, aDelay, now);
-    if (!versions_.Narrow(row.model(), named)) {
-      named.absentAt = std::max(named.absentAt, appliedAt_);
-      named.outageAt = outageAt_;
-      AddVersion(row.model(), named, "peer");
+    if (versions_.Narrow(row.model(), named)) {
+      continue;
     }
+    named.absentAt = std::max(named.absentAt, appliedAt_);
+    named.outageAt = outageAt_;
+    AddVersion(row.model(), named, "peer");
   }
   if (aRecord.epoch() > epoch_) {
     BeginEpoch(aRecord.epoch());
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -78,6 +78,11 @@
      * is no newer configuration.
      */
     utils::Millis rewriteTime;
+    /**
+     * How many peers to ask, after each new version, for what they hold of the
+     * time at which it was named.
+     */
+    int namingRequests = 0;
     /** For tests; the default is right for all others. */
     utils::Clock clock = utils::Clock::CountingSuspension();
   };
@@ -107,6 +112,13 @@
    */
   void SetReader(bool aIsReader);
 
+  /**
+   * Sets this process's rank among aCount that read the topic. A change ends
+   * the reads of all at once; the first wait after it differs by rank, so that
+   * the ends of their reads are spread evenly afterwards.
+   */
+  void SetReadRank(std::size_t aRank, std::size_t aCount);
+
   /**
    * Whether to read the topic now: always for a reader, otherwise once the
    * configuration is older than peersInterval.
@@ -170,6 +182,12 @@
    */
   std::optional<schema::OperatorRecord> MakeRecord(bool aWithText = true) const;
 
+  /**
+   * Whether to ask one more peer when the newest version was named; counts the
+   * request as sent.
+   */
+  bool TakeNamingRequest();
+
   /** Version of the configuration in force; 0: none. */
   std::uint64_t GetConfigVersion() const
   {
@@ -230,12 +248,17 @@
   /** All that the topic held at this time has been applied. */
   std::optional<utils::Millis> appliedAt_;
   bool isReader_ = true;
+  /** How long the first read after one with records waits. */
+  utils::Millis firstWait_;
+  bool isFirstRead_ = true;
   bool started_ = false;
   std::uint64_t end_ = 0;
   std::optional<utils::Millis> confirmedAt_;
   bool logAvailable_ = true;
   /** Backoff between failed reads. */
   utils::Backoff backoff_;
+  /** Peers still to ask; see TakeNamingRequest. */
+  int namingRequests_ = 0;
   /** Reads that have failed in a row. */
   int failedReads_ = 0;
   /** When the last failed read of the latest outage was sent. */
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -72,7 +72,9 @@
     bool needed = config_.GetAge() > options_.maxAge || config_.IsPeerAhead() ||
                   (config_.IsConfigOutdated() && !textDueAt_);
     bool textDue = textDueAt_ && clock_.Now() >= *textDueAt_;
-    auto entry = needed || textDue ? PickEntry() : std::nullopt;
+    auto entry = needed || textDue             ? PickEntry()
+                 : config_.TakeNamingRequest() ? PickAnyEntry()
+                                               : std::nullopt;
     if (entry) {
       bool withText =
         textDue || config_.GetConfig() == nullptr ||
@@ -108,6 +110,19 @@
            : std::optional(entries[nextEntry_++ % entries.size()]);
 }
 
+// The reads of any other entry narrow the time in which a version was named.
+std::optional<Peer>
+ConfigSharing::PickAnyEntry()
+{
+  auto entries = peers_.List(PeerRole::Entry);
+  std::erase_if(entries, [now = clock_.Now()](const Peer& aPeer) {
+    return !aPeer.IsAlive(now);
+  });
+  return entries.empty()
+           ? std::nullopt
+           : std::optional(entries[nextEntry_++ % entries.size()]);
+}
+
 // The record's age counts from before the request: the response may have been
 // in transit for the whole duration of the call.
 void
--- a/libs/fleet/src/ConfigSharing.h
+++ b/libs/fleet/src/ConfigSharing.h
@@ -61,6 +61,7 @@
 private:
   void Loop();
   std::optional<Peer> PickEntry();
+  std::optional<Peer> PickAnyEntry();
   void FetchFrom(const Peer& aPeer, bool aWithText);
   void ScheduleTextFetch(std::uint64_t aVersion);
 
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -436,8 +436,10 @@
 {
   auto before = activeEntries.lower_bound(settings.vm);
   UpdateConfigReaders();
-  directory.SetReadRank(
-    static_cast<std::size_t>(std::distance(activeEntries.begin(), before)));
+  auto rank =
+    static_cast<std::size_t>(std::distance(activeEntries.begin(), before));
+  directory.SetReadRank(rank);
+  services.GetConfig().SetReadRank(rank, activeEntries.size() + 1);
   dispatch::SlotArbiter arbiter(
     { utils::StableHash(settings.vm), settings.region }, settings.regions);
   std::vector<dispatch::CompetingEntry> others;
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -27,10 +27,13 @@
 // upstream is probed once for all of them.
 constexpr Millis kProbeDelay(30);
 constexpr Millis kProbeTimeout(400);
+// With their reads at random phases, a version is timed to a quarter of a
+// read's wait on average.
+constexpr int kNamingRequests = 3;
 // Work that has not started on an outdated version is cancelled this long
-// before the version's limit. Covers the delay until this entry observed the
-// new version and the time that closing a connection takes.
-constexpr Millis kStartMargin(400);
+// before the version's limit. Covers the time that closing a connection takes,
+// and one retransmission.
+constexpr Millis kStartMargin(250);
 // No request is sent to an outdated version in this period before it would be
 // cancelled. Equals the usual first-event objective.
 constexpr Millis kLastSendMargin(500);
@@ -80,7 +83,8 @@
               false,
               aSettings.bounds.revoke * kPeersIntervalInTenths / 10,
               kMaxBackoff,
-              aSettings.bounds.revoke * kRewriteShareInTenths / 10 })
+              aSettings.bounds.revoke * kRewriteShareInTenths / 10,
+              kNamingRequests })
   , metrics_(EntryMetrics::Make())
 {
 }
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -33,9 +33,10 @@
 
   std::optional<KeyedPage> Read(Topic,
                                 std::uint64_t,
-                                Millis,
+                                Millis aWait,
                                 utils::Error& aReason) override
   {
+    lastWait = aWait;
     if (onRead) {
       onRead();
     }
@@ -61,6 +62,8 @@
 
   /** Runs in each read for changes before its answer. */
   std::function<void()> onRead;
+  /** The wait of the last read for changes. */
+  Millis lastWait;
   bool available = true;
   bool trimmed = false;
   KeyedPage newest;
@@ -247,6 +250,8 @@
 /** A follower whose clock the test sets, with a configuration read at 1000. */
 struct TimedFollower
 {
+  static constexpr int kNamingRequests = 3;
+
   TimedFollower()
   {
     log.newest = MakePage({ { "config", "5", 0, false } }, 1);
@@ -276,6 +281,7 @@
                              Millis(0),
                              Millis(400),
                              Millis(0),
+                             kNamingRequests,
                              utils::Clock([this] { return now; }) } };
 };
 
@@ -347,6 +353,48 @@
   CHECK(process.follower.FindLimitStart("m", 1) == Millis(3020));
 }
 
+// Guards against reads that a change ends at the same time and that then stay
+// in phase: no process would have read the topic shortly before the next one.
+TEST_CASE("the first read after a change waits by rank, the others do not")
+{
+  constexpr std::size_t kCount = 4;
+  for (std::size_t rank = 0; rank < kCount; ++rank) {
+    TimedFollower process;
+    process.follower.SetReadRank(rank, kCount);
+    REQUIRE(process.PollFor(Millis(10)));
+    CHECK(process.log.lastWait == Millis(250 * (rank + 1)));
+    REQUIRE(process.PollFor(Millis(10)));
+    CHECK(process.log.lastWait == Millis(1000));
+    process.NameVersion("2");
+    REQUIRE(process.PollFor(Millis(10)));
+    process.log.changes = MakePage({}, 2);
+    REQUIRE(process.PollFor(Millis(10)));
+    CHECK(process.log.lastWait == Millis(250 * (rank + 1)));
+  }
+}
+
+TEST_CASE("after each new version some peers are asked when it was named, and "
+          "the one that read last before it decides")
+{
+  TimedFollower process;
+  CHECK_FALSE(process.follower.TakeNamingRequest());
+  process.NameVersion("2");
+  REQUIRE(process.PollFor(Millis(800)));
+  CHECK(process.follower.FindLimitStart("m", 1) == Millis(1000));
+  for (int i = 0; i < TimedFollower::kNamingRequests; ++i) {
+    CHECK(process.follower.TakeNamingRequest());
+  }
+  CHECK_FALSE(process.follower.TakeNamingRequest());
+  TimedFollower peer;
+  peer.follower.SetReadRank(1, 4);
+  REQUIRE(peer.PollFor(Millis(510)));
+  peer.NameVersion("2");
+  REQUIRE(peer.PollFor(Millis(290)));
+  REQUIRE(peer.now == process.now);
+  process.follower.ApplyPeerRecord(*peer.follower.MakeRecord(), Millis(20));
+  CHECK(process.follower.FindLimitStart("m", 1) == Millis(1480));
+}
+
 // Guards against ages that grow, or shrink, each time two processes exchange
 // them.
 TEST_CASE("times that are passed on and back do not drift")
