Sides, entries: ask entries of other regions if those of the own do not answer

Cause: a side that is notified of a newer position fetches the state from an entry of its own region as long as one is listed, also if none answers.

After a request without an answer any entry is asked. The choice stands in EntryRotation, without a socket. Its test also showed that with two entries in a region the request that goes to any entry always went to the same one (40 of 40 picks): the period of that request was a multiple of their number.

--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -21,8 +21,6 @@
 constexpr Millis kTextTimeout(2500);
 // Two, so that one that fails, or is cut off from the log, leaves another.
 constexpr std::size_t kReadersPerRegion = 2;
-// One request in so many goes to any entry, as the preferred ones may all fail.
-constexpr std::size_t kAnyEntryPeriod = 4;
 
 } // namespace
 
@@ -42,6 +40,10 @@
   , config_(aConfig)
   , peers_(aPeers)
   , options_(aOptions)
+  , rotation_([this](const Peer& aPeer) { return aPeer.IsAlive(clock_.Now()); },
+              [this](const Peer& aPeer) {
+                return peers_.IsInScope(aPeer, PeerScope::LocalRegion);
+              })
 {
 }
 
@@ -72,8 +74,11 @@
     bool needed = config_.GetAge() > options_.maxAge || config_.IsPeerAhead() ||
                   (config_.IsConfigOutdated() && !textDueAt_);
     bool textDue = textDueAt_ && clock_.Now() >= *textDueAt_;
-    auto entry = needed || textDue             ? PickEntry()
-                 : config_.TakeNamingRequest() ? PickAnyEntry()
+    auto entries = peers_.List(PeerRole::Entry);
+    // The reads of any other entry narrow the time in which a version was
+    // named.
+    auto entry = needed || textDue             ? rotation_.PickLocal(entries)
+                 : config_.TakeNamingRequest() ? rotation_.PickAny(entries)
                                                : std::nullopt;
     if (entry) {
       bool withText =
@@ -84,45 +89,6 @@
   }
 }
 
-// Picks entries in rotation, only those of the own region if there are any, and
-// mostly the preferred ones.
-std::optional<Peer>
-ConfigSharing::PickEntry()
-{
-  auto entries = peers_.List(PeerRole::Entry);
-  auto firstRemote =
-    std::partition(entries.begin(), entries.end(), [this](const Peer& aPeer) {
-      return peers_.IsInScope(aPeer, PeerScope::LocalRegion);
-    });
-  if (firstRemote != entries.begin()) {
-    entries.erase(firstRemote, entries.end());
-  }
-  auto firstOther =
-    std::partition(entries.begin(), entries.end(), [this](const Peer& aPeer) {
-      return std::ranges::find(preferredVms_, aPeer.vm) != preferredVms_.end();
-    });
-  bool isAnyDue = nextEntry_ % kAnyEntryPeriod == kAnyEntryPeriod - 1;
-  if (firstOther != entries.begin() && !isAnyDue) {
-    entries.erase(firstOther, entries.end());
-  }
-  return entries.empty()
-           ? std::nullopt
-           : std::optional(entries[nextEntry_++ % entries.size()]);
-}
-
-// The reads of any other entry narrow the time in which a version was named.
-std::optional<Peer>
-ConfigSharing::PickAnyEntry()
-{
-  auto entries = peers_.List(PeerRole::Entry);
-  std::erase_if(entries, [now = clock_.Now()](const Peer& aPeer) {
-    return !aPeer.IsAlive(now);
-  });
-  return entries.empty()
-           ? std::nullopt
-           : std::optional(entries[nextEntry_++ % entries.size()]);
-}
-
 // The record's age counts from before the request: the response may have been
 // in transit for the whole duration of the call.
 void
@@ -142,8 +108,10 @@
                  { kRequestTimeout, kRequestTimeout, bodyTimeout },
                  reason);
   schema::OperatorRecord record;
-  if (!response || response->status != kOk ||
-      !record.ParseFromString(response->body)) {
+  bool isAnswered = response && response->status == kOk &&
+                    record.ParseFromString(response->body);
+  rotation_.RecordResult(isAnswered);
+  if (!isAnswered) {
     return;
   }
   logger_.Info("configuration from another entry",
--- a/libs/fleet/src/ConfigSharing.h
+++ b/libs/fleet/src/ConfigSharing.h
@@ -8,6 +8,7 @@
 #include <utils/Time.h>
 
 #include "ConfigFollower.h"
+#include "EntryRotation.h"
 #include "PeerLink.h"
 
 namespace waxwingyoke::fleet {
@@ -55,13 +56,11 @@
   /** Names the VMs of the entries to ask first; empty: any. */
   void SetPreferred(std::vector<std::string> aVms)
   {
-    preferredVms_ = std::move(aVms);
+    rotation_.SetPreferred(std::move(aVms));
   }
 
 private:
   void Loop();
-  std::optional<Peer> PickEntry();
-  std::optional<Peer> PickAnyEntry();
   void FetchFrom(const Peer& aPeer, bool aWithText);
   void ScheduleTextFetch(std::uint64_t aVersion);
 
@@ -70,8 +69,7 @@
   PeerLink& peers_;
   SharingOptions options_;
   utils::Clock clock_;
-  std::size_t nextEntry_ = 0;
-  std::vector<std::string> preferredVms_;
+  EntryRotation rotation_;
   /**
    * When to request the text of a newer configuration; empty if there is none.
    */
