Entries: a peer's record counts the time of a suspension while it was fetched

What callers could see: an entry that is suspended while it fetches a peer's record took the record for as fresh as if the fetch had been quick, so that a revoked key was accepted longer than its bound, by the length of the suspension.

Cause: the fetch was timed on the steady clock, which does not count suspension, and its duration was added to ages on a clock that does. ApplyPeerRecord now takes when the record was requested, on the follower's own clock, so that no other clock comes in. The new case of fleet_test fails if the delay is taken as zero; the other cases pass the same delays as before.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -412,11 +412,11 @@
 
 void
 ConfigFollower::ApplyPeerRecord(const schema::OperatorRecord& aRecord,
-                                Millis aDelay)
+                                Millis aRequestedAt)
 {
   auto now = clock_.Now();
   for (const auto& row : aRecord.versions()) {
-    auto named = ReadNamedVersion(row, aDelay, now);
+    auto named = ReadNamedVersion(row, now - aRequestedAt, now);
     if (versions_.Narrow(row.model(), named)) {
       continue;
     }
@@ -436,7 +436,7 @@
   // The peer's record doesn't confirm a newer configuration, which was read
   // after the record was made, nor an older one.
   auto confirmedAt =
-    now - aDelay - Millis(static_cast<std::int64_t>(aRecord.age_ms()));
+    aRequestedAt - Millis(static_cast<std::int64_t>(aRecord.age_ms()));
   if (aRecord.epoch() == epoch_) {
     appliedAt_ = std::max(appliedAt_, { confirmedAt });
   }
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -169,7 +169,10 @@
     return versions_.FindOfAge(aModel, aAge, clock_.Now());
   }
 
-  /** The time on the clock of NamedVersion and FindLimitStart. */
+  /**
+   * The time on the clock of NamedVersion, FindLimitStart and ApplyPeerRecord,
+   * which counts suspension.
+   */
   utils::Millis Now() const { return clock_.Now(); }
 
   /** Time since the configuration was last confirmed as the newest. */
@@ -195,11 +198,12 @@
   }
 
   /**
-   * Applies the record of a peer that was made aDelay ago. Only what is newer,
-   * or was confirmed later, than the local state is used.
+   * Applies the record of a peer that was requested at aRequestedAt on the
+   * clock of Now and made at any time since. Only what is newer, or was
+   * confirmed later, than the local state is used.
    */
   void ApplyPeerRecord(const schema::OperatorRecord& aRecord,
-                       utils::Millis aDelay);
+                       utils::Millis aRequestedAt);
 
   /**
    * Whether a peer has read further than this process and the records that it
--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -101,7 +101,7 @@
   }
   auto bodyTimeout = aWithText ? kTextTimeout : kRequestTimeout;
   utils::Error reason;
-  auto requestedAt = clock_.Now();
+  auto requestedAt = config_.Now();
   auto response =
     client_.Call(aPeer.endpoint,
                  request,
@@ -119,7 +119,7 @@
                  { "text", aWithText ? "yes" : "no" },
                  { "end", std::to_string(record.end()) },
                  { "age_ms", std::to_string(record.age_ms()) } });
-  config_.ApplyPeerRecord(record, clock_.Now() - requestedAt);
+  config_.ApplyPeerRecord(record, requestedAt);
   ScheduleTextFetch(record.config_version());
 }
 
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -200,14 +200,14 @@
   };
   follower.ApplyPeerPosition({ 6 });
   CHECK(follower.IsBehind());
-  follower.ApplyPeerRecord(makeRecord(1400), Millis(100));
+  follower.ApplyPeerRecord(makeRecord(1400), follower.Now() - Millis(100));
   CHECK_FALSE(follower.IsBehind());
   REQUIRE(follower.GetConfig());
   CHECK(follower.GetConfig()->version == 7);
   CHECK(follower.GetAge() >= Millis(1500));
   CHECK(follower.GetAge() < Millis(60000));
   // An older confirmation does not increase the age.
-  follower.ApplyPeerRecord(makeRecord(90000), Millis(0));
+  follower.ApplyPeerRecord(makeRecord(90000), follower.Now());
   CHECK(follower.GetAge() < Millis(60000));
   // A version's limit counts from when the sender's topic still lacked it.
   CHECK(follower.FindVersion("model")->version == 2);
@@ -349,10 +349,25 @@
   peer.NameVersion("2");
   REQUIRE(peer.PollFor(Millis(10)));
   peer.now = peer.now + Millis(2000);
-  process.follower.ApplyPeerRecord(*peer.follower.MakeRecord(), Millis(50));
+  process.follower.ApplyPeerRecord(*peer.follower.MakeRecord(),
+                                   process.follower.Now() - Millis(50));
   CHECK(process.follower.FindLimitStart("m", 1) == Millis(3020));
 }
 
+// Guards against a key that is accepted too long: the age of a peer's record
+// must include the time for which this process was suspended while it fetched
+// the record.
+TEST_CASE("a record that was fetched during a suspension is as old as that")
+{
+  TimedFollower process;
+  TimedFollower peer;
+  auto requestedAt = process.follower.Now();
+  auto record = *peer.follower.MakeRecord();
+  process.now = process.now + Millis(4000);
+  process.follower.ApplyPeerRecord(record, requestedAt);
+  CHECK(process.follower.GetAge() == Millis(4000));
+}
+
 // Guards against reads that a change ends at the same time and that then stay
 // in phase: no process would have read the topic shortly before the next one.
 TEST_CASE("the first read after a change waits by rank, the others do not")
@@ -391,7 +406,8 @@
   peer.NameVersion("2");
   REQUIRE(peer.PollFor(Millis(290)));
   REQUIRE(peer.now == process.now);
-  process.follower.ApplyPeerRecord(*peer.follower.MakeRecord(), Millis(20));
+  process.follower.ApplyPeerRecord(*peer.follower.MakeRecord(),
+                                   process.follower.Now() - Millis(20));
   CHECK(process.follower.FindLimitStart("m", 1) == Millis(1480));
 }
 
@@ -415,11 +431,11 @@
     auto record = *first.follower.MakeRecord();
     first.now = first.now + kDelay;
     second.now = second.now + kDelay;
-    second.follower.ApplyPeerRecord(record, kDelay);
+    second.follower.ApplyPeerRecord(record, second.follower.Now() - kDelay);
     record = *second.follower.MakeRecord();
     first.now = first.now + kDelay;
     second.now = second.now + kDelay;
-    first.follower.ApplyPeerRecord(record, kDelay);
+    first.follower.ApplyPeerRecord(record, first.follower.Now() - kDelay);
   }
   CHECK(first.follower.FindLimitStart("m", 1) == firstStart);
   CHECK(second.follower.FindLimitStart("m", 1) == secondStart);
@@ -437,7 +453,7 @@
   auto& named = *record.add_versions();
   named.set_model("model");
   named.set_version(2);
-  follower.ApplyPeerRecord(record, Millis(0));
+  follower.ApplyPeerRecord(record, follower.Now());
   CHECK(follower.FindVersion("model")->version == 2);
   // Older versions stay allowed for now: other processes have only begun to
   // load this one.
@@ -650,7 +666,7 @@
   auto same = sender.MakeRecord(false);
   REQUIRE(same);
   CHECK(same->config().empty());
-  receiver.ApplyPeerRecord(*same, Millis(0));
+  receiver.ApplyPeerRecord(*same, receiver.Now());
   CHECK(receiver.GetAge() < Millis(5000));
   auto newer = *same;
   newer.set_offset(7);
@@ -660,7 +676,7 @@
   auto before = receiver.GetAge();
   while (receiver.GetAge() == before) {
   }
-  receiver.ApplyPeerRecord(newer, Millis(0));
+  receiver.ApplyPeerRecord(newer, receiver.Now());
   // The record does not confirm the configuration, so its age keeps growing.
   CHECK(receiver.GetAge() > before);
   CHECK(receiver.GetConfig()->version == 5);
@@ -676,14 +692,14 @@
   ConfigFollower sender(log, MakeCodecs(), {});
   REQUIRE(sender.Poll());
   ConfigFollower starting(log, MakeCodecs(), {});
-  starting.ApplyPeerRecord(*sender.MakeRecord(), Millis(10));
+  starting.ApplyPeerRecord(*sender.MakeRecord(), starting.Now() - Millis(10));
   REQUIRE(starting.FindVersion("m"));
   CHECK_FALSE(starting.FindVersion("m")->GetLimitStart());
   // A running process was cut off from the log: the limit counts from now.
   log.newest = MakePage({ { "config", "5", 0, false } }, 1);
   ConfigFollower running(log, MakeCodecs(), {});
   REQUIRE(running.Poll());
-  running.ApplyPeerRecord(*sender.MakeRecord(), Millis(10));
+  running.ApplyPeerRecord(*sender.MakeRecord(), running.Now() - Millis(10));
   REQUIRE(running.FindVersion("m"));
   CHECK(running.FindVersion("m")->GetLimitStart());
 }
@@ -702,7 +718,8 @@
   CHECK(receiver.follower.IsBehind());
   // The record is 600 ms old: the limit counts from the sender's time.
   receiver.now = receiver.now + Millis(600);
-  receiver.follower.ApplyPeerRecord(*sender.follower.MakeRecord(), Millis(600));
+  receiver.follower.ApplyPeerRecord(*sender.follower.MakeRecord(),
+                                    receiver.follower.Now() - Millis(600));
   CHECK_FALSE(receiver.follower.IsBehind());
   CHECK(receiver.follower.FindVersionOfAge("m", Millis(600)) == 2);
   CHECK(receiver.follower.FindVersionOfAge("m", Millis(2000)) == 0);
@@ -900,7 +917,7 @@
   CHECK(follower.GetConfig()->version == 6);
   CHECK(follower.GetAge() < Millis(20));
   // A record made before the restore brings back neither.
-  follower.ApplyPeerRecord(oldRecord, Millis(0));
+  follower.ApplyPeerRecord(oldRecord, follower.Now());
   CHECK(follower.GetConfig()->version == 6);
   CHECK(follower.GetPosition() == PeerPosition{ 21, 2, 6 });
 }
@@ -924,7 +941,7 @@
   record.set_offset(8);
   record.set_end(10);
   record.set_epoch(2);
-  follower.ApplyPeerRecord(record, Millis(0));
+  follower.ApplyPeerRecord(record, follower.Now());
   CHECK(follower.GetConfig()->version == 5);
   CHECK_FALSE(follower.IsBehind());
 }
@@ -962,14 +979,14 @@
   // Before it holds a configuration it reads, whatever its rank.
   other.SetReader(false);
   CHECK(other.IsReadDue());
-  other.ApplyPeerRecord(*reader.MakeRecord(), Millis(0));
+  other.ApplyPeerRecord(*reader.MakeRecord(), other.Now());
   CHECK_FALSE(other.IsReadDue());
   other.SetReader(true);
   CHECK(other.IsReadDue());
   // A confirmation that is too old is none.
   ConfigFollower silent(log, MakeCodecs(), options);
   silent.SetReader(false);
-  silent.ApplyPeerRecord(*reader.MakeRecord(), Millis(2600));
+  silent.ApplyPeerRecord(*reader.MakeRecord(), silent.Now() - Millis(2600));
   CHECK(silent.IsReadDue());
 }
 
