--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -32,8 +32,8 @@
 constexpr int kNamingRequests = 3;
 // Work that has not started on an outdated version is cancelled this long
 // before the version's limit. Covers the time that closing a connection takes,
-// and one retransmission.
-constexpr Millis kStartMargin(250);
+// with a retransmission, and the upstream's pass that runs meanwhile.
+constexpr Millis kStartMargin(400);
 // No request is sent to an outdated version in this period before it would be
 // cancelled. Equals the usual first-event objective.
 constexpr Millis kLastSendMargin(500);
