Logs: the line "configuration from another entry" names a field of its own

Its field `text` stood for whether the record had the configuration's text and repeated the key of the message, so that a reader of the JSON line got either. It is now `with_config`.

--- a/libs/fleet/src/ConfigSharing.cpp
+++ b/libs/fleet/src/ConfigSharing.cpp
@@ -116,7 +116,7 @@
   }
   logger_.Info("configuration from another entry",
                { { "peer", aPeer.vm },
-                 { "text", aWithText ? "yes" : "no" },
+                 { "with_config", aWithText ? "yes" : "no" },
                  { "end", std::to_string(record.end()) },
                  { "age_ms", std::to_string(record.age_ms()) } });
   config_.ApplyPeerRecord(record, requestedAt);
