--- a/libs/fleet/src/NamedVersions.cpp
+++ b/libs/fleet/src/NamedVersions.cpp
@@ -104,9 +104,9 @@
       auto& row = *aRecord.add_versions();
       row.set_model(model);
       row.set_version(named.version);
-      row.set_is_timed(named.absentAt.has_value());
-      row.set_max_age_ms(GetAge(named.absentAt.value_or(aNow), aNow));
-      row.set_min_age_ms(GetAge(named.observedAt, aNow));
+      row.set_learnt_live(named.absentAt.has_value());
+      row.set_age_ms(GetAge(named.absentAt.value_or(aNow), aNow));
+      row.set_observed_age_ms(GetAge(named.observedAt, aNow));
     }
   }
 }
@@ -124,9 +124,9 @@
   };
   NamedVersion named;
   named.version = aRow.version();
-  named.observedAt = aNow - toMillis(aRow.min_age_ms());
-  if (aRow.is_timed()) {
-    named.absentAt = aNow - aDelay - toMillis(aRow.max_age_ms());
+  named.observedAt = aNow - toMillis(aRow.observed_age_ms());
+  if (aRow.learnt_live()) {
+    named.absentAt = aNow - aDelay - toMillis(aRow.age_ms());
   }
   return named;
 }
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -194,8 +194,8 @@
     auto& named = *record.add_versions();
     named.set_model("model");
     named.set_version(2);
-    named.set_max_age_ms(3000);
-    named.set_is_timed(true);
+    named.set_age_ms(3000);
+    named.set_learnt_live(true);
     return record;
   };
   follower.ApplyPeerPosition({ 6 });
