Entries: an attempt's age counts suspensions and the time in transit

What callers could see: a request that isn't idempotent runs twice, or is reported as not run although it ran.

Cause: a side that no longer holds an attempt answers "not run" unless the attempt may be one that it evicted, which it finds from the age that the entry states. That age (1) was taken from a clock that stands still while the entry's VM is suspended, and (2) lacked the query's time in transit. A side evicts an attempt 30 minutes after it began, as soon as it has ended, and requests may take up to an hour. So an attempt of 31 minutes whose connection breaks at its end was "not run" if the query took longer than the sending; and one of any length if the entry's VM was suspended for 30 minutes meanwhile.

Ruled out: repeated keyed requests, whose age comes from the wall clock with a minute added; the side's own clock, by which an attempt begins and is evicted alike.

Change: the age is measured by a clock that counts suspension and is raised by the longest transit of a query whose answer is still read (3 s). Deadlines stay on the clock that they come from.

Integration tests were not run for this commit.

--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -19,6 +19,9 @@
 constexpr Millis kSilenceTimeout(2000);
 constexpr Millis kReconnectInterval(100);
 constexpr Millis kCancelTimeout(1000);
+// A query whose answer this process still reads has reached the side within
+// this time.
+constexpr Millis kMaxQueryTransit = kConnectTimeout + kSilenceTimeout;
 constexpr Millis kDisconnectCheckInterval(100);
 constexpr int kOk = 200;
 
@@ -34,7 +37,8 @@
   const std::string& attempt;
   const AttemptOptions& options;
   CallerSink& sink;
-  /** Earliest time at which the attempt may have been sent. */
+  /** Earliest time at which the attempt may have been sent, by the clock of
+   * ages. */
   Millis sentAt;
   /** When data from the side last arrived. */
   Millis receivedAt;
@@ -48,10 +52,12 @@
 
 AttemptCall::AttemptCall(net::HttpClient& aClient,
                          const rpc::RpcClient& aRpc,
-                         std::string aSecret)
+                         std::string aSecret,
+                         const utils::Clock& aAgeClock)
   : client_(aClient)
   , rpc_(aRpc)
   , secret_(std::move(aSecret))
+  , ageClock_(aAgeClock)
 {
 }
 
@@ -74,8 +80,8 @@
                  const AttemptOptions& aOptions,
                  CallerSink& aSink) const
 {
-  auto now = clock_.Now();
-  Progress progress{ aSide, aRequest.attempt(), aOptions, aSink, now, now };
+  Progress progress{ aSide, aRequest.attempt(), aOptions,
+                     aSink, ageClock_.Now(),    clock_.Now() };
   net::CallTimeouts timeouts{ kConnectTimeout,
                               kSilenceTimeout,
                               kSilenceTimeout };
@@ -106,12 +112,22 @@
                     const AttemptOptions& aOptions,
                     CallerSink& aSink) const
 {
-  auto now = clock_.Now();
-  Progress progress{ aSide, aAttempt, aOptions, aSink, now - aAge, now };
+  Progress progress{
+    aSide, aAttempt, aOptions, aSink, ageClock_.Now() - aAge, clock_.Now()
+  };
   AttachUntilDone(progress);
   return std::move(progress.result);
 }
 
+// An upper bound of the attempt's age when the side reads the query. With a
+// lower age the side may take an attempt that ran, and that it has evicted
+// since, for one that was never received.
+Millis
+AttemptCall::GetMaxAge(const Progress& aProgress) const
+{
+  return ageClock_.Now() - aProgress.sentAt + kMaxQueryTransit;
+}
+
 AttemptCall::Stream
 AttemptCall::OpenAttach(const Progress& aProgress, utils::Error& aReason) const
 {
@@ -121,7 +137,7 @@
   schema::AttachRequest request;
   request.set_attempt(aProgress.attempt);
   request.set_incarnation(aProgress.side.incarnation);
-  request.set_age_ms((clock_.Now() - aProgress.sentAt).value);
+  request.set_age_ms(GetMaxAge(aProgress).value);
   request.set_from_byte(aProgress.bytes);
   net::CallTimeouts timeouts{ kConnectTimeout,
                               kSilenceTimeout,
@@ -281,7 +297,7 @@
   schema::AskRequest request;
   request.set_attempt(aProgress.attempt);
   request.set_incarnation(aProgress.side.incarnation);
-  request.set_age_ms((clock_.Now() - aProgress.sentAt).value);
+  request.set_age_ms(GetMaxAge(aProgress).value);
   schema::AskReply reply;
   net::CallTimeouts timeouts{ kConnectTimeout, kCancelTimeout, kCancelTimeout };
   // Best effort: the side itself stops a cancellable attempt that has no
--- a/libs/requests/src/AttemptCall.h
+++ b/libs/requests/src/AttemptCall.h
@@ -55,9 +55,12 @@
 class AttemptCall
 {
 public:
-  AttemptCall(net::HttpClient& aClient,
-              const rpc::RpcClient& aRpc,
-              std::string aSecret);
+  /** aAgeClock measures the ages of attempts. */
+  AttemptCall(
+    net::HttpClient& aClient,
+    const rpc::RpcClient& aRpc,
+    std::string aSecret,
+    const utils::Clock& aAgeClock = utils::Clock::CountingSuspension());
 
   /** Sends the attempt and returns when its answer has ended. */
   AttemptResult Run(const SideAddress& aSide,
@@ -87,11 +90,13 @@
   void ApplyFrame(const schema::AnswerFrame& aFrame, Progress& aProgress) const;
   void ApplyEnd(const schema::AnswerEnd& aEnd, Progress& aProgress) const;
   void Cancel(const Progress& aProgress) const;
+  utils::Millis GetMaxAge(const Progress& aProgress) const;
 
   net::HttpClient& client_;
   const rpc::RpcClient& rpc_;
   std::string secret_;
   utils::Clock clock_;
+  utils::Clock ageClock_;
 };
 
 } // namespace waxwingyoke::requests
