Entries: a conviction holds until the log has its quarantine record

What callers could see: in an outage of the log, a request that crashes upstreams costs two more of them every half minute, instead of two in total.

Cause: each entry holds a conviction for 30 s from its notice, the time in which it applies the quarantine record. While the log takes no append there is no record, the conviction expires, and the digest is not even suspect any more. The append is tried 30 times, which takes 30 s where the log refuses and up to 150 s where it is silent, and is then given up.

Ruled out: the outage's effect on suspects, which are held for 10 minutes.

Change: the entry that convicts renews the conviction, at itself and the other entries, every 10 s until the append succeeds, and tries for an hour or more. If that entry stops meanwhile, the conviction expires as before.

--- a/libs/requests/src/StrikeTracker.cpp
+++ b/libs/requests/src/StrikeTracker.cpp
@@ -17,17 +17,31 @@
 
 constexpr Millis kNotifyTimeout(500);
 constexpr Millis kNotifyPollInterval(10);
-constexpr int kMaxAppendAttempts = 30;
+constexpr int kMaxAppendAttempts = 3600;
 constexpr Millis kAppendRetryInterval(1000);
+// A third of the time for which an entry holds a conviction, so that two
+// notices may be lost.
+constexpr Millis kRenewInterval(10000);
+
+schema::StrikeNotice
+MakeNotice(const std::string& aDigest, schema::Strike aStrike)
+{
+  schema::StrikeNotice notice;
+  notice.set_request_digest(aDigest);
+  notice.set_strike(aStrike);
+  return notice;
+}
 
 } // namespace
 
 StrikeTracker::StrikeTracker(membership::Node& aNode,
                              rpc::RpcClient& aRpc,
-                             platform::LogClient& aLog)
+                             platform::LogClient& aLog,
+                             const utils::Clock& aClock)
   : node_(aNode)
   , rpc_(aRpc)
   , log_(aLog)
+  , clock_(aClock)
 {
 }
 
@@ -51,9 +65,7 @@
 void
 StrikeTracker::Report(const std::string& aDigest, schema::Strike aStrike)
 {
-  schema::StrikeNotice notice;
-  notice.set_request_digest(aDigest);
-  notice.set_strike(aStrike);
+  auto notice = MakeNotice(aDigest, aStrike);
   HandleNotice(notice);
   if (aStrike == schema::CONVICTED) {
     net::Runtime::SpawnHere([this, aDigest] { Quarantine(aDigest); });
@@ -100,6 +112,8 @@
   change->set_author(node_.GetSettings().vm());
   change->set_reason("two upstreams died while they ran it");
   logger.Warn("request quarantined", { { "digest", aDigest } });
+  auto notice = MakeNotice(aDigest, schema::CONVICTED);
+  auto renewedAt = clock_.Now();
   // Each retry appends the same record id, so that the record is applied once.
   for (int i = 0; i < kMaxAppendAttempts; ++i) {
     utils::Error reason;
@@ -107,6 +121,11 @@
           platform::kConfigStream, record.SerializeAsString(), reason)) {
       return;
     }
+    if (clock_.Now() - renewedAt >= kRenewInterval) {
+      renewedAt = clock_.Now();
+      HandleNotice(notice);
+      NotifyEntries(notice);
+    }
     net::Runtime::Sleep(kAppendRetryInterval);
   }
   logger.Warn("quarantine record could not be appended to the log",
--- a/libs/requests/src/StrikeTracker.h
+++ b/libs/requests/src/StrikeTracker.h
@@ -23,7 +23,8 @@
 public:
   StrikeTracker(membership::Node& aNode,
                 rpc::RpcClient& aRpc,
-                platform::LogClient& aLog);
+                platform::LogClient& aLog,
+                const utils::Clock& aClock = utils::Clock());
 
   Suspicion Find(const std::string& aDigest) const;
 
@@ -38,7 +39,10 @@
 
 private:
   void NotifyEntries(const schema::StrikeNotice& aNotice);
-  /** Appends the quarantine record; gives up after 30 attempts. */
+  /**
+   * Appends the quarantine record. Until it is in the log, renews the
+   * conviction at all entries; gives up after an hour or more.
+   */
   void Quarantine(const std::string& aDigest);
 
   membership::Node& node_;
