Entries: every send to an engine has a limit for its start, also for versions not yet named

What callers could see: work that begins on a superseded version after its limit, although log, links and entry ran without a fault.

- A send's start timeout was computed once.
A request that waited in an upstream's queue while the next version was named had none and was awaited to its deadline.
- A next version of unknown age meant no limit, though FindMinVersion allows no older version then.
It now means no time.
- A send without time left was sent and taken back a millisecond later; it isn't sent.
The connect, which came on top of the limit, takes 100 ms at most then.

--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -147,16 +147,13 @@
     aModel, settings_.bounds.version - kStartMargin - kLastSendMargin);
 }
 
-std::optional<Millis>
+Millis
 EntryServices::FindStartTimeout(const std::string& aModel,
                                 std::uint64_t aVersion) const
 {
   auto limitStart = config_.FindLimitStart(aModel, aVersion);
-  if (!limitStart) {
-    return std::nullopt;
-  }
-  auto age = config_.Now() - *limitStart;
-  return settings_.bounds.version - kStartMargin - age;
+  auto left = settings_.bounds.version - kStartMargin;
+  return limitStart ? left - (config_.Now() - *limitStart) : Millis(0);
 }
 
 void
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -99,11 +99,11 @@
   std::uint64_t FindMinVersion(const std::string& aModel) const;
 
   /**
-   * How long work may still start on that version; empty if no newer version
-   * limits it.
+   * How long work may still start on that version, also if a newer one is named
+   * meanwhile; not above 0: no longer.
    */
-  std::optional<utils::Millis> FindStartTimeout(const std::string& aModel,
-                                                std::uint64_t aVersion) const;
+  utils::Millis FindStartTimeout(const std::string& aModel,
+                                 std::uint64_t aVersion) const;
 
   /**
    * Records that a connection to an upstream broke while a request ran there.
--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -12,6 +12,9 @@
 
 // A connect takes one round trip and a few milliseconds at the upstream.
 constexpr Millis kConnectTimeout(500);
+// The same shortly before the version's limit, as the wait for the start begins
+// after the connect.
+constexpr Millis kLimitedConnectTimeout(100);
 // An upstream that refused a request because it was full has a free slot after
 // about one request's end.
 constexpr Millis kOverloadedAvoidTime(60);
@@ -116,10 +119,20 @@
     return dialect.IsAnswerTo(aFields, aParameters.attemptId);
   };
   auto headTimeout = GetHeadTimeout(aParameters);
-  net::CallTimeouts timeouts{ std::min(kConnectTimeout, headTimeout),
+  bool mayStart =
+    !aParameters.startTimeout || *aParameters.startTimeout > Millis(0);
+  bool isLimited = headTimeout < aParameters.headTimeout;
+  auto connectTimeout = isLimited ? kLimitedConnectTimeout : kConnectTimeout;
+  net::CallTimeouts timeouts{ std::min(connectTimeout, headTimeout),
                               headTimeout,
                               headTimeout };
   UpstreamAnswer answer;
+  if (!mayStart) {
+    RecordStartTimeout(aServices, aLease, aParameters);
+    answer.reason.Set(ErrorKind::NoUpstream,
+                      "the upstream's version has reached its limit");
+    return answer;
+  }
   aServices.GetMetrics().sends.Add();
   answer.stream = aServices.GetClient().Open(
     upstream.record.endpoint, request, timeouts, answer.reason, options);
--- a/libs/fleet/tests/NamedVersionsTest.cpp
+++ b/libs/fleet/tests/NamedVersionsTest.cpp
@@ -9,7 +9,13 @@
 #include <utility>
 #include <vector>
 
+#include <unistd.h>
+
+#include <net/HttpServer.h>
+
 #include <ConfigFollower.h>
+#include <EntryServices.h>
+#include <Exchange.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::fleet;
@@ -656,3 +662,289 @@
   }
   CHECK(versions.FindOfAge(kModel, Millis(5000), Millis(6200)) == 2);
 }
+
+namespace {
+
+constexpr const char* kService = "service";
+constexpr const char* kKey = "key";
+constexpr std::uint16_t kEntryPort = 7311;
+constexpr std::uint16_t kUpstreamPort = 7312;
+
+net::Endpoint
+MakeEndpoint(std::uint16_t aPort)
+{
+  auto pid = static_cast<unsigned>(getpid());
+  return { "127.83." + std::to_string(pid / 250 % 250) + "." +
+             std::to_string(pid % 250 + 1),
+           aPort };
+}
+
+/** Forwards requests unchanged and trusts every answer. */
+class PlainDialect : public platform::RequestDialect
+{
+public:
+  platform::CallerRequest Read(const net::HttpRequest& aRequest) const override
+  {
+    platform::CallerRequest request;
+    request.attemptId = "attempt";
+    request.apiKey = kKey;
+    request.host = "h";
+    request.path = aRequest.target;
+    return request;
+  }
+  net::HttpRequest MakeUpstreamRequest(
+    const net::HttpRequest& aRequest,
+    const platform::SendOptions&) const override
+  {
+    return aRequest;
+  }
+  platform::UpstreamHead ReadHead(int aStatus,
+                                  const net::HttpFields&) const override
+  {
+    platform::UpstreamHead head;
+    head.status = aStatus;
+    head.stamped = true;
+    return head;
+  }
+  bool IsAnswerTo(const net::HttpFields&, std::string_view) const override
+  {
+    return true;
+  }
+  net::HttpFields MakeCallerFields(const net::HttpFields&) const override
+  {
+    return {};
+  }
+  net::HttpResponse MakeOwnAnswer(int aStatus,
+                                  std::string_view,
+                                  std::string_view,
+                                  std::optional<Millis>) const override
+  {
+    net::HttpResponse response;
+    response.status = aStatus;
+    return response;
+  }
+};
+
+/** One route to a service with an engine; version 5 accepts kKey. */
+platform::FleetConfig
+MakeEngineConfig(std::uint64_t aVersion)
+{
+  platform::FleetConfig config;
+  config.version = aVersion;
+  platform::Route route;
+  route.name = "route";
+  route.host = "h";
+  route.pathPrefix = "/a/";
+  route.kind = platform::RequestKind::Unsafe;
+  route.timeout = Millis(8000);
+  route.objective = Millis(5000);
+  route.shares = { { kService, 1 } };
+  config.routes = { route };
+  platform::EngineTraits engine;
+  engine.model = kModel;
+  engine.slots = 4;
+  engine.stepMs = 1;
+  engine.layers = 1;
+  platform::ServiceInfo service;
+  service.name = kService;
+  service.engine = engine;
+  config.services = { service };
+  config.organisations = { { "org", { aVersion == 5 ? kKey : "other" }, {} } };
+  config.Index();
+  return config;
+}
+
+/** An entry's services, which read a scripted log. */
+struct TestEntry
+{
+  explicit TestEntry(net::Runtime& aRuntime)
+    : services(aRuntime,
+               settings,
+               { client, log, MakeEngineCodecs(), &dialect })
+  {
+    log.newest = { { MakeConfigRecord() }, 1, 1 };
+    log.changes = { {}, 1, 1 };
+  }
+
+  static platform::FleetCodecs MakeEngineCodecs()
+  {
+    auto codecs = MakeCodecs();
+    codecs.parseConfig = [](std::string_view aText, utils::Error&) {
+      return std::optional(MakeEngineConfig(
+        std::strtoull(std::string(aText).c_str(), nullptr, 10)));
+    };
+    return codecs;
+  }
+
+  static platform::FleetSettings MakeSettings()
+  {
+    platform::FleetSettings settings;
+    settings.vm = "vm";
+    settings.bounds.version = Millis(2000);
+    settings.bounds.revoke = Millis(2000);
+    return settings;
+  }
+
+  platform::FleetSettings settings = MakeSettings();
+  net::HttpClient client;
+  ScriptedLog log;
+  PlainDialect dialect;
+  EntryServices services;
+};
+
+} // namespace
+
+// Guards against a send without a limit: the entry holds a version whose naming
+// may be any time ago, so nothing may begin on an older one.
+TEST_CASE("a version of unknown age leaves no time to start on an older one")
+{
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    TestEntry entry(runtime);
+    entry.log.newest.records.push_back(MakeVersionRecord("2"));
+    REQUIRE(entry.services.GetConfig().Poll());
+    CHECK(entry.services.FindMinVersion(kModel) == 2);
+    CHECK(entry.services.FindStartTimeout(kModel, 1).value <= 0);
+    return 0;
+  });
+}
+
+namespace {
+
+/**
+ * Sends a request through an entry to an upstream, in whose queue it waits
+ * while aChanges are written to the topic and read. Returns when it began
+ * there, after the change; empty if it did not.
+ */
+std::optional<Millis>
+FindStartAfterChange(TestEntry& aEntry,
+                     net::Runtime& aRuntime,
+                     const std::vector<KeyedRecord>& aChanges)
+{
+  constexpr Millis kQueueTime(3500);
+  constexpr Millis kSendTime(300);
+  constexpr Millis kPoll(20);
+  utils::Clock clock;
+  utils::Error reason;
+  std::optional<Millis> arrived;
+  std::optional<Millis> begun;
+  auto upstream = net::HttpServer::Builder(aRuntime)
+                    .SetEndpoint(MakeEndpoint(kUpstreamPort))
+                    .SetHandler([&](const auto&, auto& aWriter) {
+                      arrived = clock.Now();
+                      while (clock.Now() < *arrived + kQueueTime) {
+                        net::Runtime::Sleep(kPoll);
+                        if (aWriter.IsPeerDisconnected()) {
+                          return;
+                        }
+                      }
+                      begun = clock.Now();
+                      net::HttpResponse response;
+                      response.status = 200;
+                      aWriter.Send(response);
+                    })
+                    .Build(reason);
+  REQUIRE(upstream);
+  auto server = net::HttpServer::Builder(aRuntime)
+                  .SetEndpoint(MakeEndpoint(kEntryPort))
+                  .SetHandler([&](const auto& aRequest, auto& aWriter) {
+                    Exchange(aEntry.services, aRequest, aWriter).Run();
+                  })
+                  .Build(reason);
+  REQUIRE(server);
+  auto& config = aEntry.services.GetConfig();
+  REQUIRE(config.Poll());
+  platform::Upstream record;
+  record.id = "upstream";
+  record.service = kService;
+  record.endpoint = MakeEndpoint(kUpstreamPort);
+  record.slots = 4;
+  record.held = { { kModel, 1, 0, 1 } };
+  aEntry.services.GetUpstreams().Put(record);
+  bool done = false;
+  net::Runtime::SpawnHere([&done] {
+    constexpr Millis kCallTimeout(9000);
+    net::HttpClient caller;
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b";
+    utils::Error ignored;
+    caller.Call(MakeEndpoint(kEntryPort),
+                request,
+                { kCallTimeout, kCallTimeout, kCallTimeout },
+                ignored);
+    done = true;
+  });
+  net::Runtime::Sleep(kSendTime);
+  REQUIRE(arrived);
+  auto changed = clock.Now();
+  aEntry.log.changes = { aChanges, 2, 1 };
+  REQUIRE(config.Poll());
+  aEntry.log.changes = { {}, 2, 1 };
+  while (!done) {
+    net::Runtime::Sleep(kPoll);
+    REQUIRE(config.Poll());
+  }
+  return begun ? std::optional(*begun - changed) : std::nullopt;
+}
+
+} // namespace
+
+// Guards against work that begins on a superseded version because it was sent
+// before the next one was named, and waited in the upstream's queue.
+TEST_CASE("a request that waits at an upstream while the next version is named "
+          "does not begin after its limit")
+{
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    TestEntry entry(runtime);
+    auto begun =
+      FindStartAfterChange(entry, runtime, { MakeVersionRecord("2") });
+    CHECK(begun.value_or(Millis(0)).value <=
+          entry.settings.bounds.version.value);
+    return 0;
+  });
+}
+
+// Guards against work that begins after its limit because a send without time
+// left, after a stall between its placement and its sending, was sent all the
+// same and taken back a millisecond later.
+TEST_CASE("a send without time left to start does not reach the upstream")
+{
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    constexpr Millis kHeadTimeout(1000);
+    constexpr Millis kArrivalTime(200);
+    constexpr int kTries = 20;
+    TestEntry entry(runtime);
+    utils::Error reason;
+    int arrived = 0;
+    auto upstream = net::HttpServer::Builder(runtime)
+                      .SetEndpoint(MakeEndpoint(kUpstreamPort))
+                      .SetHandler([&](const auto&, auto& aWriter) {
+                        ++arrived;
+                        net::HttpResponse response;
+                        response.status = 200;
+                        aWriter.Send(response);
+                      })
+                      .Build(reason);
+    REQUIRE(upstream);
+    auto state = std::make_shared<dispatch::UpstreamState>();
+    state->record.id = "upstream";
+    state->record.service = kService;
+    state->record.endpoint = MakeEndpoint(kUpstreamPort);
+    UpstreamLease lease(entry.services, state, 0);
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/a/b";
+    std::string attempt = "attempt";
+    SendParameters parameters{ request,      attempt,    {},
+                               kHeadTimeout, Millis(-1), nullptr };
+    for (int i = 0; i < kTries; ++i) {
+      SendToUpstream(entry.services, lease, parameters);
+    }
+    net::Runtime::Sleep(kArrivalTime);
+    CHECK(arrived == 0);
+    return 0;
+  });
+}
