Directory: an update after a suspension opens no grace

What callers could see: a request sent to an upstream more than two seconds after it was removed. An entry that was suspended for more than 2.5 s, or whose datagrams were lost, took the time without an update for an outage of the log for all entries. It opened a grace of 2.5 s and kept what had been removed meanwhile, counted from when it resumed.

A gap between updates proves no outage.

Change: an update ends an outage of all entries only if this entry's last read failed. Ruled out: the clock; it counts suspension already.

Tests: "an update after a suspension without a failed read opens no grace", with an update that follows the last one, after lost ones, in parts, with the removal in an own read, and with an upstream that is no longer listed. On the code before, all five failed (the upstream was held). Two cases beside it hold what must stay, and pass before as well: the grace after an outage of all, and that a record of draining applies during a grace whichever way it arrives.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -283,8 +283,10 @@
     return;
   }
   // All entries read within this time, so the log was unavailable to all of
-  // them.
-  if (confirmedAt_ && clock_.Now() - *confirmedAt_ > kOutageThreshold) {
+  // them. Without a failed read of its own, this process was suspended or its
+  // datagrams were lost.
+  if (!logAvailable_ && confirmedAt_ &&
+      clock_.Now() - *confirmedAt_ > kOutageThreshold) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
   }
   for (const auto& row : aUpdate.records()) {
--- /dev/null
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -0,0 +1,261 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <DirectoryFollower.h>
+
+using namespace waxwingyoke;
+using namespace waxwingyoke::fleet;
+using platform::KeyedPage;
+using platform::KeyedRecord;
+using platform::Topic;
+using utils::Millis;
+
+namespace {
+
+// A request may reach an upstream for this long after its removal.
+constexpr Millis kRemovalBound(2000);
+
+/** A log whose answers the test sets. */
+class ScriptedLog : public platform::KeyedLog
+{
+public:
+  std::optional<KeyedPage> ReadNewest(Topic, utils::Error& aReason) override
+  {
+    return Answer(newest, aReason);
+  }
+
+  std::optional<KeyedPage> Read(Topic,
+                                std::uint64_t,
+                                Millis aWait,
+                                utils::Error& aReason) override
+  {
+    lastWait = aWait;
+    if (onRead) {
+      onRead();
+    }
+    if (std::exchange(trimmed, false)) {
+      aReason.Set(utils::ErrorKind::LogTrimmed, "trimmed");
+      return std::nullopt;
+    }
+    return Answer(changes, aReason);
+  }
+
+  bool Append(Topic,
+              const std::string&,
+              const std::string&,
+              utils::Error&) override
+  {
+    return available;
+  }
+
+  /** Runs in each read for changes before its answer. */
+  std::function<void()> onRead;
+  bool available = true;
+  bool trimmed = false;
+  Millis lastWait;
+  KeyedPage newest;
+  KeyedPage changes;
+
+private:
+  std::optional<KeyedPage> Answer(const KeyedPage& aPage,
+                                  utils::Error& aReason) const
+  {
+    if (!available) {
+      aReason.Set(utils::ErrorKind::LogUnavailable, "unavailable");
+      return std::nullopt;
+    }
+    return aPage;
+  }
+};
+
+// An upstream's record is its state.
+platform::FleetCodecs
+MakeCodecs()
+{
+  platform::FleetCodecs codecs;
+  codecs.parseUpstream =
+    [](std::string_view aId, std::string_view aText, utils::Error&) {
+      platform::Upstream upstream;
+      upstream.id = aId;
+      upstream.service = "service";
+      upstream.startedMs = 1;
+      upstream.draining = aText == "draining";
+      return std::optional(upstream);
+    };
+  return codecs;
+}
+
+schema::DirectoryNews
+MakeUpdate(std::uint64_t aFrom,
+           std::uint64_t aEnd,
+           const std::vector<KeyedRecord>& aRecords = {})
+{
+  schema::DirectoryNews update;
+  update.set_from(aFrom);
+  update.set_end(aEnd);
+  for (const auto& record : aRecords) {
+    auto& row = *update.add_records();
+    row.set_key(record.key);
+    row.set_value(record.value);
+    row.set_offset(record.offset);
+    row.set_dropped(record.dropped);
+  }
+  return update;
+}
+
+KeyedRecord
+MakeRemoval(std::uint64_t aOffset)
+{
+  return { "a", "", aOffset, true };
+}
+
+/** An entry that has read a directory with the upstreams a and b, at end 2. */
+struct Fixture
+{
+  Fixture()
+  {
+    log.newest = { { { "a", "ready", 0, false }, { "b", "ready", 1, false } },
+                   2 };
+    log.changes = { {}, 2 };
+    REQUIRE(follower.Poll());
+  }
+
+  void Advance(Millis aTime) { now = now + aTime; }
+
+  /** Reads that the log refuses, one each aInterval. */
+  void FailReads(int aCount, Millis aInterval)
+  {
+    log.available = false;
+    for (int i = 0; i < aCount; ++i) {
+      Advance(aInterval);
+      REQUIRE_FALSE(follower.Poll());
+    }
+    log.available = true;
+  }
+
+  /** Reads the removal of a, which the log holds at aOffset. */
+  void ReadRemoval(std::uint64_t aOffset = 2)
+  {
+    log.changes = { { MakeRemoval(aOffset) }, aOffset + 1 };
+    REQUIRE(follower.Poll());
+  }
+
+  bool Holds(const std::string& aId) const
+  {
+    return registry.Find(aId) != nullptr;
+  }
+
+  Millis now{ 100000 };
+  ScriptedLog log;
+  dispatch::UpstreamRegistry registry;
+  DirectoryFollower follower{ log, MakeCodecs(), registry, utils::Clock([this] {
+                                return now;
+                              }) };
+};
+
+} // namespace
+
+// An entry that was suspended, or whose datagrams were lost, sees no update for
+// as long as in an outage. It must not keep what was removed meanwhile.
+TEST_CASE("an update after a suspension without a failed read opens no grace")
+{
+  Fixture fixture;
+  fixture.Advance(Millis(4000));
+  SUBCASE("the update follows the last one")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 3, { MakeRemoval(2) }));
+  }
+  SUBCASE("updates were lost")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(7, 8, { MakeRemoval(7) }));
+  }
+  SUBCASE("the update comes in parts")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 5));
+    fixture.follower.ApplyUpdate(MakeUpdate(5, 8, { MakeRemoval(7) }));
+  }
+  SUBCASE("the entry's own read finds the removal")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 2));
+    fixture.ReadRemoval();
+  }
+  SUBCASE("the directory no longer lists the upstream")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(7, 8));
+    fixture.log.trimmed = true;
+    fixture.log.newest = { { { "b", "ready", 1, false } }, 8 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  CHECK_FALSE(fixture.Holds("a"));
+  CHECK(fixture.Holds("b"));
+}
+
+// Each way in which an entry can observe the end of an outage of all entries.
+TEST_CASE("what expired in an outage of all entries stays for the grace")
+{
+  Fixture fixture;
+  fixture.FailReads(5, Millis(800));
+  SUBCASE("the entry's own read ends it")
+  {
+    fixture.ReadRemoval();
+  }
+  SUBCASE("an update ends it")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 3, { MakeRemoval(2) }));
+  }
+  SUBCASE("an update after a gap ends it, and a read follows")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(4, 5));
+    fixture.FailReads(1, Millis(100));
+    fixture.ReadRemoval();
+  }
+  SUBCASE("the directory no longer lists the upstream")
+  {
+    fixture.log.trimmed = true;
+    fixture.log.newest = { { { "b", "ready", 1, false } }, 8 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  CHECK(fixture.Holds("a"));
+  fixture.Advance(Millis(2000));
+  fixture.log.changes = { {}, 8 };
+  REQUIRE(fixture.follower.Poll());
+  CHECK(fixture.Holds("a"));
+  fixture.Advance(Millis(1000));
+  REQUIRE(fixture.follower.Poll());
+  CHECK_FALSE(fixture.Holds("a"));
+}
+
+// The grace holds dropped entries only: a record that states that an upstream
+// drains applies at once, whatever the entry makes of the log.
+TEST_CASE("an upstream that announces draining gets nothing during a grace")
+{
+  Fixture fixture;
+  fixture.FailReads(5, Millis(800));
+  KeyedRecord draining{ "a", "draining", 5, false };
+  SUBCASE("its own read")
+  {
+    fixture.log.changes = { { draining }, 6 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("an update")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 6, { draining }));
+  }
+  SUBCASE("an update after a gap")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(5, 6, { draining }));
+  }
+  SUBCASE("the complete directory")
+  {
+    fixture.log.trimmed = true;
+    fixture.log.newest = { { draining, { "b", "ready", 1, false } }, 8 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  REQUIRE(fixture.Holds("a"));
+  CHECK(fixture.registry.Find("a")->record.draining);
+}
