Directory: a failed read holds removed upstreams no longer than their bound

What callers could see: a request sent to an upstream up to 2.5 s after the entry observed its removal. One read without an answer, or one refusal, opened the grace for re-registration, though no entry expires in so short a time. Conversely, if the log refused one entry alone first and then all of them, a single update in the first part cancelled the grace, and upstreams that expired in the second part were removed at once.

Cause: RecordLogResult opened the grace after any failure without an update since its beginning, whatever the time since the last read.

Change: the follower records when the log last answered any entry, this one or one whose update it received, and whether an own read has failed since. Only if that is longer ago than 2.5 s was the log unavailable to all, and the grace begins, at the entry's own recovery and at a peer's update alike. After a shorter failure dropped upstreams stay until 1.2 s after the last read, which with one more read without an answer (0.8 s) is within the two seconds of a removal.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -23,9 +23,14 @@
 constexpr Millis kPeerUpdateTimeout(900);
 constexpr Millis kRankDelay(50);
 constexpr Millis kMaxRankDelay(500);
-// Covers the entry with the last rank and some failed reads. A longer time
-// without an update means that the log was unavailable to all entries.
+// Covers the entry with the last rank and some failed reads. If no entry has
+// read for longer, and reads of this one failed, the log was unavailable to
+// all. Entries don't expire within a shorter time.
 constexpr Millis kOutageThreshold(2500);
+// Time from the last read for which an upstream that is dropped after a shorter
+// failure stays. It leaves room for one read without an answer within the two
+// seconds in which a removal must take effect.
+constexpr Millis kMaxHoldAfterFailure(1200);
 // Interval between two checks for upstreams to remove.
 constexpr Millis kExpiryPollInterval(150);
 // Delay after a read, so that changes in a row are read together.
@@ -113,23 +118,52 @@
 void
 DirectoryFollower::RecordLogResult(bool aAvailable)
 {
-  if (aAvailable == logAvailable_) {
+  if (aAvailable) {
+    if (readFailed_) {
+      HoldDropped();
+    }
+    RecordRead();
+  } else {
+    readFailed_ = true;
+  }
+  if (std::exchange(logAvailable_, aAvailable) == aAvailable) {
     return;
   }
-  logAvailable_ = aAvailable;
   if (aAvailable) {
-    // If other entries could read the log all the time, no upstream's entry
-    // expired during the outage.
-    if (!peersReadLog_) {
-      graceUntil_ = clock_.Now() + kReregistrationGrace;
-    }
     logger_.Info("the directory answers again");
   } else {
-    peersReadLog_ = false;
     logger_.Warn("the directory does not answer");
   }
 }
 
+// Called when the log answers this entry after a failure and no other entry has
+// read it since.
+void
+DirectoryFollower::HoldDropped()
+{
+  if (IsOutageOfAll()) {
+    graceUntil_ = clock_.Now() + kReregistrationGrace;
+  } else {
+    graceUntil_ = std::max(graceUntil_, *logReadAt_ + kMaxHoldAfterFailure);
+  }
+}
+
+// Only failed reads show an outage: a process that was suspended, or whose
+// datagrams were lost, also sees no read for a long time.
+bool
+DirectoryFollower::IsOutageOfAll() const
+{
+  return readFailed_ &&
+         (!logReadAt_ || clock_.Now() - *logReadAt_ > kOutageThreshold);
+}
+
+void
+DirectoryFollower::RecordRead()
+{
+  logReadAt_ = clock_.Now();
+  readFailed_ = false;
+}
+
 // Publishes the changes since aPublishFrom, if it is set.
 bool
 DirectoryFollower::ReadAll(std::optional<std::uint64_t> aPublishFrom)
@@ -282,11 +316,7 @@
   if (isOutdated) {
     return;
   }
-  // All entries read within this time, so the log was unavailable to all of
-  // them. Without a failed read of its own, this process was suspended or its
-  // datagrams were lost.
-  if (!logAvailable_ && confirmedAt_ &&
-      clock_.Now() - *confirmedAt_ > kOutageThreshold) {
+  if (IsOutageOfAll()) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
   }
   for (const auto& row : aUpdate.records()) {
@@ -302,8 +332,8 @@
   missedUpdate_ = missedUpdate_ || hasGap;
   if (!hasGap) {
     end_ = aUpdate.end();
-    peersReadLog_ = true;
     confirmedAt_ = clock_.Now();
+    RecordRead();
   }
   RemoveExpired();
   if (onChange_ && aUpdate.records_size() > 0) {
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -77,6 +77,9 @@
   bool Remove(const std::string& aId, bool aImmediately);
   void RemoveExpired();
   void RecordLogResult(bool aAvailable);
+  void RecordRead();
+  bool IsOutageOfAll() const;
+  void HoldDropped();
 
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
@@ -88,8 +91,11 @@
   std::size_t readRank_ = 0;
   /** When the registry was last brought up to date, by a read or an update. */
   std::optional<utils::Millis> confirmedAt_;
-  /** Another entry has read the log since it stopped answering this one. */
-  bool peersReadLog_ = false;
+  /** When the log last answered an entry, this one or one that sent an update.
+   */
+  std::optional<utils::Millis> logReadAt_;
+  /** A read of this entry has failed since logReadAt_. */
+  bool readFailed_ = false;
   /** An update arrived with a gap between it and the last applied offset. */
   bool missedUpdate_ = false;
   bool started_ = false;
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -195,6 +195,40 @@
   CHECK(fixture.Holds("b"));
 }
 
+// A lost answer or a single refusal is no outage in which entries expire.
+TEST_CASE("a failed read does not hold a removed upstream beyond its bound")
+{
+  Fixture fixture;
+  auto lastReadAt = fixture.now;
+  fixture.FailReads(1, Millis(1500));
+  fixture.Advance(Millis(40));
+  fixture.ReadRemoval();
+  fixture.log.changes = { {}, 3 };
+  while (fixture.now < lastReadAt + kRemovalBound) {
+    fixture.Advance(Millis(10));
+    fixture.follower.ApplyUpdate(MakeUpdate(3, 3));
+  }
+  CHECK_FALSE(fixture.Holds("a"));
+}
+
+// The log turned the entry away alone at first and then all entries. What
+// expired in the second part must stay until it has registered again.
+TEST_CASE("an outage of all entries that begins as one of this entry alone")
+{
+  Fixture fixture;
+  fixture.FailReads(3, Millis(800));
+  fixture.follower.ApplyUpdate(MakeUpdate(2, 2));
+  fixture.FailReads(8, Millis(800));
+  fixture.ReadRemoval();
+  CHECK(fixture.Holds("a"));
+  fixture.Advance(Millis(2000));
+  fixture.log.changes = { { { "a", "ready", 3, false } }, 4 };
+  REQUIRE(fixture.follower.Poll());
+  fixture.Advance(Millis(3000));
+  REQUIRE(fixture.follower.Poll());
+  CHECK(fixture.Holds("a"));
+}
+
 // Each way in which an entry can observe the end of an outage of all entries.
 TEST_CASE("what expired in an outage of all entries stays for the grace")
 {
