Directory: an update after a gap shows that the log serves others

What callers could see: an entry that the log refused alone, and that had missed one datagram, sent requests to a removed upstream for another 2.5 s. It can't close the gap while its reads fail, so each later update counted as incomplete, and none as evidence that other entries read the log. After 2.5 s each update opened a grace anew, and so did the entry's own recovery.

Change: any update of the current state ends the time without a read, whether or not it follows the last applied one. Outdated updates still count for nothing.

Test: "an update after a gap shows that the log serves other entries", with the removal in an update, in an own read after an update, as an upstream that is no longer listed, and with the next update after the own recovery.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -316,9 +316,11 @@
   if (isOutdated) {
     return;
   }
+  // Also an update after a gap shows that the log answers other entries.
   if (IsOutageOfAll()) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
   }
+  RecordRead();
   for (const auto& row : aUpdate.records()) {
     if (!isComparable || row.offset() >= end_) {
       Apply({ row.key(), row.value(), row.offset(), row.dropped() });
@@ -333,7 +335,6 @@
   if (!hasGap) {
     end_ = aUpdate.end();
     confirmedAt_ = clock_.Now();
-    RecordRead();
   }
   RemoveExpired();
   if (onChange_ && aUpdate.records_size() > 0) {
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -195,6 +195,42 @@
   CHECK(fixture.Holds("b"));
 }
 
+// A lost datagram leaves a gap that an entry can't close while the log refuses
+// it alone. The updates after the gap still show that others read the log.
+TEST_CASE("an update after a gap shows that the log serves other entries")
+{
+  Fixture fixture;
+  for (std::uint64_t end = 5; end < 10; ++end) {
+    fixture.FailReads(1, Millis(800));
+    fixture.follower.ApplyUpdate(MakeUpdate(end - 1, end));
+  }
+  fixture.FailReads(1, Millis(400));
+  SUBCASE("the removal comes with an update")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(9, 10, { MakeRemoval(9) }));
+  }
+  SUBCASE("an update precedes the entry's own read")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(9, 9));
+    fixture.ReadRemoval();
+  }
+  SUBCASE("the directory no longer lists the upstream")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(9, 9));
+    fixture.log.trimmed = true;
+    fixture.log.newest = { { { "b", "ready", 1, false } }, 9 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("an update follows the entry's own read")
+  {
+    fixture.ReadRemoval();
+    fixture.Advance(kRemovalBound - Millis(400));
+    fixture.follower.ApplyUpdate(MakeUpdate(9, 9));
+  }
+  CHECK_FALSE(fixture.Holds("a"));
+  CHECK(fixture.Holds("b"));
+}
+
 // A lost answer or a single refusal is no outage in which entries expire.
 TEST_CASE("a failed read does not hold a removed upstream beyond its bound")
 {
