Directory: a read that waits for changes delays no removal

What callers could see: an upstream held for the grace kept receiving requests up to 700 ms longer at the entry that reads for all, as removals that fall due were applied only after its read, which waits for changes.

Change: a read waits no longer than until the next removal falls due.

Test: "an entry waits no longer for changes than until the next removal"; the upstream was removed 2,800 ms after its drop on the code before, now at 2,500.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -1,6 +1,7 @@
 #include "DirectoryFollower.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -103,7 +104,9 @@
 bool
 DirectoryFollower::Poll(Millis aWait)
 {
-  bool answered = started_ ? ReadChanges(aWait) : ReadAll();
+  auto untilExpiry = GetNextExpiry() - clock_.Now();
+  auto wait = std::clamp(untilExpiry, Millis(0), aWait);
+  bool answered = started_ ? ReadChanges(wait) : ReadAll();
   if (answered) {
     confirmedAt_ = clock_.Now();
     missedUpdate_ = false;
@@ -390,6 +393,15 @@
   return true;
 }
 
+Millis
+DirectoryFollower::GetNextExpiry() const
+{
+  constexpr Millis kNever(std::numeric_limits<std::int64_t>::max());
+  auto next = std::ranges::min_element(
+    missing_, {}, [](const auto& aRow) { return aRow.second; });
+  return next == missing_.end() ? kNever : next->second;
+}
+
 void
 DirectoryFollower::RemoveExpired()
 {
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -75,6 +75,7 @@
                      const std::vector<platform::KeyedRecord>& aChanges);
   bool Apply(const platform::KeyedRecord& aRecord);
   bool Remove(const std::string& aId, bool aImmediately);
+  utils::Millis GetNextExpiry() const;
   void RemoveExpired();
   void RecordLogResult(bool aAvailable);
   void RecordRead();
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -329,3 +329,21 @@
   REQUIRE(fixture.Holds("a"));
   CHECK(fixture.registry.Find("a")->record.draining);
 }
+
+// A read that waits for changes must not delay a removal that falls due.
+TEST_CASE("an entry waits no longer for changes than until the next removal")
+{
+  constexpr Millis kWait(700);
+  Fixture fixture;
+  fixture.FailReads(5, Millis(800));
+  fixture.ReadRemoval();
+  auto heldFrom = fixture.now;
+  fixture.log.changes = { {}, 3 };
+  fixture.log.onRead = [&fixture] { fixture.Advance(fixture.log.lastWait); };
+  while (fixture.Holds("a")) {
+    REQUIRE(fixture.follower.Poll(kWait));
+  }
+  CHECK((fixture.now - heldFrom).value == 2500);
+  REQUIRE(fixture.follower.Poll(kWait));
+  CHECK(fixture.log.lastWait == kWait);
+}
