Directory: a read that a suspension made fail shows no outage

What callers could see: the entry that reads for all is nearly always within a read. If it is suspended there, the read's time is over when it resumes: the read fails, and the time of the suspension counted as an outage of all entries. What had been removed meanwhile was kept for another 2.5 s.

Change: time beyond the longest that a read can take (its wait, 500 ms to connect, 800 ms for the answer) is time in which the process did not run, if it is a second or more. It doesn't count towards an outage.

Test: "a read that fails because of a suspension shows no outage", with the removal in an own read and in an update; both failed on the code before.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -46,6 +46,10 @@
 // Running upstreams register again within about two seconds of the log's
 // recovery.
 constexpr Millis kReregistrationGrace(2500);
+// Time to connect and to receive an answer, beyond the wait for changes.
+constexpr Millis kMaxReadTime(1300);
+// A busy process is late by less than this.
+constexpr Millis kMinStall(1000);
 // Time for which removed upstreams are remembered. A copy from which the log is
 // restored is at most some seconds old.
 constexpr Millis kRemovalMemory(60000);
@@ -106,10 +110,13 @@
 {
   auto untilExpiry = GetNextExpiry() - clock_.Now();
   auto wait = std::clamp(untilExpiry, Millis(0), aWait);
+  auto sentAt = clock_.Now();
   bool answered = started_ ? ReadChanges(wait) : ReadAll();
   if (answered) {
     confirmedAt_ = clock_.Now();
     missedUpdate_ = false;
+  } else {
+    RecordStall(sentAt + wait + kMaxReadTime);
   }
   RemoveExpired();
   if (onChange_) {
@@ -152,12 +159,24 @@
 }
 
 // Only failed reads show an outage: a process that was suspended, or whose
-// datagrams were lost, also sees no read for a long time.
+// datagrams were lost, also sees no read for a long time. A read that a
+// suspension made fail shows nothing for the time of the suspension.
 bool
 DirectoryFollower::IsOutageOfAll() const
 {
   return readFailed_ &&
-         (!logReadAt_ || clock_.Now() - *logReadAt_ > kOutageThreshold);
+         (!logReadAt_ ||
+          clock_.Now() - *logReadAt_ - stalledTime_ > kOutageThreshold);
+}
+
+// aDueAt is when the process would have resumed at the latest if it had run.
+void
+DirectoryFollower::RecordStall(Millis aDueAt)
+{
+  auto late = clock_.Now() - aDueAt;
+  if (late >= kMinStall) {
+    stalledTime_ = stalledTime_ + late;
+  }
 }
 
 void
@@ -165,6 +184,7 @@
 {
   logReadAt_ = clock_.Now();
   readFailed_ = false;
+  stalledTime_ = Millis(0);
 }
 
 // Publishes the changes since aPublishFrom, if it is set.
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -79,6 +79,7 @@
   void RemoveExpired();
   void RecordLogResult(bool aAvailable);
   void RecordRead();
+  void RecordStall(utils::Millis aDueAt);
   bool IsOutageOfAll() const;
   void HoldDropped();
 
@@ -97,6 +98,8 @@
   std::optional<utils::Millis> logReadAt_;
   /** A read of this entry has failed since logReadAt_. */
   bool readFailed_ = false;
+  /** Time since logReadAt_ in which this process did not run. */
+  utils::Millis stalledTime_;
   /** An update arrived with a gap between it and the last applied offset. */
   bool missedUpdate_ = false;
   bool started_ = false;
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -247,6 +247,26 @@
   CHECK_FALSE(fixture.Holds("a"));
 }
 
+// An entry that is suspended while it waits for an answer finds its time over
+// when it resumes. The read fails, though the log was available.
+TEST_CASE("a read that fails because of a suspension shows no outage")
+{
+  Fixture fixture;
+  fixture.log.onRead = [&fixture] { fixture.Advance(Millis(4000)); };
+  fixture.FailReads(1, Millis(0));
+  fixture.log.onRead = nullptr;
+  SUBCASE("the entry reads the removal itself")
+  {
+    fixture.Advance(Millis(40));
+    fixture.ReadRemoval();
+  }
+  SUBCASE("an update brings the removal")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 3, { MakeRemoval(2) }));
+  }
+  CHECK_FALSE(fixture.Holds("a"));
+}
+
 // The log turned the entry away alone at first and then all entries. What
 // expired in the second part must stay until it has registered again.
 TEST_CASE("an outage of all entries that begins as one of this entry alone")
