Directory: removals in several updates leave a gap where one is lost

What callers could see: an entry kept an upstream that had been removed, with no end. A complete read of the directory, after the log dropped the history, reports removals with the offset of its end. Updates that were split between two of them had that offset as their end, too, so that a receiver that lost one of the later ones found no gap and never read what it had missed.

Change: the offsets at which updates are split rise strictly; each leaves as many offsets below the end as changes follow. A part may now end below the position of a receiver that has read by itself meanwhile; its rows from that position on apply nonetheless, or the removals in it would be lost.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -298,7 +298,9 @@
 }
 
 // Each update covers all changes between its two offsets, so that a receiver
-// that missed one detects the gap at the next.
+// that missed one detects the gap at the next. The offsets at which updates are
+// split rise strictly, also where several changes have the offset aEnd: as many
+// offsets are left below aEnd as changes follow.
 void
 DirectoryFollower::PublishUpdate(
   std::uint64_t aFrom,
@@ -311,13 +313,15 @@
   schema::DirectoryNews update;
   update.set_from(aFrom);
   update.set_epoch(epoch_);
+  std::uint64_t left = aChanges.size();
   for (const auto& record : aChanges) {
     auto size = update.ByteSizeLong() + record.key.size() + record.value.size();
     if (update.records_size() > 0 && size > kMaxUpdateBytes) {
-      update.set_end(record.offset);
+      auto split = std::min(record.offset, aEnd - std::min(left, aEnd - aFrom));
+      update.set_end(split);
       onUpdate_(update);
       update.Clear();
-      update.set_from(record.offset);
+      update.set_from(split);
       update.set_epoch(epoch_);
     }
     auto& row = *update.add_records();
@@ -325,6 +329,7 @@
     row.set_value(record.value);
     row.set_offset(record.offset);
     row.set_dropped(record.dropped);
+    --left;
   }
   update.set_end(aEnd);
   onUpdate_(update);
@@ -333,17 +338,20 @@
 void
 DirectoryFollower::ApplyUpdate(const schema::DirectoryNews& aUpdate)
 {
-  bool isComparable = started_ && aUpdate.epoch() == epoch_;
-  bool isOutdated =
-    aUpdate.epoch() < epoch_ || (isComparable && aUpdate.end() < end_);
-  if (isOutdated) {
+  if (aUpdate.epoch() < epoch_) {
     return;
   }
-  // Also an update after a gap shows that the log answers other entries.
-  if (IsOutageOfAll()) {
-    graceUntil_ = clock_.Now() + kReregistrationGrace;
+  bool isComparable = started_ && aUpdate.epoch() == epoch_;
+  // One of several updates may end before this entry's own read and still
+  // contain a removal that is known only as of the end of all of them.
+  bool isOutdated = isComparable && aUpdate.end() < end_;
+  if (!isOutdated) {
+    // Also an update after a gap shows that the log answers other entries.
+    if (IsOutageOfAll()) {
+      graceUntil_ = clock_.Now() + kReregistrationGrace;
+    }
+    RecordRead();
   }
-  RecordRead();
   for (const auto& row : aUpdate.records()) {
     if (!isComparable || row.offset() >= end_) {
       Apply({ row.key(), row.value(), row.offset(), row.dropped() });
@@ -355,7 +363,7 @@
   // again.
   bool hasGap = !isComparable || aUpdate.from() > end_;
   missedUpdate_ = missedUpdate_ || hasGap;
-  if (!hasGap) {
+  if (!hasGap && !isOutdated) {
     end_ = aUpdate.end();
     confirmedAt_ = clock_.Now();
   }
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -367,3 +367,48 @@
   REQUIRE(fixture.follower.Poll(kWait));
   CHECK(fixture.log.lastWait == kWait);
 }
+
+// A complete read of the directory finds many removals at once, all as of its
+// end. They take several datagrams, and a lost one must leave a gap, or its
+// receiver keeps the upstreams that it removed.
+TEST_CASE("removals in parts: a lost part leaves a gap")
+{
+  constexpr std::uint64_t kUpstreams = 120;
+  ScriptedLog log;
+  for (std::uint64_t i = 0; i < kUpstreams; ++i) {
+    auto key = std::to_string(i) + std::string(100, 'u');
+    log.newest.records.push_back({ key, "ready", i, false });
+  }
+  log.newest.end = kUpstreams;
+  dispatch::UpstreamRegistry readerRegistry;
+  DirectoryFollower reader(log, MakeCodecs(), readerRegistry);
+  std::vector<schema::DirectoryNews> updates;
+  reader.OnUpdate(
+    [&updates](const auto& aUpdate) { updates.push_back(aUpdate); });
+  dispatch::UpstreamRegistry registry;
+  DirectoryFollower receiver(log, MakeCodecs(), registry);
+  REQUIRE(reader.Poll());
+  REQUIRE(receiver.Poll());
+  log.newest.records.resize(kUpstreams / 4);
+  log.newest.records.back() = { "new", "ready", kUpstreams + 50, false };
+  log.newest.end = 2 * kUpstreams;
+  log.trimmed = true;
+  REQUIRE(reader.Poll());
+  REQUIRE(updates.size() >= 3);
+  SUBCASE("the receiver has read nothing since") {}
+  SUBCASE("the receiver has read nearly all of it since")
+  {
+    log.changes = { { log.newest.records.back() }, 2 * kUpstreams - 1 };
+    REQUIRE(receiver.Poll());
+  }
+  auto end = kUpstreams;
+  for (const auto& update : updates) {
+    CHECK(update.from() == end);
+    CHECK(update.end() > end);
+    end = update.end();
+    receiver.ApplyUpdate(update);
+  }
+  CHECK(end == 2 * kUpstreams);
+  CHECK(registry.ListIds() == readerRegistry.ListIds());
+  CHECK(registry.ListIds().size() == kUpstreams / 4);
+}
