Directory: an older record does not revert one applied after a gap

What callers could see: requests sent again to an upstream that had announced its exit or was removed, until the entry's next complete read; for seconds, if the log refuses it.

Cause: records of an update after a gap apply at once, and the gap is read afterwards. Where that read is limited or its answer was cut, or where an update is overtaken by the next, the records of the gap come without the newer ones and replaced them: a heartbeat from before the announcement made the upstream ready.

Change: the follower remembers the offsets of records that it applied beyond its position, until the position passes them, and skips older records of the same upstream. A new epoch of the log clears them.

Test: "an older record does not revert one that was applied after a gap", with draining and a cut read, an overtaken update and an older complete copy, and a removal and a cut read.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -231,7 +231,7 @@
       changes.push_back({ aId, "", aPage.end, true });
     }
   });
-  end_ = aPage.end;
+  AdvanceEnd(aPage.end);
   started_ = true;
   return changes;
 }
@@ -244,6 +244,7 @@
   isRestored_ = epoch_ != 0;
   epoch_ = aEpoch;
   started_ = false;
+  appliedAhead_.clear();
   if (isRestored_) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
     logger_.Warn("the log was restored from an older copy",
@@ -292,7 +293,7 @@
       changes.push_back(record);
     }
   }
-  end_ = std::max(end_, page->end);
+  AdvanceEnd(std::max(end_, page->end));
   PublishUpdate(from, page->end, changes);
   return true;
 }
@@ -356,6 +357,10 @@
     if (!isComparable || row.offset() >= end_) {
       Apply({ row.key(), row.value(), row.offset(), row.dropped() });
     }
+    if (aUpdate.epoch() == epoch_) {
+      auto& offset = appliedAhead_[row.key()];
+      offset = std::max(offset, row.offset());
+    }
   }
   // After a gap, or a restore of the log, the update isn't complete, but its
   // records are still valid, and an entry that the log refuses can't read the
@@ -364,7 +369,7 @@
   bool hasGap = !isComparable || aUpdate.from() > end_;
   missedUpdate_ = missedUpdate_ || hasGap;
   if (!hasGap && !isOutdated) {
-    end_ = aUpdate.end();
+    AdvanceEnd(aUpdate.end());
     confirmedAt_ = clock_.Now();
   }
   RemoveExpired();
@@ -373,10 +378,30 @@
   }
 }
 
+void
+DirectoryFollower::AdvanceEnd(std::uint64_t aEnd)
+{
+  end_ = aEnd;
+  std::erase_if(appliedAhead_,
+                [aEnd](const auto& aRow) { return aRow.second < aEnd; });
+}
+
+// The read of a gap may be limited or cut, and updates may overtake each other.
+// A record that is older than an applied one must not revert it.
+bool
+DirectoryFollower::IsSuperseded(const platform::KeyedRecord& aRecord) const
+{
+  auto newer = appliedAhead_.find(aRecord.key);
+  return newer != appliedAhead_.end() && aRecord.offset < newer->second;
+}
+
 // False if the record changes nothing, as most heartbeats do.
 bool
 DirectoryFollower::Apply(const platform::KeyedRecord& aRecord)
 {
+  if (IsSuperseded(aRecord)) {
+    return false;
+  }
   if (aRecord.dropped) {
     return Remove(aRecord.key, clock_.Now() >= graceUntil_);
   }
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -73,6 +73,8 @@
   void PublishUpdate(std::uint64_t aFrom,
                      std::uint64_t aEnd,
                      const std::vector<platform::KeyedRecord>& aChanges);
+  void AdvanceEnd(std::uint64_t aEnd);
+  bool IsSuperseded(const platform::KeyedRecord& aRecord) const;
   bool Apply(const platform::KeyedRecord& aRecord);
   bool Remove(const std::string& aId, bool aImmediately);
   utils::Millis GetNextExpiry() const;
@@ -104,6 +106,9 @@
   bool missedUpdate_ = false;
   bool started_ = false;
   std::uint64_t end_ = 0;
+  /** Offsets from end_ on of records that updates after a gap brought, by id.
+   */
+  std::map<std::string, std::uint64_t> appliedAhead_;
   /** Epoch of the log in which end_ counts; 0: not stated. */
   std::uint64_t epoch_ = 0;
   /** The epoch began with a restore and its directory was not read yet. */
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -412,3 +412,46 @@
   CHECK(registry.ListIds() == readerRegistry.ListIds());
   CHECK(registry.ListIds().size() == kUpstreams / 4);
 }
+
+// A read of a gap may be limited or cut and then contain only records older
+// than those that updates brought, and updates may overtake each other. The
+// entry must not send to a draining or removed upstream again.
+TEST_CASE("an older record does not revert one that was applied after a gap")
+{
+  Fixture fixture;
+  KeyedRecord ready{ "a", "ready", 4, false };
+  SUBCASE("draining, a cut read of the gap")
+  {
+    fixture.follower.ApplyUpdate(
+      MakeUpdate(6, 7, { { "a", "draining", 6, false } }));
+    fixture.log.changes = { { ready }, 5 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("draining, an update that was overtaken")
+  {
+    fixture.follower.ApplyUpdate(
+      MakeUpdate(6, 7, { { "a", "draining", 6, false } }));
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 6, { ready }));
+  }
+  SUBCASE("draining, an older copy of the complete directory")
+  {
+    fixture.follower.ApplyUpdate(
+      MakeUpdate(6, 7, { { "a", "draining", 6, false } }));
+    fixture.log.trimmed = true;
+    fixture.log.newest = { { ready, { "b", "ready", 1, false } }, 5 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("a removal, a cut read of the gap")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(6, 7, { MakeRemoval(6) }));
+    fixture.log.changes = { { ready }, 5 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  auto held = fixture.registry.Find("a");
+  CHECK((!held || held->record.draining));
+  // A newer record applies, also after the gap was read.
+  fixture.log.changes = { { { "a", "ready", 8, false } }, 9 };
+  REQUIRE(fixture.follower.Poll());
+  REQUIRE(fixture.Holds("a"));
+  CHECK_FALSE(fixture.registry.Find("a")->record.draining);
+}
