Directory: a suspension between two reads shows no outage either

An entry that is suspended between two reads may fail its first read after it, as a connection was closed meanwhile or the log refuses one call. The time of the suspension then counted as an outage of all entries, and removed upstreams were kept for 2.5 s.

Change: the read loop is a sequence of steps, each of which states when the next is due. A step that begins a second or more late adds that time to the time in which the process did not run.

Tests: "a suspension between two reads and a failed read show no outage" failed with the steps alone, without the record of the late step. "the read loop keeps what expired in an outage of all entries", with the first, second and last rank, passes with and without it and holds that running entries still detect an outage.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -5,8 +5,6 @@
 #include <set>
 #include <utility>
 
-#include <utils/Backoff.h>
-
 namespace waxwingyoke::fleet {
 
 namespace {
@@ -64,6 +62,7 @@
   , codecs_(aCodecs)
   , registry_(aRegistry)
   , clock_(std::move(aClock))
+  , backoff_(kInitialBackoff, kMaxBackoff)
 {
 }
 
@@ -78,19 +77,35 @@
 void
 DirectoryFollower::Loop()
 {
-  utils::Backoff backoff(kInitialBackoff, kMaxBackoff);
   while (true) {
-    auto wait = GetNextReadTime() - clock_.Now();
-    if (wait > Millis(0)) {
-      net::Runtime::Sleep(std::min(wait, kExpiryPollInterval));
-      RemoveExpired();
-    } else if (Poll(readRank_ == 0 ? kReadWait : Millis(0))) {
-      backoff.Reset();
-      net::Runtime::Sleep(kChangeBatchDelay);
-    } else {
-      net::Runtime::Sleep(backoff.NextDelay());
-    }
+    net::Runtime::Sleep(Step());
+  }
+}
+
+Millis
+DirectoryFollower::Step()
+{
+  if (stepDueAt_) {
+    RecordStall(*stepDueAt_);
+  }
+  auto delay = RunDue();
+  stepDueAt_ = clock_.Now() + delay;
+  return delay;
+}
+
+Millis
+DirectoryFollower::RunDue()
+{
+  RemoveExpired();
+  auto wait = GetNextReadTime() - clock_.Now();
+  if (wait > Millis(0)) {
+    return std::min(wait, kExpiryPollInterval);
+  }
+  if (!Poll(readRank_ == 0 ? kReadWait : Millis(0))) {
+    return backoff_.NextDelay();
   }
+  backoff_.Reset();
+  return kChangeBatchDelay;
 }
 
 // The entry with rank 0, and each entry that missed an update, reads at once.
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -15,6 +15,7 @@
 #include <platform/KeyedLog.h>
 #include <schema/fleet.pb.h>
 #include <telemetry/Logger.h>
+#include <utils/Backoff.h>
 #include <utils/Time.h>
 
 namespace waxwingyoke::fleet {
@@ -44,6 +45,11 @@
    */
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
+  /**
+   * Does what the read loop has due, and returns the time until the next call.
+   */
+  utils::Millis Step();
+
   /**
    * Reads the directory once, waiting up to aWait for changes, and removes
    * upstreams whose grace period is over; false if the log doesn't answer.
@@ -64,6 +70,7 @@
 
 private:
   void Loop();
+  utils::Millis RunDue();
   utils::Millis GetNextReadTime() const;
   bool ReadAll(std::optional<std::uint64_t> aPublishFrom = std::nullopt);
   std::vector<platform::KeyedRecord> ApplyAll(const platform::KeyedPage& aPage);
@@ -89,6 +96,8 @@
   platform::FleetCodecs codecs_;
   dispatch::UpstreamRegistry& registry_;
   utils::Clock clock_;
+  utils::Backoff backoff_;
+  std::optional<utils::Millis> stepDueAt_;
   telemetry::Logger logger_{ "directory" };
   std::function<void()> onChange_;
   UpdateHook onUpdate_;
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -455,3 +455,46 @@
   REQUIRE(fixture.Holds("a"));
   CHECK_FALSE(fixture.registry.Find("a")->record.draining);
 }
+
+// The first read after a suspension may fail, as its connection was closed
+// meanwhile. The time before it is no outage.
+TEST_CASE("a suspension between two reads and a failed read show no outage")
+{
+  Fixture fixture;
+  fixture.follower.SetReadRank(1);
+  fixture.Advance(fixture.follower.Step());
+  fixture.Advance(Millis(4000));
+  fixture.log.available = false;
+  fixture.Advance(fixture.follower.Step());
+  fixture.log.available = true;
+  fixture.log.changes = { { MakeRemoval(2) }, 3 };
+  fixture.follower.Step();
+  CHECK_FALSE(fixture.Holds("a"));
+}
+
+// The read loop itself, with each rank: an outage in which it keeps running.
+TEST_CASE("the read loop keeps what expired in an outage of all entries")
+{
+  Fixture fixture;
+  SUBCASE("the entry that reads for all")
+  {
+    fixture.follower.SetReadRank(0);
+  }
+  SUBCASE("the next entry")
+  {
+    fixture.follower.SetReadRank(1);
+  }
+  SUBCASE("the last entry")
+  {
+    fixture.follower.SetReadRank(20);
+  }
+  auto recoversAt = fixture.now + Millis(5000);
+  fixture.log.available = false;
+  while (fixture.now < recoversAt) {
+    fixture.Advance(fixture.follower.Step());
+  }
+  fixture.log.available = true;
+  fixture.log.changes = { { MakeRemoval(2) }, 3 };
+  fixture.follower.Step();
+  CHECK(fixture.Holds("a"));
+}
