Directory: a suspension that an update has ended hides no later outage

What callers could see: requests refused for want of upstreams after an outage of the log that followed a suspension, as upstreams whose entries had expired were removed at once.

Cause: after a suspension within a read, an update may be received before the read fails.

Change: only the part after the last read or update counts as time in which the process did not run.

Test: "a suspension that an update has ended hides no later outage"; failed on the code before.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -184,11 +184,12 @@
           clock_.Now() - *logReadAt_ - stalledTime_ > kOutageThreshold);
 }
 
-// aDueAt is when the process would have resumed at the latest if it had run.
+// aDueAt is when the process would have resumed at the latest if it had run. An
+// update that was received since has ended the time before it.
 void
 DirectoryFollower::RecordStall(Millis aDueAt)
 {
-  auto late = clock_.Now() - aDueAt;
+  auto late = clock_.Now() - std::max(aDueAt, logReadAt_.value_or(aDueAt));
   if (late >= kMinStall) {
     stalledTime_ = stalledTime_ + late;
   }
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -498,3 +498,19 @@
   fixture.follower.Step();
   CHECK(fixture.Holds("a"));
 }
+
+// After a suspension within a read, an update may be received before the read
+// fails. The time of the suspension must not shorten an outage that follows.
+TEST_CASE("a suspension that an update has ended hides no later outage")
+{
+  Fixture fixture;
+  fixture.log.onRead = [&fixture] {
+    fixture.Advance(Millis(4000));
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 2));
+  };
+  fixture.FailReads(1, Millis(0));
+  fixture.log.onRead = nullptr;
+  fixture.FailReads(4, Millis(800));
+  fixture.ReadRemoval();
+  CHECK(fixture.Holds("a"));
+}
