Directory: an update contains what its sender received from another entry

What callers could see: requests sent to an upstream that had announced its exit, until its entry was dropped.

Cause: while reads fail or ranks change, two entries read the directory. The one that received a record from the other before its own read left it out of its update, as it changed nothing there any more, and yet stated that the update covers its offset. A third entry that missed the first update found no gap and never received the record.

Change: an update also contains the records of its range that other entries' updates brought since the read was sent, or after a gap.

Test: "an update contains what its sender received from another entry", while the read waited and after a gap; both failed on the code before.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <set>
 #include <utility>
 
 namespace waxwingyoke::fleet {
@@ -261,6 +260,7 @@
   epoch_ = aEpoch;
   started_ = false;
   appliedAhead_.clear();
+  receivedOffsets_.clear();
   if (isRestored_) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
     logger_.Warn("the log was restored from an older copy",
@@ -287,7 +287,9 @@
 {
   utils::Error reason;
   auto from = end_;
+  readFrom_ = from;
   auto page = log_.Read(Topic::Upstreams, from, aWait, reason);
+  readFrom_.reset();
   bool trimmed = !page && reason.kind == utils::ErrorKind::LogTrimmed;
   RecordLogResult(page.has_value() || trimmed);
   if (trimmed) {
@@ -304,8 +306,10 @@
   }
   std::vector<platform::KeyedRecord> changes;
   for (const auto& record : page->records) {
-    // An update of another entry may have been applied while the read waited.
-    if (record.offset >= end_ && Apply(record)) {
+    // An update of another entry may have been applied while the read waited,
+    // or after a gap. Some receivers of this entry's update may have missed it.
+    bool changed = record.offset >= end_ && Apply(record);
+    if (changed || receivedOffsets_.contains(record.offset)) {
       changes.push_back(record);
     }
   }
@@ -376,6 +380,7 @@
     if (aUpdate.epoch() == epoch_) {
       auto& offset = appliedAhead_[row.key()];
       offset = std::max(offset, row.offset());
+      receivedOffsets_.insert(row.offset());
     }
   }
   // After a gap, or a restore of the log, the update isn't complete, but its
@@ -400,6 +405,9 @@
   end_ = aEnd;
   std::erase_if(appliedAhead_,
                 [aEnd](const auto& aRow) { return aRow.second < aEnd; });
+  receivedOffsets_.erase(
+    receivedOffsets_.begin(),
+    receivedOffsets_.lower_bound(readFrom_.value_or(aEnd)));
 }
 
 // The read of a gap may be limited or cut, and updates may overtake each other.
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -118,6 +119,13 @@
   /** Offsets from end_ on of records that updates after a gap brought, by id.
    */
   std::map<std::string, std::uint64_t> appliedAhead_;
+  /** Where the read of changes that is in progress began. */
+  std::optional<std::uint64_t> readFrom_;
+  /**
+   * Offsets of records that updates brought, from end_ or the beginning of the
+   * read in progress on.
+   */
+  std::set<std::uint64_t> receivedOffsets_;
   /** Epoch of the log in which end_ counts; 0: not stated. */
   std::uint64_t epoch_ = 0;
   /** The epoch began with a restore and its directory was not read yet. */
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -514,3 +514,35 @@
   fixture.ReadRemoval();
   CHECK(fixture.Holds("a"));
 }
+
+// Two entries read the same record. A third that misses the first one's update
+// takes the second one's for complete, so it has to contain the record as well.
+TEST_CASE("an update contains what its sender received from another entry")
+{
+  Fixture fixture;
+  std::vector<schema::DirectoryNews> updates;
+  fixture.follower.OnUpdate(
+    [&updates](const auto& aUpdate) { updates.push_back(aUpdate); });
+  KeyedRecord draining{ "a", "draining", 4, false };
+  SUBCASE("while its read waited")
+  {
+    fixture.log.onRead = [&] {
+      fixture.follower.ApplyUpdate(MakeUpdate(2, 5, { draining }));
+    };
+  }
+  SUBCASE("after a gap")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(4, 5, { draining }));
+  }
+  fixture.log.changes = { { { "b", "ready", 2, false }, draining }, 5 };
+  REQUIRE(fixture.follower.Poll());
+  REQUIRE(updates.size() == 1);
+  CHECK(updates.front().from() == 2);
+  REQUIRE(updates.front().records_size() == 1);
+  CHECK(updates.front().records(0).key() == "a");
+  // Once only: what it had before its next read is not repeated.
+  fixture.log.onRead = nullptr;
+  fixture.log.changes = { {}, 5 };
+  REQUIRE(fixture.follower.Poll());
+  CHECK(updates.back().records_size() == 0);
+}
