--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -1,11 +1,9 @@
 #include "DirectoryFollower.h"
 
 #include <algorithm>
-#include <set>
+#include <limits>
 #include <utility>
 
-#include <utils/Backoff.h>
-
 namespace waxwingyoke::fleet {
 
 namespace {
@@ -23,9 +21,14 @@
 constexpr Millis kPeerUpdateTimeout(900);
 constexpr Millis kRankDelay(50);
 constexpr Millis kMaxRankDelay(500);
-// Covers the entry with the last rank and some failed reads. A longer time
-// without an update means that the log was unavailable to all entries.
+// Covers the entry with the last rank and some failed reads. If no entry has
+// read for longer, and reads of this one failed, the log was unavailable to
+// all. Entries don't expire within a shorter time.
 constexpr Millis kOutageThreshold(2500);
+// Time from the last read for which an upstream that is dropped after a shorter
+// failure stays. It leaves room for one read without an answer within the two
+// seconds in which a removal must take effect.
+constexpr Millis kMaxHoldAfterFailure(1200);
 // Interval between two checks for upstreams to remove.
 constexpr Millis kExpiryPollInterval(150);
 // Delay after a read, so that changes in a row are read together.
@@ -40,6 +43,10 @@
 // Running upstreams register again within about two seconds of the log's
 // recovery.
 constexpr Millis kReregistrationGrace(2500);
+// Time to connect and to receive an answer, beyond the wait for changes.
+constexpr Millis kMaxReadTime(1300);
+// A busy process is late by less than this.
+constexpr Millis kMinStall(1000);
 // Time for which removed upstreams are remembered. A copy from which the log is
 // restored is at most some seconds old.
 constexpr Millis kRemovalMemory(60000);
@@ -54,6 +61,7 @@
   , codecs_(aCodecs)
   , registry_(aRegistry)
   , clock_(std::move(aClock))
+  , backoff_(kInitialBackoff, kMaxBackoff)
 {
 }
 
@@ -68,19 +76,35 @@
 void
 DirectoryFollower::Loop()
 {
-  utils::Backoff backoff(kInitialBackoff, kMaxBackoff);
   while (true) {
-    auto wait = GetNextReadTime() - clock_.Now();
-    if (wait > Millis(0)) {
-      net::Runtime::Sleep(std::min(wait, kExpiryPollInterval));
-      RemoveExpired();
-    } else if (Poll(readRank_ == 0 ? kReadWait : Millis(0))) {
-      backoff.Reset();
-      net::Runtime::Sleep(kChangeBatchDelay);
-    } else {
-      net::Runtime::Sleep(backoff.NextDelay());
-    }
+    net::Runtime::Sleep(Step());
+  }
+}
+
+Millis
+DirectoryFollower::Step()
+{
+  if (stepDueAt_) {
+    RecordStall(*stepDueAt_);
+  }
+  auto delay = RunDue();
+  stepDueAt_ = clock_.Now() + delay;
+  return delay;
+}
+
+Millis
+DirectoryFollower::RunDue()
+{
+  RemoveExpired();
+  auto wait = GetNextReadTime() - clock_.Now();
+  if (wait > Millis(0)) {
+    return std::min(wait, kExpiryPollInterval);
+  }
+  if (!Poll(readRank_ == 0 ? kReadWait : Millis(0))) {
+    return backoff_.NextDelay();
   }
+  backoff_.Reset();
+  return kChangeBatchDelay;
 }
 
 // The entry with rank 0, and each entry that missed an update, reads at once.
@@ -98,10 +122,15 @@
 bool
 DirectoryFollower::Poll(Millis aWait)
 {
-  bool answered = started_ ? ReadChanges(aWait) : ReadAll();
+  auto untilExpiry = GetNextExpiry() - clock_.Now();
+  auto wait = std::clamp(untilExpiry, Millis(0), aWait);
+  auto sentAt = clock_.Now();
+  bool answered = started_ ? ReadChanges(wait) : ReadAll();
   if (answered) {
     confirmedAt_ = clock_.Now();
     missedUpdate_ = false;
+  } else {
+    RecordStall(sentAt + wait + kMaxReadTime);
   }
   RemoveExpired();
   if (onChange_) {
@@ -113,23 +142,66 @@
 void
 DirectoryFollower::RecordLogResult(bool aAvailable)
 {
-  if (aAvailable == logAvailable_) {
+  if (aAvailable) {
+    if (readFailed_) {
+      HoldDropped();
+    }
+    RecordRead();
+  } else {
+    readFailed_ = true;
+  }
+  if (std::exchange(logAvailable_, aAvailable) == aAvailable) {
     return;
   }
-  logAvailable_ = aAvailable;
   if (aAvailable) {
-    // If other entries could read the log all the time, no upstream's entry
-    // expired during the outage.
-    if (!peersReadLog_) {
-      graceUntil_ = clock_.Now() + kReregistrationGrace;
-    }
     logger_.Info("the directory answers again");
   } else {
-    peersReadLog_ = false;
     logger_.Warn("the directory does not answer");
   }
 }
 
+// Called when the log answers this entry after a failure and no other entry has
+// read it since.
+void
+DirectoryFollower::HoldDropped()
+{
+  if (IsOutageOfAll()) {
+    graceUntil_ = clock_.Now() + kReregistrationGrace;
+  } else {
+    graceUntil_ = std::max(graceUntil_, *logReadAt_ + kMaxHoldAfterFailure);
+  }
+}
+
+// Only failed reads show an outage: a process that was suspended, or whose
+// datagrams were lost, also sees no read for a long time. A read that a
+// suspension made fail shows nothing for the time of the suspension.
+bool
+DirectoryFollower::IsOutageOfAll() const
+{
+  return readFailed_ &&
+         (!logReadAt_ ||
+          clock_.Now() - *logReadAt_ - stalledTime_ > kOutageThreshold);
+}
+
+// aDueAt is when the process would have resumed at the latest if it had run. An
+// update that was received since has ended the time before it.
+void
+DirectoryFollower::RecordStall(Millis aDueAt)
+{
+  auto late = clock_.Now() - std::max(aDueAt, logReadAt_.value_or(aDueAt));
+  if (late >= kMinStall) {
+    stalledTime_ = stalledTime_ + late;
+  }
+}
+
+void
+DirectoryFollower::RecordRead()
+{
+  logReadAt_ = clock_.Now();
+  readFailed_ = false;
+  stalledTime_ = Millis(0);
+}
+
 // Publishes the changes since aPublishFrom, if it is set.
 bool
 DirectoryFollower::ReadAll(std::optional<std::uint64_t> aPublishFrom)
@@ -174,7 +246,7 @@
       changes.push_back({ aId, "", aPage.end, true });
     }
   });
-  end_ = aPage.end;
+  AdvanceEnd(aPage.end);
   started_ = true;
   return changes;
 }
@@ -187,6 +259,8 @@
   isRestored_ = epoch_ != 0;
   epoch_ = aEpoch;
   started_ = false;
+  appliedAhead_.clear();
+  receivedOffsets_.clear();
   if (isRestored_) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
     logger_.Warn("the log was restored from an older copy",
@@ -213,7 +287,9 @@
 {
   utils::Error reason;
   auto from = end_;
+  readFrom_ = from;
   auto page = log_.Read(Topic::Upstreams, from, aWait, reason);
+  readFrom_.reset();
   bool trimmed = !page && reason.kind == utils::ErrorKind::LogTrimmed;
   RecordLogResult(page.has_value() || trimmed);
   if (trimmed) {
@@ -230,18 +306,22 @@
   }
   std::vector<platform::KeyedRecord> changes;
   for (const auto& record : page->records) {
-    // An update of another entry may have been applied while the read waited.
-    if (record.offset >= end_ && Apply(record)) {
+    // An update of another entry may have been applied while the read waited,
+    // or after a gap. Some receivers of this entry's update may have missed it.
+    bool changed = record.offset >= end_ && Apply(record);
+    if (changed || receivedOffsets_.contains(record.offset)) {
       changes.push_back(record);
     }
   }
-  end_ = std::max(end_, page->end);
+  AdvanceEnd(std::max(end_, page->end));
   PublishUpdate(from, page->end, changes);
   return true;
 }
 
 // Each update covers all changes between its two offsets, so that a receiver
-// that missed one detects the gap at the next.
+// that missed one detects the gap at the next. The offsets at which updates are
+// split rise strictly, also where several changes have the offset aEnd: as many
+// offsets are left below aEnd as changes follow.
 void
 DirectoryFollower::PublishUpdate(
   std::uint64_t aFrom,
@@ -254,13 +334,15 @@
   schema::DirectoryNews update;
   update.set_from(aFrom);
   update.set_epoch(epoch_);
+  std::uint64_t left = aChanges.size();
   for (const auto& record : aChanges) {
     auto size = update.ByteSizeLong() + record.key.size() + record.value.size();
     if (update.records_size() > 0 && size > kMaxUpdateBytes) {
-      update.set_end(record.offset);
+      auto split = std::min(record.offset, aEnd - std::min(left, aEnd - aFrom));
+      update.set_end(split);
       onUpdate_(update);
       update.Clear();
-      update.set_from(record.offset);
+      update.set_from(split);
       update.set_epoch(epoch_);
     }
     auto& row = *update.add_records();
@@ -268,6 +350,7 @@
     row.set_value(record.value);
     row.set_offset(record.offset);
     row.set_dropped(record.dropped);
+    --left;
   }
   update.set_end(aEnd);
   onUpdate_(update);
@@ -276,21 +359,29 @@
 void
 DirectoryFollower::ApplyUpdate(const schema::DirectoryNews& aUpdate)
 {
-  bool isComparable = started_ && aUpdate.epoch() == epoch_;
-  bool isOutdated =
-    aUpdate.epoch() < epoch_ || (isComparable && aUpdate.end() < end_);
-  if (isOutdated) {
+  if (aUpdate.epoch() < epoch_) {
     return;
   }
-  // All entries read within this time, so the log was unavailable to all of
-  // them.
-  if (confirmedAt_ && clock_.Now() - *confirmedAt_ > kOutageThreshold) {
-    graceUntil_ = clock_.Now() + kReregistrationGrace;
+  bool isComparable = started_ && aUpdate.epoch() == epoch_;
+  // One of several updates may end before this entry's own read and still
+  // contain a removal that is known only as of the end of all of them.
+  bool isOutdated = isComparable && aUpdate.end() < end_;
+  if (!isOutdated) {
+    // Also an update after a gap shows that the log answers other entries.
+    if (IsOutageOfAll()) {
+      graceUntil_ = clock_.Now() + kReregistrationGrace;
+    }
+    RecordRead();
   }
   for (const auto& row : aUpdate.records()) {
     if (!isComparable || row.offset() >= end_) {
       Apply({ row.key(), row.value(), row.offset(), row.dropped() });
     }
+    if (aUpdate.epoch() == epoch_) {
+      auto& offset = appliedAhead_[row.key()];
+      offset = std::max(offset, row.offset());
+      receivedOffsets_.insert(row.offset());
+    }
   }
   // After a gap, or a restore of the log, the update isn't complete, but its
   // records are still valid, and an entry that the log refuses can't read the
@@ -298,9 +389,8 @@
   // again.
   bool hasGap = !isComparable || aUpdate.from() > end_;
   missedUpdate_ = missedUpdate_ || hasGap;
-  if (!hasGap) {
-    end_ = aUpdate.end();
-    peersReadLog_ = true;
+  if (!hasGap && !isOutdated) {
+    AdvanceEnd(aUpdate.end());
     confirmedAt_ = clock_.Now();
   }
   RemoveExpired();
@@ -309,10 +399,33 @@
   }
 }
 
+void
+DirectoryFollower::AdvanceEnd(std::uint64_t aEnd)
+{
+  end_ = aEnd;
+  std::erase_if(appliedAhead_,
+                [aEnd](const auto& aRow) { return aRow.second < aEnd; });
+  receivedOffsets_.erase(
+    receivedOffsets_.begin(),
+    receivedOffsets_.lower_bound(readFrom_.value_or(aEnd)));
+}
+
+// The read of a gap may be limited or cut, and updates may overtake each other.
+// A record that is older than an applied one must not revert it.
+bool
+DirectoryFollower::IsSuperseded(const platform::KeyedRecord& aRecord) const
+{
+  auto newer = appliedAhead_.find(aRecord.key);
+  return newer != appliedAhead_.end() && aRecord.offset < newer->second;
+}
+
 // False if the record changes nothing, as most heartbeats do.
 bool
 DirectoryFollower::Apply(const platform::KeyedRecord& aRecord)
 {
+  if (IsSuperseded(aRecord)) {
+    return false;
+  }
   if (aRecord.dropped) {
     return Remove(aRecord.key, clock_.Now() >= graceUntil_);
   }
@@ -357,6 +470,15 @@
   return true;
 }
 
+Millis
+DirectoryFollower::GetNextExpiry() const
+{
+  constexpr Millis kNever(std::numeric_limits<std::int64_t>::max());
+  auto next = std::ranges::min_element(
+    missing_, {}, [](const auto& aRow) { return aRow.second; });
+  return next == missing_.end() ? kNever : next->second;
+}
+
 void
 DirectoryFollower::RemoveExpired()
 {
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +16,7 @@
 #include <platform/KeyedLog.h>
 #include <schema/fleet.pb.h>
 #include <telemetry/Logger.h>
+#include <utils/Backoff.h>
 #include <utils/Time.h>
 
 namespace waxwingyoke::fleet {
@@ -44,6 +46,11 @@
    */
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
+  /**
+   * Does what the read loop has due, and returns the time until the next call.
+   */
+  utils::Millis Step();
+
   /**
    * Reads the directory once, waiting up to aWait for changes, and removes
    * upstreams whose grace period is over; false if the log doesn't answer.
@@ -64,6 +71,7 @@
 
 private:
   void Loop();
+  utils::Millis RunDue();
   utils::Millis GetNextReadTime() const;
   bool ReadAll(std::optional<std::uint64_t> aPublishFrom = std::nullopt);
   std::vector<platform::KeyedRecord> ApplyAll(const platform::KeyedPage& aPage);
@@ -73,27 +81,51 @@
   void PublishUpdate(std::uint64_t aFrom,
                      std::uint64_t aEnd,
                      const std::vector<platform::KeyedRecord>& aChanges);
+  void AdvanceEnd(std::uint64_t aEnd);
+  bool IsSuperseded(const platform::KeyedRecord& aRecord) const;
   bool Apply(const platform::KeyedRecord& aRecord);
   bool Remove(const std::string& aId, bool aImmediately);
+  utils::Millis GetNextExpiry() const;
   void RemoveExpired();
   void RecordLogResult(bool aAvailable);
+  void RecordRead();
+  void RecordStall(utils::Millis aDueAt);
+  bool IsOutageOfAll() const;
+  void HoldDropped();
 
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
   dispatch::UpstreamRegistry& registry_;
   utils::Clock clock_;
+  utils::Backoff backoff_;
+  std::optional<utils::Millis> stepDueAt_;
   telemetry::Logger logger_{ "directory" };
   std::function<void()> onChange_;
   UpdateHook onUpdate_;
   std::size_t readRank_ = 0;
   /** When the registry was last brought up to date, by a read or an update. */
   std::optional<utils::Millis> confirmedAt_;
-  /** Another entry has read the log since it stopped answering this one. */
-  bool peersReadLog_ = false;
+  /** When the log last answered an entry, this one or one that sent an update.
+   */
+  std::optional<utils::Millis> logReadAt_;
+  /** A read of this entry has failed since logReadAt_. */
+  bool readFailed_ = false;
+  /** Time since logReadAt_ in which this process did not run. */
+  utils::Millis stalledTime_;
   /** An update arrived with a gap between it and the last applied offset. */
   bool missedUpdate_ = false;
   bool started_ = false;
   std::uint64_t end_ = 0;
+  /** Offsets from end_ on of records that updates after a gap brought, by id.
+   */
+  std::map<std::string, std::uint64_t> appliedAhead_;
+  /** Where the read of changes that is in progress began. */
+  std::optional<std::uint64_t> readFrom_;
+  /**
+   * Offsets of records that updates brought, from end_ or the beginning of the
+   * read in progress on.
+   */
+  std::set<std::uint64_t> receivedOffsets_;
   /** Epoch of the log in which end_ counts; 0: not stated. */
   std::uint64_t epoch_ = 0;
   /** The epoch began with a restore and its directory was not read yet. */
