Lint: skip sources whose input has not changed since they passed

Change: `build.sh lint` hashes, for each source, the text as clang preprocesses it, the raw bytes of our own files in it (NOLINT comments and directives are not in the preprocessed text), the compile command, .clang-tidy, whether the header filter matches the tree's own path, clang-tidy's version and its options. A source with a stored pass for that digest is not linted again. Only passes are stored, empty files below the user's cache directory; without it all sources are linted. The checks, the sources and what fails are as before; the largest sources now start first, and a failure shows clang-tidy's messages with the source's name, errors of clang-tidy itself too (they were discarded). Builds, lint and unit tests run $JOBS at a time, by default one for each core (ninja took two more). Packages: clang, for the preprocessor (clang-tidy's package depends on the versioned one already), and python3.

--- a/build.sh
+++ b/build.sh
@@ -3,7 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 
-PACKAGES=(g++ cmake ninja-build ccache clang-format clang-tidy
+# Jobs at a time, of builds, lint and unit tests.
+JOBS=${JOBS:-$(nproc)}
+
+PACKAGES=(g++ cmake ninja-build ccache clang clang-format clang-tidy python3
   libboost-dev libboost-fiber-dev libboost-context-dev
   libjsonrpccpp-dev libjsoncpp-dev libtomlplusplus-dev libcli11-dev
   liblog4cplus-dev doctest-dev libssl-dev
@@ -23,7 +26,7 @@
   sanitize   unit tests with address and undefined-behaviour sanitizers
   threads    concurrency tests with the thread sanitizer
   format     format every source; with --check only tell
-  lint       run clang-tidy on every source
+  lint       run clang-tidy on every source that changed since it passed
   generated  check that generated code matches its schema
   pages      write docs/SETTINGS.md and docs/ERRORS.md anew from the code;
              with --check only compare
@@ -40,9 +43,18 @@
   cmake -S . -B "$dir" -G Ninja "$@" >/dev/null
 }
 
+compile() { # DIR [OPTIONS...]
+  cmake --build "$@" -j "$JOBS"
+}
+
 build() {
   configure build
-  cmake --build build
+  compile build
+}
+
+lint() {
+  configure build
+  sources | grep '\.cpp$' | cmake/lint.py "$JOBS"
 }
 
 install_packages() {
@@ -89,7 +101,7 @@
 # Lists unit test programs: everything that ctest knows but the integration
 # tests, which start other processes.
 run_unit_tests() { # BUILD_DIR
-  ctest --test-dir "$1" --output-on-failure -j "$(nproc)" -LE integration
+  ctest --test-dir "$1" --output-on-failure -j "$JOBS" -LE integration
 }
 
 case "${1:-}" in
@@ -106,12 +118,12 @@
     ;;
   sanitize)
     configure build-asan -DWAXWINGYOKE_SANITIZE=address -DCMAKE_BUILD_TYPE=Debug -DWAXWINGYOKE_UNIT_ONLY=ON
-    cmake --build build-asan
+    compile build-asan
     run_unit_tests build-asan
     ;;
   threads)
     configure build-tsan -DWAXWINGYOKE_SANITIZE=thread -DWAXWINGYOKE_UNIT_ONLY=ON
-    cmake --build build-tsan --target "${THREAD_TESTS[@]}"
+    compile build-tsan --target "${THREAD_TESTS[@]}"
     ctest --test-dir build-tsan --output-on-failure -R "^($(IFS='|'; echo "${THREAD_TESTS[*]}"))\$"
     ;;
   format)
@@ -121,11 +133,7 @@
       sources | xargs clang-format -i
     fi
     ;;
-  lint)
-    configure build
-    sources | grep '\.cpp$' |
-      xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
-    ;;
+  lint) lint ;;
   generated) check_generated ;;
   pages)
     if [ "${2:-}" = --check ]; then check_pages; else write_pages docs; fi
