Soak: work on a superseded version is checked, entries are suspended while versions are named

VersionLimitCheck judges every start of an engine, found by its attempt id at the entry that the caller had called.

SuspensionInjector draws series of suspensions of entries and sides around one to three namings, with restarts and signals; engines refuse orders and hold requests meanwhile, so that the old version is still served at its bound. One seed in four plays only these, three in eight both; the remainders are chosen so that the seeds listed before keep their faults.

ProcessFaults takes over suspending and ending daemons. Overlapping suspensions no longer resume a process early, a daemon that is being restarted is not ended again (its Process was replaced under the waiting fiber), a new process is started once the old one has ended, and SIGKILL follows a stop that takes too long. A daemon that does not run after the faults is a violation of its own; it showed only as an engine on an old version. A bed that can't start states its addresses.

--- a/soak/src/FaultInjector.cpp
+++ b/soak/src/FaultInjector.cpp
@@ -48,8 +48,6 @@
 constexpr std::int64_t kMinDurationMs = 200;
 constexpr std::int64_t kMaxDurationMs = 2500;
 constexpr Millis kPollInterval(20);
-// The grace time of MakeDaemonSettings plus the time that a start takes.
-constexpr Millis kStopTimeout(6000);
 constexpr std::uint32_t kDelayMs = 300;
 constexpr std::uint32_t kCutPerMille = 200;
 // The bit of a fault's draw that decides how an upstream ends a stream that it
@@ -61,6 +59,15 @@
 // the upstreams take to write again after the log is back.
 constexpr Millis kCopyAge(1000);
 constexpr Millis kRewriteDelay(300);
+// Connections that a link silenced stay silent after the fault, until their
+// ends replace them.
+constexpr Millis kSilenceEffectTime(3000);
+// The mix of a seed, by its remainder. The seeds that were listed in SEEDS.txt
+// before the other mixes existed keep the usual one.
+constexpr std::array kMixes{ FaultMix::Both,        FaultMix::Usual,
+                             FaultMix::Suspensions, FaultMix::Usual,
+                             FaultMix::Usual,       FaultMix::Both,
+                             FaultMix::Suspensions, FaultMix::Both };
 
 std::int64_t
 Draw(std::mt19937_64& aRandom, std::int64_t aFrom, std::int64_t aTo)
@@ -72,16 +79,40 @@
 
 FaultInjector::FaultInjector(SoakBed& aBed,
                              Callers& aCallers,
-                             InvariantChecker& aChecker)
+                             InvariantChecker& aChecker,
+                             VersionLimitCheck& aVersionLimit)
   : bed_(aBed)
   , callers_(aCallers)
   , checker_(aChecker)
+  , versionLimit_(aVersionLimit)
+  , processes_(aBed, aChecker, aVersionLimit)
   , random_(aBed.options.seed)
+  , suspensions_(aBed, processes_, aChecker, aVersionLimit, injectedCounts_)
 {
 }
 
 void
 FaultInjector::Run(net::Runtime& aRuntime, Millis aEnd)
+{
+  auto mix = kMixes[bed_.options.seed % kMixes.size()];
+  if (mix != FaultMix::Usual) {
+    ++running_;
+    aRuntime.Spawn([this, &aRuntime, aEnd] {
+      suspensions_.Run(aRuntime, aEnd);
+      --running_;
+    });
+  }
+  if (mix != FaultMix::Suspensions) {
+    InjectUsual(aRuntime, aEnd);
+  }
+  while (running_ > 0) {
+    net::Runtime::Sleep(kPollInterval);
+  }
+  bed_.SetLink({});
+}
+
+void
+FaultInjector::InjectUsual(net::Runtime& aRuntime, Millis aEnd)
 {
   while (clock_.Now() < aEnd) {
     const auto& fault = kFaultNames[random_() % kFaultNames.size()];
@@ -101,10 +132,6 @@
     });
     net::Runtime::Sleep(Millis(Draw(random_, kMinIntervalMs, kMaxIntervalMs)));
   }
-  while (running_ > 0) {
-    net::Runtime::Sleep(kPollInterval);
-  }
-  bed_.SetLink({});
 }
 
 void
@@ -134,7 +161,7 @@
       RotateKey();
       break;
     case FaultKind::NameVersion:
-      bed_.NameVersion();
+      suspensions_.NameVersion();
       break;
     default:
       InjectUpstreamFault(aKind, aDraw, aDuration);
@@ -157,11 +184,15 @@
   faults.set_silence_open(aKind == FaultKind::LinkSilence);
   faults.set_cut_answers_per_mille(
     aKind == FaultKind::LinkCutAnswers ? kCutPerMille : 0);
+  auto begin = clock_.Now();
   bed_.SetLink(faults);
   net::Runtime::Sleep(aDuration);
   fakes::LinkFaults noFaults;
   noFaults.set_listen(faults.listen());
   bed_.SetLink(noFaults);
+  auto effectTime =
+    aKind == FaultKind::LinkSilence ? kSilenceEffectTime : Millis(0);
+  versionLimit_.RecordDisruption(begin, clock_.Now() + effectTime);
 }
 
 void
@@ -169,39 +200,17 @@
                                   std::uint64_t aDraw,
                                   Millis aDuration)
 {
-  auto count = bed_.entries.size() + bed_.sides.size();
-  auto index = aDraw % count;
-  bool isEntry = index < bed_.entries.size();
-  auto& daemon =
-    isEntry ? bed_.entries[index] : bed_.sides[index - bed_.entries.size()];
-  if (!daemon.process || !daemon.process->IsRunning()) {
-    return;
-  }
-  if (aKind == FaultKind::Pause) {
-    daemon.process->Signal(SIGSTOP);
-    net::Runtime::Sleep(aDuration);
-    daemon.process->Signal(SIGCONT);
-    return;
-  }
-  if (aKind == FaultKind::Kill) {
-    daemon.process->Signal(SIGKILL);
-  } else {
-    if (isEntry) {
-      checker_.RecordStop(index, clock_.Now());
-    }
-    daemon.process->Signal(SIGTERM);
-    daemon.process->WaitForEnd(kStopTimeout);
-  }
-  net::Runtime::Sleep(aDuration);
-  Restart(daemon);
-}
-
-void
-FaultInjector::Restart(Daemon& aDaemon)
-{
-  utils::Error reason;
-  if (!bed_.StartDaemon(aDaemon, reason)) {
-    checker_.AddViolation("a daemon can't be restarted: " + reason.detail);
+  auto daemon = aDraw % processes_.CountDaemons();
+  switch (aKind) {
+    case FaultKind::Pause:
+      processes_.Suspend(daemon, aDuration);
+      break;
+    case FaultKind::Kill:
+      processes_.Restart(daemon, SIGKILL, aDuration);
+      break;
+    default:
+      processes_.Restart(daemon, SIGTERM, aDuration);
+      break;
   }
 }
 
@@ -216,6 +225,7 @@
     bed_.log.TakeCopy();
     net::Runtime::Sleep(kCopyAge);
   }
+  auto begin = clock_.Now();
   bed_.log.SetUnavailable(true);
   net::Runtime::Sleep(aDuration);
   if (restores) {
@@ -228,6 +238,7 @@
     bed_.WriteAgain();
     isLogCopyInUse_ = false;
   }
+  versionLimit_.RecordDisruption(begin, clock_.Now());
 }
 
 // Adds a key and revokes the oldest one, which callers use for a while yet.
@@ -283,7 +294,11 @@
       break;
   }
   net::Runtime::Sleep(aDuration);
-  faults = {};
+  // A series of suspensions may hold the engine.
+  adapter::UpstreamFaults kept;
+  kept.refuseOrders = faults.refuseOrders;
+  kept.queueTime = faults.queueTime;
+  faults = kept;
   bed_.SetDraining(index, false);
 }
 
--- a/soak/src/FaultInjector.h
+++ b/soak/src/FaultInjector.h
@@ -7,7 +7,9 @@
 
 #include "Callers.h"
 #include "InvariantChecker.h"
+#include "ProcessFaults.h"
 #include "SoakBed.h"
+#include "SuspensionInjector.h"
 
 namespace waxwingyoke::soak {
 
@@ -36,11 +38,24 @@
   Count
 };
 
+/** Which faults a seed draws. */
+enum class FaultMix
+{
+  /** All but series of suspensions. */
+  Usual,
+  /** Series of suspensions around namings, links and log sound. */
+  Suspensions,
+  Both
+};
+
 /** Draws a random sequence of faults from the seed; several overlap. */
 class FaultInjector
 {
 public:
-  FaultInjector(SoakBed& aBed, Callers& aCallers, InvariantChecker& aChecker);
+  FaultInjector(SoakBed& aBed,
+                Callers& aCallers,
+                InvariantChecker& aChecker,
+                VersionLimitCheck& aVersionLimit);
 
   /**
    * Injects faults until aEnd, then waits until each is over and the daemons
@@ -55,6 +70,7 @@
   }
 
 private:
+  void InjectUsual(net::Runtime& aRuntime, utils::Millis aEnd);
   void Inject(FaultKind aKind, std::uint64_t aDraw, utils::Millis aDuration);
   void InjectLinkFault(FaultKind aKind,
                        std::uint64_t aDraw,
@@ -67,14 +83,16 @@
                            utils::Millis aDuration);
   void MakeLogUnavailable(std::uint64_t aDraw, utils::Millis aDuration);
   void RotateKey();
-  void Restart(Daemon& aDaemon);
 
   SoakBed& bed_;
   Callers& callers_;
   InvariantChecker& checker_;
+  VersionLimitCheck& versionLimit_;
+  ProcessFaults processes_;
   utils::Clock clock_;
   std::mt19937_64 random_;
   std::map<std::string, int> injectedCounts_;
+  SuspensionInjector suspensions_;
   int running_ = 0;
   int keysMade_ = 0;
   bool isLogCopyInUse_ = false;
--- a/soak/src/InvariantChecker.cpp
+++ b/soak/src/InvariantChecker.cpp
@@ -133,6 +133,26 @@
   }
 }
 
+void
+InvariantChecker::CheckVersionLimit(const VersionLimitCheck& aLimit,
+                                    const std::vector<EngineRecords>& aEngines)
+{
+  std::map<std::string, std::size_t> entries;
+  for (const auto& attempt : attempts_) {
+    entries[attempt.id] = attempt.entry;
+  }
+  for (const auto& engine : aEngines) {
+    for (const auto& start : engine.starts) {
+      auto entry = entries.find(start.attempt);
+      if (entry == entries.end()) {
+        AddViolation("ran without a caller: " + start.attempt);
+      } else if (aLimit.IsTooLate(start, entry->second)) {
+        AddViolation(aLimit.Describe(start, entry->second, engine.id));
+      }
+    }
+  }
+}
+
 int
 InvariantChecker::Count(int aStatus) const
 {
--- a/soak/src/InvariantChecker.h
+++ b/soak/src/InvariantChecker.h
@@ -8,6 +8,8 @@
 
 #include <utils/Time.h>
 
+#include "VersionLimitCheck.h"
+
 namespace waxwingyoke::soak {
 
 /** The routes of the deployment that callers use. */
@@ -70,6 +72,10 @@
   void RecordStop(std::size_t aEntry, utils::Millis aNow);
   void AddViolation(const std::string& aText);
 
+  /** Checks all starts of the engines; call once, after the last request. */
+  void CheckVersionLimit(const VersionLimitCheck& aLimit,
+                         const std::vector<EngineRecords>& aEngines);
+
   /** Checks all other guarantees; call once, after the last request. */
   void CheckAtEnd();
 
--- a/soak/src/Main.cpp
+++ b/soak/src/Main.cpp
@@ -64,7 +64,7 @@
     , options_(aOptions)
     , checker_([this](const std::string& aId) { return bed_.CountRuns(aId); })
     , callers_(aBed, checker_)
-    , injector_(aBed, callers_, checker_)
+    , injector_(aBed, callers_, checker_, versionLimit_)
   {
   }
 
@@ -80,10 +80,12 @@
     callers_.Start(runtime_, options_.callers);
     injector_.Run(runtime_, clock_.Now() + Millis(options_.seconds * 1000));
     callers_.Stop();
+    CheckRunning();
     CheckRecovery();
     CheckIdleCpu();
     CheckLoadedPieces();
     checker_.CheckAtEnd();
+    checker_.CheckVersionLimit(versionLimit_, GetEngineRecords());
     PrintResult();
     return checker_.GetViolations().empty() ? 0 : 1;
   }
@@ -135,6 +137,19 @@
       });
   }
 
+  // Injected ends are followed by a restart, so a daemon that does not run has
+  // ended by itself, or could not start.
+  void CheckRunning()
+  {
+    for (auto* group : { &bed_.entries, &bed_.sides }) {
+      for (const auto& daemon : *group) {
+        if (!daemon.process || !daemon.process->IsRunning()) {
+          checker_.AddViolation("a daemon does not run: " + daemon.settings);
+        }
+      }
+    }
+  }
+
   void CheckRecovery()
   {
     if (!WaitUntil(kRecoveryTimeout,
@@ -173,6 +188,17 @@
     }
   }
 
+  std::vector<EngineRecords> GetEngineRecords() const
+  {
+    std::vector<EngineRecords> records;
+    for (std::size_t i = 0; i < bed_.options.sides; ++i) {
+      const auto& engine = *bed_.upstreams[i];
+      records.push_back(
+        { engine.GetId(), engine.GetStarts(), engine.GetLoads() });
+    }
+    return records;
+  }
+
   void PrintResult() const
   {
     for (const auto& text : checker_.GetViolations()) {
@@ -187,7 +213,7 @@
     }
     std::printf(
       R"({"seed":%llu,"requests":%zu,"served":%d,"refused":%d,"failed":%d,)"
-      R"("cut":%d,"violations":%zu,"faults":{%s}})"
+      R"("cut":%d,"exposed_namings":%d,"violations":%zu,"faults":{%s}})"
       "\n",
       static_cast<unsigned long long>(bed_.options.seed),
       checker_.GetAttempts(),
@@ -195,6 +221,7 @@
       checker_.Count(503),
       checker_.Count(502) + checker_.Count(504) + checker_.Count(500),
       checker_.Count(0),
+      versionLimit_.CountExposedNamings(GetEngineRecords()),
       checker_.GetViolations().size(),
       faults.str().c_str());
     std::fflush(stdout);
@@ -204,6 +231,7 @@
   SoakBed& bed_;
   const SoakOptions& options_;
   utils::Clock clock_;
+  VersionLimitCheck versionLimit_;
   InvariantChecker checker_;
   Callers callers_;
   FaultInjector injector_;
--- a/soak/src/SoakBed.cpp
+++ b/soak/src/SoakBed.cpp
@@ -74,7 +74,8 @@
     bed->StartUpstreams(aRuntime);
   if (!started) {
     aReason.Set(utils::ErrorKind::Internal,
-                "a fake of the platform can't listen on its address");
+                "a fake of the platform can't listen on its address in " +
+                  bed->MakeEndpoint(0, 0).address);
     return nullptr;
   }
   return bed->StartProxy(aReason) && bed->StartDaemons(aReason) ? std::move(bed)
