RPC: a message that a link changed is neither served nor returned

Seen: beside other load, one side logged "config in force" and never "manifest stored" nor a warning, and its engine did not load the version.

Cause: control.sync, control.push and the other methods between our processes carried JSON without a digest. A byte changed on the way left most messages valid: a record with another version, a record that can't be read and is skipped with its offset counted as folded, a directory row of another group, an unknown key that is dropped. Folded records are never read again, so the side kept such a configuration for good, asked all sources for a manifest that no one has, and answered with the same offset as all others.

The faulty links of the test change control connections only; the log's are left alone.

Change: request and reply carry X-Check, the 64-bit stable hash of the body, which differs for any single changed byte. A request that does not match is refused with 422 before it reaches a method (DigestMismatch, not run); a reply that does not match counts as lost (ConnectionLost). Both are counted in rpc_damaged_total. Messages without the field are accepted, as processes of an earlier release send none.

The new case of the weights test, on the code before, stopped at the 7th of 20 changes: all sides logged the 7th offset in force, their digests of the state differed for the 90 s of the wait.

--- a/libs/rpc/include/rpc/RpcClient.h
+++ b/libs/rpc/include/rpc/RpcClient.h
@@ -25,7 +25,9 @@
    * Calls aMethod and fills in aReply. Returns false with aReason on failure:
    * an error of the method keeps its kind, a failed connection is
    * ConnectFailed, ConnectionLost or TimedOut, and an HTTP status other than
-   * 200 is Unauthorized.
+   * 200 is Unauthorized. A body that a link changed is never used: a damaged
+   * request fails with DigestMismatch and reaches no method, a damaged reply
+   * is ConnectionLost.
    */
   bool Call(const net::Endpoint& aPeer,
             const std::string& aMethod,
--- a/libs/rpc/src/RpcClient.cpp
+++ b/libs/rpc/src/RpcClient.cpp
@@ -1,5 +1,6 @@
 #include <rpc/RpcClient.h>
 
+#include <optional>
 #include <utility>
 
 #include <google/protobuf/message.h>
@@ -7,10 +8,43 @@
 #include <rpc/RpcServer.h>
 #include <schema/Json.h>
 
+#include "BodyCheck.h"
 #include "JsonRpcBridge.h"
 
 namespace waxwingyoke::rpc {
 
+namespace {
+
+/** The reply's body; unset with aReason if there is none to use. */
+std::optional<std::string>
+ReadReply(const net::Endpoint& aPeer,
+          net::HttpResponse& aResponse,
+          utils::Error& aReason)
+{
+  constexpr int kOk = 200;
+  if (aResponse.status == kDamagedStatus) {
+    aReason.Set(utils::ErrorKind::DigestMismatch,
+                aPeer.ToString() + " received a damaged request");
+    return std::nullopt;
+  }
+  if (aResponse.status != kOk) {
+    aReason.Set(utils::ErrorKind::Unauthorized,
+                aPeer.ToString() + " answered " +
+                  std::to_string(aResponse.status));
+    return std::nullopt;
+  }
+  // The method has run, so a damaged reply is as good as a lost one.
+  if (!IsIntact(aResponse.fields, aResponse.body)) {
+    CountDamaged();
+    aReason.Set(utils::ErrorKind::ConnectionLost,
+                aPeer.ToString() + " sent a reply that arrived damaged");
+    return std::nullopt;
+  }
+  return std::move(aResponse.body);
+}
+
+} // namespace
+
 RpcClient::RpcClient(net::HttpClient& aClient, std::string aSecret)
   : client_(aClient)
   , secret_(std::move(aSecret))
@@ -25,25 +59,23 @@
                 const net::CallTimeouts& aTimeouts,
                 utils::Error& aReason) const
 {
-  constexpr int kOk = 200;
   auto transport = [&](const std::string& aText, std::string& aAnswer) {
     net::HttpRequest request;
     request.method = "POST";
     request.target = kRpcPath;
     auto secret = net::MakeSecretField(secret_);
     request.fields.Set(secret.name, secret.value);
+    request.fields.Set(kCheckField, MakeCheck(aText));
     request.body = aText;
     auto response = client_.Call(aPeer, request, aTimeouts, aReason);
     if (!response) {
       return false;
     }
-    if (response->status != kOk) {
-      aReason.Set(utils::ErrorKind::Unauthorized,
-                  aPeer.ToString() + " answered " +
-                    std::to_string(response->status));
+    auto body = ReadReply(aPeer, *response, aReason);
+    if (!body) {
       return false;
     }
-    aAnswer = std::move(response->body);
+    aAnswer = std::move(*body);
     return true;
   };
   auto result = CallMethod(aMethod, schema::ToJson(aRequest), transport);
--- a/libs/rpc/src/RpcServer.cpp
+++ b/libs/rpc/src/RpcServer.cpp
@@ -5,6 +5,7 @@
 #include <google/protobuf/message.h>
 #include <schema/Json.h>
 
+#include "BodyCheck.h"
 #include "JsonRpcBridge.h"
 
 namespace waxwingyoke::rpc {
@@ -51,8 +52,19 @@
                   net::ResponseWriter& aWriter)
 {
   constexpr int kOk = 200;
-  aWriter.Send(
-    net::MakeJsonResponse(kOk, impl_->bridge.Process(aRequest.body)));
+  if (!IsIntact(aRequest.fields, aRequest.body)) {
+    CountDamaged();
+    utils::Error error;
+    error.Set(utils::ErrorKind::DigestMismatch, "the request arrived damaged");
+    auto response = net::MakeErrorResponse(error);
+    response.status = kDamagedStatus;
+    aWriter.Send(response);
+    return;
+  }
+  auto response =
+    net::MakeJsonResponse(kOk, impl_->bridge.Process(aRequest.body));
+  response.fields.Set(kCheckField, MakeCheck(response.body));
+  aWriter.Send(response);
 }
 
 } // namespace waxwingyoke::rpc
--- a/tests/WeightsTest.cpp
+++ b/tests/WeightsTest.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <bed/Bed.h>
+#include <utils/Digest.h>
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::bed;
@@ -176,6 +177,35 @@
   });
 }
 
+// Guards against a side whose configuration differs from the log's for good,
+// since a link changed a byte of a record on its way from the side's parent.
+TEST_CASE("all sides have the log's configuration although links change bytes")
+{
+  constexpr std::uint64_t kSeed = 20261204;
+  constexpr int kChanges = 20;
+  constexpr std::uint32_t kChangedPerMille = 200;
+  BedOptions options;
+  // All sides but the relays have their records from another side.
+  options.sites = { { "budapest-1", "kozep-mo", 0, 8, 0 } };
+  options.proxied = true;
+  options.seed = kSeed;
+  RunWithBed(options, [](Bed& aBed) {
+    fakes::LinkFaults changing;
+    changing.set_corrupt_per_mille(kChangedPerMille);
+    for (auto* side : aBed.GetEngineSides()) {
+      REQUIRE(aBed.SetLink(*side, Link::Control, changing));
+    }
+    // No source has these versions, so only control messages are sent.
+    std::uint64_t revision = 0;
+    for (int change = 0; change < kChanges; ++change) {
+      auto version = utils::Digest::Of(std::to_string(change)).ToHex();
+      revision = Publish(aBed, version, revision);
+      REQUIRE(
+        Bed::WaitFor([&] { return aBed.IsInForce(revision); }, kWaitTimeout));
+    }
+  });
+}
+
 TEST_CASE("the other VMs load the version after two of a region are killed")
 {
   RunWithBed(MakeOptions(), [](Bed& aBed) {
