Weights: reading the body of an error ends with the fetch's deadline

Could be seen: a transfer whose source answers a fetch of the manifest with an error and a body without end, or one that arrives byte by byte, never fetches the manifest from anywhere else: each read had the whole deadline, and their number had no bound. Cancelling the transfer did not end it.

The bodies are read only to keep the connection, so reading stops at the deadline of the fetch or after 16 KB, and the connection is closed.

--- a/libs/weights/src/Fetcher.cpp
+++ b/libs/weights/src/Fetcher.cpp
@@ -22,6 +22,8 @@
 // a fraction of the deadline, with this minimum.
 constexpr utils::Millis kMinHeaderTimeout(1500);
 constexpr std::int64_t kHeaderTimeoutDivisor = 6;
+// Larger bodies of errors are not read to their end.
+constexpr std::size_t kMaxErrorBytes = 16 << 10;
 
 ErrorKind
 GetKindOfStatus(int aStatus)
@@ -98,12 +100,7 @@
     aReason.Set(GetKindOfStatus(stream->GetStatus()),
                 aRequest.source.ToString() + " answered " +
                   std::to_string(stream->GetStatus()));
-    // Reads the body to its end so that the connection can be reused.
-    std::string rest;
-    utils::Error ignored;
-    while (stream->Read(rest, aRequest.deadline, ignored) ==
-           net::ReadResult::Data) {
-    }
+    SkipError(*stream, end);
     return std::nullopt;
   }
   if (aRequest.onHeaders) {
@@ -112,6 +109,25 @@
   return ReadBody(*stream, aRequest, end, aReason);
 }
 
+// Reads a short body to its end so that the connection can be reused; any other
+// closes the connection.
+void
+Fetcher::SkipError(net::ResponseStream& aStream, utils::Millis aEnd)
+{
+  std::string part;
+  utils::Error ignored;
+  std::size_t skipped = 0;
+  auto result = net::ReadResult::Data;
+  while (result == net::ReadResult::Data && skipped <= kMaxErrorBytes) {
+    auto remaining = aEnd - clock_.Now();
+    if (remaining <= utils::Millis(0)) {
+      return;
+    }
+    result = aStream.Read(part, remaining, ignored);
+    skipped += part.size();
+  }
+}
+
 std::optional<std::string>
 Fetcher::ReadBody(net::ResponseStream& aStream,
                   const FetchRequest& aRequest,
--- a/libs/weights/src/Fetcher.h
+++ b/libs/weights/src/Fetcher.h
@@ -66,6 +66,8 @@
                                    utils::Error& aReason);
 
 private:
+  /** Reads the body of an error until aEnd at the latest. */
+  void SkipError(net::ResponseStream& aStream, utils::Millis aEnd);
   std::optional<std::string> ReadBody(net::ResponseStream& aStream,
                                       const FetchRequest& aRequest,
                                       utils::Millis aEnd,
