Weights: a side logs that no source has sent its version's manifest

The last error was sent with the status only.

A warning after 10 s, and every 10 s from then on, with the version, the revision that names it and the last error.

--- a/libs/weights/src/Transfer.cpp
+++ b/libs/weights/src/Transfer.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t kManifestPeersPerTry = 3;
 constexpr utils::Millis kManifestDeadline(3000);
 constexpr std::uint64_t kMaxManifestBytes = 16 << 20;
+// Time without the manifest before a log line, and between two of them.
+constexpr utils::Millis kManifestReportInterval(10000);
 
 const telemetry::Logger&
 GetLogger()
@@ -115,6 +117,7 @@
   // Selects this version: from here on offers received for it are kept.
   context_.offers.TakeReceived(swarm_->version.ToHex());
   while (!swarm_->cancelled && !EnsureManifest()) {
+    ReportMissingManifest();
     net::Runtime::Sleep(kManifestRetryPause);
   }
   if (swarm_->cancelled) {
@@ -169,6 +172,23 @@
   return false;
 }
 
+// Single failures are expected while a version spreads. A version that no
+// source has would otherwise leave no trace in the log.
+void
+Transfer::ReportMissingManifest()
+{
+  if (clock_.Now() - manifestReportedAt_ < kManifestReportInterval) {
+    return;
+  }
+  manifestReportedAt_ = clock_.Now();
+  const auto& error = swarm_->lastError;
+  GetLogger().Warn("no source has sent the manifest",
+                   { { "version", swarm_->version.ToHex() },
+                     { "revision", std::to_string(swarm_->revision) },
+                     { "error", std::string(utils::GetName(error.kind)) },
+                     { "detail", error.detail } });
+}
+
 // Used where the store and the origin are unavailable: queries a few peers at a
 // time, in an order that changes with each try.
 bool
--- a/libs/weights/src/Transfer.h
+++ b/libs/weights/src/Transfer.h
@@ -40,6 +40,8 @@
 private:
   void Run();
   bool EnsureManifest();
+  /** Logs, at intervals, that the manifest is still missing. */
+  void ReportMissingManifest();
   bool FetchManifestFromAnyPeer();
   bool FetchManifestFrom(const net::Endpoint& aSource, bool aPeer);
   void RunWorker();
@@ -65,6 +67,7 @@
   utils::Clock clock_;
   std::uint64_t manifestTries_ = 0;
   const utils::Millis startedAt_ = clock_.Now();
+  utils::Millis manifestReportedAt_ = startedAt_;
 };
 
 } // namespace waxwingyoke::weights
--- a/tests/WeightsTest.cpp
+++ b/tests/WeightsTest.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <fstream>
 #include <functional>
 #include <string>
 #include <vector>
@@ -150,6 +151,20 @@
     }));
 }
 
+/** Whether a line of the side's log contains all of aParts. */
+bool
+HasLogLine(const BedNode& aSide, const std::vector<std::string>& aParts)
+{
+  std::ifstream file(aSide.logFile);
+  bool found = false;
+  for (std::string line; !found && std::getline(file, line);) {
+    found = std::ranges::all_of(aParts, [&line](const std::string& aPart) {
+      return line.find(aPart) != std::string::npos;
+    });
+  }
+  return found;
+}
+
 } // namespace
 
 TEST_CASE(
@@ -206,6 +221,26 @@
   });
 }
 
+// Guards against a side that waits without a trace in its log for a manifest
+// that no source has.
+TEST_CASE("a side logs that no source has the manifest of its version")
+{
+  RunWithBed(MakeOptions(), [](Bed& aBed) {
+    auto version = utils::Digest::Of("missing").ToHex();
+    Publish(aBed, version);
+    auto sides = aBed.GetEngineSides();
+    CHECK(Bed::WaitFor(
+      [&] {
+        return std::ranges::all_of(sides, [&](const BedNode* aSide) {
+          return HasLogLine(
+            *aSide,
+            { "no source has sent the manifest", version, "not_found" });
+        });
+      },
+      kWaitTimeout));
+  });
+}
+
 TEST_CASE("the other VMs load the version after two of a region are killed")
 {
   RunWithBed(MakeOptions(), [](Bed& aBed) {
