--- a/soak/src/Main.cpp
+++ b/soak/src/Main.cpp
@@ -213,15 +213,16 @@
     }
     std::printf(
       R"({"seed":%llu,"requests":%zu,"served":%d,"refused":%d,"failed":%d,)"
-      R"("cut":%d,"exposed_namings":%d,"violations":%zu,"faults":{%s}})"
+      R"("exposed_namings":%d,)"
+      R"("cut":%d,"violations":%zu,"faults":{%s}})"
       "\n",
       static_cast<unsigned long long>(bed_.options.seed),
       checker_.GetAttempts(),
       checker_.Count(200),
       checker_.Count(503),
       checker_.Count(502) + checker_.Count(504) + checker_.Count(500),
-      checker_.Count(0),
       versionLimit_.CountExposedNamings(GetEngineRecords()),
+      checker_.Count(0),
       checker_.GetViolations().size(),
       faults.str().c_str());
     std::fflush(stdout);
