Comments: what the reading of the change as a newcomer left unclear

Reads are spread by rank, not at random phases; the clock of the follower must count suspension; a start timeout that is not above zero sends nothing. No code changes; fleet_test: 97 of 97 cases.

--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -84,7 +84,7 @@
      * time at which it was named.
      */
     int namingRequests = 0;
-    /** For tests; the default is right for all others. */
+    /** Source of all times of the follower; it must count suspension. */
     utils::Clock clock = utils::Clock::CountingSuspension();
   };
 
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -27,8 +27,8 @@
 // upstream is probed once for all of them.
 constexpr Millis kProbeDelay(30);
 constexpr Millis kProbeTimeout(400);
-// With their reads at random phases, a version is timed to a quarter of a
-// read's wait on average.
+// Peers to ask when a version was named. Entries end their reads at different
+// times, so that one of a few has read the topic shortly before.
 constexpr int kNamingRequests = 3;
 // Work that has not started on an outdated version is cancelled this long
 // before the version's limit. Covers the time that closing a connection takes,
--- a/libs/fleet/src/UpstreamSend.h
+++ b/libs/fleet/src/UpstreamSend.h
@@ -48,7 +48,8 @@
   utils::Millis headTimeout;
   /**
    * The work must have started, which the head proves, within this time;
-   * otherwise the send is cancelled. Empty: no limit.
+   * otherwise the send is cancelled. Empty: no limit; not above 0: nothing is
+   * sent.
    */
   std::optional<utils::Millis> startTimeout;
   net::CallCanceller* canceller = nullptr;
