Net: the HTTP client split by job, no change of behaviour

ClientConnection makes, keeps and reuses connections, ResponseStream reads responses, HttpClient sends requests.

--- /dev/null
+++ b/libs/net/src/ResponseStream.cpp
@@ -0,0 +1,179 @@
+#include "ResponseStreamImpl.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <string>
+#include <utility>
+
+#include "Traffic.h"
+
+namespace waxwingyoke::net {
+
+namespace {
+
+// Small, since the buffer is cleared for each read and most parts are small
+// events.
+constexpr std::size_t kReadBytes = 8 * 1024;
+// Interim responses (1xx) that may come before the response to one request.
+constexpr int kMaxInterimResponses = 8;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+
+struct FramingName
+{
+  BodyFraming framing;
+  std::string_view name;
+};
+
+constexpr std::array<FramingName, 3> kFramingNames{ {
+  { BodyFraming::Length, "length" },
+  { BodyFraming::Chunks, "chunks" },
+  { BodyFraming::Close, "close" },
+} };
+
+} // namespace
+
+std::string_view
+GetName(BodyFraming aFraming)
+{
+  return std::ranges::find(kFramingNames, aFraming, &FramingName::framing)
+    ->name;
+}
+
+bool
+ResponseStream::Impl::IsInterim() const
+{
+  auto status = parser->get().result_int();
+  return status < kFirstFinalStatus && status != kSwitchingProtocols;
+}
+
+IoResult
+ResponseStream::Impl::ReadHead()
+{
+  auto result = ReadAnyHead();
+  for (int interim = 0; !result.error && IsInterim(); ++interim) {
+    if (interim == kMaxInterimResponses) {
+      result.error = http::make_error_code(http::error::bad_status);
+      break;
+    }
+    result = ReadAnyHead();
+  }
+  return result;
+}
+
+IoResult
+ResponseStream::Impl::ReadAnyHead()
+{
+  parser.emplace();
+  parser->skip(isToHead);
+  parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  auto result = Await([&](auto aHandler) {
+    http::async_read_header(
+      connection->stream, connection->buffer, *parser, std::move(aHandler));
+  });
+  Traffic::Get().received.Add(result.bytes);
+  if (!result.error) {
+    fields = ReadFields(parser->get());
+  }
+  return result;
+}
+
+IoResult
+ResponseStream::Impl::SkipBody()
+{
+  IoResult result;
+  std::string scratch(kReadBytes, '\0');
+  while (!result.error && !parser->is_done()) {
+    parser->get().body().data = scratch.data();
+    parser->get().body().size = scratch.size();
+    result = Await([&](auto aHandler) {
+      http::async_read_some(
+        connection->stream, connection->buffer, *parser, std::move(aHandler));
+    });
+    if (result.error == http::error::need_buffer) {
+      result.error = {};
+    }
+  }
+  return result;
+}
+
+ResponseStream::ResponseStream(std::unique_ptr<Impl> aImpl)
+  : impl_(std::move(aImpl))
+{
+}
+
+ResponseStream::~ResponseStream()
+{
+  if (impl_->parser->is_done() && !impl_->failed && impl_->keepConnection &&
+      impl_->parser->get().keep_alive()) {
+    KeepIdle(impl_->peer,
+             std::move(impl_->connection),
+             impl_->fields.Find("Keep-Alive"));
+  }
+}
+
+BodyFraming
+ResponseStream::GetFraming() const
+{
+  if (impl_->parser->need_eof()) {
+    return BodyFraming::Close;
+  }
+  return impl_->parser->chunked() ? BodyFraming::Chunks : BodyFraming::Length;
+}
+
+int
+ResponseStream::GetStatus() const
+{
+  return static_cast<int>(impl_->parser->get().result_int());
+}
+
+const HttpFields&
+ResponseStream::GetFields() const
+{
+  return impl_->fields;
+}
+
+ReadResult
+ResponseStream::Read(std::string& aPart,
+                     utils::Millis aTimeout,
+                     utils::Error& aReason)
+{
+  aPart.clear();
+  if (impl_->parser->is_done()) {
+    return ReadResult::End;
+  }
+  auto& connection = *impl_->connection;
+  aPart.resize(kReadBytes);
+  auto& body = impl_->parser->get().body();
+  body.data = aPart.data();
+  body.size = aPart.size();
+  connection.stream.expires_after(aTimeout.ToChrono());
+  auto result = Await([&](auto aHandler) {
+    http::async_read_some(connection.stream,
+                          connection.buffer,
+                          *impl_->parser,
+                          std::move(aHandler));
+  });
+  Traffic::Get().received.Add(result.bytes);
+  aPart.resize(kReadBytes - body.size);
+  if (result.error && result.error != http::error::need_buffer) {
+    impl_->failed = true;
+    SetIoError(result.error, "body", aReason);
+    return ReadResult::Failed;
+  }
+  if (aPart.empty() && impl_->parser->is_done()) {
+    return ReadResult::End;
+  }
+  return ReadResult::Data;
+}
+
+void
+ResponseStream::Cancel()
+{
+  if (impl_->connection) {
+    impl_->connection->stream.cancel();
+  }
+}
+
+} // namespace waxwingyoke::net
--- /dev/null
+++ b/libs/net/src/ResponseStreamImpl.h
@@ -0,0 +1,37 @@
+#ifndef waxwingyoke_net_ResponseStreamImpl_h
+#define waxwingyoke_net_ResponseStreamImpl_h
+
+#include <memory>
+#include <optional>
+
+#include <net/HttpClient.h>
+
+#include "Await.h"
+#include "Beast.h"
+#include "ClientConnection.h"
+
+namespace waxwingyoke::net {
+
+struct ResponseStream::Impl
+{
+  Endpoint peer;
+  std::unique_ptr<ClientConnection> connection;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  HttpFields fields;
+  bool failed = false;
+  bool keepConnection = true;
+  /** The response has no body, whatever its header states. */
+  bool isToHead = false;
+
+  /** Reads the header of the next final response on the connection. */
+  IoResult ReadHead();
+  /** The same, also if the response is an interim one (1xx). */
+  IoResult ReadAnyHead();
+  bool IsInterim() const;
+  /** Reads and discards the body of the response whose header was read. */
+  IoResult SkipBody();
+};
+
+} // namespace waxwingyoke::net
+
+#endif // waxwingyoke_net_ResponseStreamImpl_h
