Fleet: an exchange's streams in a source of their own, no change of behaviour

ExchangeSend.cpp held sends, whole answers and streams. Code is moved, not changed; two limits that both sources use are constants of the class.

--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -37,6 +37,13 @@
 private:
   /** With less time left no upstream can answer, so nothing is sent. */
   static constexpr utils::Millis kMinTimeLeft{ 30 };
+  /**
+   * Reads after the deadline, or after the time without an event, for what had
+   * arrived before: this process itself may have been suspended.
+   */
+  static constexpr int kMaxLateReads = 64;
+  /** Up to this many failed connects are followed by another send. */
+  static constexpr int kMaxConnectFailures = 3;
 
   /** Result of a request, for the log. */
   enum class End
--- /dev/null
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -0,0 +1,222 @@
+#include <algorithm>
+
+#include "Exchange.h"
+
+// Relays streams, and resumes those that break off.
+
+namespace waxwingyoke::fleet {
+
+namespace {
+
+using dispatch::Outcome;
+using utils::ErrorKind;
+using utils::Millis;
+
+constexpr int kOk = 200;
+
+// A stream's upstream is treated as failed if no event arrives for this many of
+// the longest pauses that the route allows.
+constexpr int kStreamTimeoutPauses = 3;
+constexpr Millis kMinStreamTimeout(1200);
+constexpr Millis kLateReadTimeout(20);
+} // namespace
+
+void
+Exchange::RelayStream()
+{
+  auto fields = services_.GetDialect().MakeCallerFields(answer_.fields);
+  status_ = answer_.head.status;
+  streaming_ = true;
+  if (!writer_.Start(status_, fields)) {
+    end_ = End::CallerDisconnected;
+    return;
+  }
+  while (!ForwardEvents()) {
+    if (IsCallerDisconnected()) {
+      end_ = End::CallerDisconnected;
+      return;
+    }
+    if (!ResumeElsewhere()) {
+      reason_ = "stream broken off: " + answer_.reason.detail;
+      end_ = End::Failed;
+      return;
+    }
+  }
+}
+
+void
+Exchange::RecordEvents()
+{
+  auto now = services_.Now();
+  if (firstPartAt_ == Millis(0)) {
+    firstPartAt_ = now;
+    services_.GetService(query_.service)
+      .predictionBias.RecordSample(
+        predictedMs_, static_cast<double>((now - placedAt_).value), now);
+  } else {
+    longestPause_ = std::max(longestPause_, now - lastEventAt_);
+  }
+  lastEventAt_ = now;
+  if (!responseBeganAt_) {
+    responseBeganAt_ = now;
+  }
+  if (!hasSurvived_ && now - *responseBeganAt_ >= dispatch::kCrashWindow) {
+    hasSurvived_ = true;
+    services_.GetCrashes().RecordSurvival(digest_, parts_, now);
+  }
+}
+
+// Reads what the upstream sends next. An upstream that has sent no event since
+// aQuietSince is treated as failed, also if it sends other bytes.
+net::ReadResult
+Exchange::ReadPart(std::string& aPart, Millis aQuietSince, int& aLateReads)
+{
+  auto idleTimeout =
+    std::max(route_->pauseLimit * kStreamTimeoutPauses, kMinStreamTimeout);
+  auto idleLeft = aQuietSince + idleTimeout - services_.Now();
+  if (GetTimeLeft() <= Millis(0)) {
+    answer_.reason.Set(ErrorKind::DeadlineExceeded, "the deadline has passed");
+    return net::ReadResult::Failed;
+  }
+  aLateReads += idleLeft <= Millis(0) ? 1 : 0;
+  if (aLateReads > kMaxLateReads) {
+    answer_.reason.Set(ErrorKind::TimedOut, "no event in time");
+    return net::ReadResult::Failed;
+  }
+  auto wait = std::min(std::max(idleLeft, kLateReadTimeout), GetTimeLeft());
+  auto result = answer_.stream->Read(aPart, wait, answer_.reason);
+  if (result == net::ReadResult::End && IsTruncated()) {
+    services_.GetMetrics().truncatedStreams.Add();
+    bool lost = answer_.stream->GetFraming() == net::BodyFraming::Close;
+    answer_.reason.Set(lost ? ErrorKind::ConnectionLost
+                            : ErrorKind::AnswerBroken,
+                       "the stream ended within an event or before the first");
+    return net::ReadResult::Failed;
+  }
+  return result;
+}
+
+// The framing of the response doesn't decide it: an upstream that stops midway
+// may still close in order or end its chunks. A response without any event that
+// ends in a close looks like that of an upstream that exits before its first.
+bool
+Exchange::IsTruncated() const
+{
+  bool isEmpty = relay_.GetEventCount() == eventsBeforeResponse_ &&
+                 answer_.stream->GetFraming() == net::BodyFraming::Close;
+  return isEmpty || relay_.EndsInsideEvent();
+}
+
+void
+Exchange::RecordBrokenStream()
+{
+  if (IsCallerDisconnected()) {
+    return;
+  }
+  lease_->GetUpstream().health.RecordOutcome(Outcome::Failed, services_.Now());
+  RecordLostConnection();
+  services_.GetMetrics().brokenStreams.Add();
+  services_.GetLogger().Info(
+    "a stream broke off",
+    { { "request", caller_.attemptId },
+      { "upstream", lease_->GetUpstream().record.id },
+      { "framing", GetFramingName() },
+      { "events", std::to_string(relay_.GetEventCount()) },
+      { "partial_bytes", std::to_string(relay_.GetRemainderBytes()) },
+      { "resumable", route_->resumable ? "yes" : "no" },
+      { "why", answer_.reason.detail } });
+}
+
+bool
+Exchange::FinishStream()
+{
+  lease_->GetUpstream().health.RecordOutcome(Outcome::Served, services_.Now());
+  RecordSurvival();
+  lease_.reset();
+  auto remainder = relay_.TakeRemainder();
+  bool sent =
+    (remainder.empty() || writer_.Write(remainder)) && writer_.Finish();
+  end_ = sent ? End::Served : End::CallerDisconnected;
+  return true;
+}
+
+// Forwards the events that aPart completes; false if the stream can't go on.
+bool
+Exchange::ForwardPart(const std::string& aPart)
+{
+  relay_.Add(aPart);
+  auto eventsBefore = relay_.GetEventCount();
+  auto events = relay_.TakeEvents();
+  if (relay_.IsEventTooLarge()) {
+    answer_.reason.Set(ErrorKind::AnswerBroken, "an event is too large");
+    RecordBrokenStream();
+    return false;
+  }
+  if (relay_.GetEventCount() > eventsBefore) {
+    RecordEvents();
+    lease_->MarkPromptProcessed();
+  }
+  if (!events.empty() && !writer_.Write(events)) {
+    canceller_.Cancel();
+    return false;
+  }
+  return true;
+}
+
+// Forwards events as they arrive; false if the stream broke off.
+bool
+Exchange::ForwardEvents()
+{
+  std::string part;
+  eventsBeforeResponse_ = relay_.GetEventCount();
+  auto quietSince = services_.Now();
+  int lateReads = 0;
+  while (true) {
+    switch (ReadPart(part, quietSince, lateReads)) {
+      case net::ReadResult::Failed:
+        RecordBrokenStream();
+        return false;
+      case net::ReadResult::End:
+        return FinishStream();
+      case net::ReadResult::Data:
+        break;
+    }
+    auto eventsBefore = relay_.GetEventCount();
+    if (!ForwardPart(part)) {
+      return false;
+    }
+    if (relay_.GetEventCount() > eventsBefore) {
+      quietSince = services_.Now();
+      lateReads = 0;
+    }
+  }
+}
+
+// Resumes a broken stream at another upstream after the last complete event.
+bool
+Exchange::ResumeElsewhere()
+{
+  mayHaveRun_ = true;
+  relay_.DiscardPartialEvent();
+  query_.excluded.push_back(lease_->GetUpstream().record.id);
+  query_.preferredVersion = leaseVersion_;
+  while (true) {
+    answer_.stream.reset();
+    bool allowed = route_->resumable && sends_ < route_->maxUpstreams &&
+                   connectFailures_ <= kMaxConnectFailures &&
+                   GetTimeLeft() >= kMinTimeLeft &&
+                   services_.GetTrust() != dispatch::Trust::KeylessOnly;
+    auto& retryBudget = services_.GetService(query_.service).retryBudget;
+    if (!allowed || !retryBudget.Take(services_.Now()) ||
+        !AcquirePlacement(false) || !SendOnce()) {
+      return false;
+    }
+    if (answer_.result == SendResult::Answered && answer_.head.status == kOk) {
+      services_.GetMetrics().resumed.Add();
+      return true;
+    }
+    query_.excluded.push_back(lease_->GetUpstream().record.id);
+  }
+}
+
+} // namespace waxwingyoke::fleet
