Dispatch: failures at an upstream's old address don't count at its new one

What callers saw: an upstream that the directory lists at another address, as the same incarnation, got no requests there for up to 4 s, the longest ejection, because connects to the address that it had left had failed before.

Cause: UpstreamRegistry::Put kept the health with the state, whatever address the new record states.

The load and the pause that it asked for stay: the same incarnation still runs what was sent to the old address. Ruled out: a new state as after a restart, which would forget that load.

Not mended: a request that is on its way to the old address when the record arrives, or the probe of that address after it, still counts one failure, of 500 ms, against the upstream.

--- a/libs/dispatch/include/dispatch/UpstreamRegistry.h
+++ b/libs/dispatch/include/dispatch/UpstreamRegistry.h
@@ -178,7 +178,8 @@
 
   /**
    * Adds an upstream of the directory, or replaces its record. A restarted
-   * upstream (another startedMs) gets a new state without load and failures.
+   * upstream (another startedMs) gets a new state without load and failures;
+   * one at another address keeps its state without failures.
    * An incarnation that has announced its exit stays excluded, whatever a later
    * record states.
    */
--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -353,6 +353,9 @@
     state->hash = utils::StableHash(aRecord.id);
     byHash_[state->hash] = state;
   }
+  if (state->record.endpoint != aRecord.endpoint) {
+    state->health = {};
+  }
   state->record = aRecord;
   state->staleUntil = Millis(0);
   if (aRecord.draining) {
--- a/libs/dispatch/tests/UpstreamRegistryTest.cpp
+++ b/libs/dispatch/tests/UpstreamRegistryTest.cpp
@@ -250,6 +250,42 @@
   CHECK(fixture.registry.FindPlacement(fixture.MakeQuery(), kNow));
 }
 
+// Guards against an upstream that gets nothing at its new address, because
+// connects to the one that it left have failed.
+TEST_CASE("an upstream at another address starts without recorded failures")
+{
+  Fixture fixture;
+  fixture.registry.Put(MakeUpstream("a"));
+  auto state = fixture.registry.Find("a");
+  state->own = { 1, 100 };
+  for (int i = 0; i < 4; ++i) {
+    state->health.RecordOutcome(Outcome::Unreachable, kNow + Millis(i * 5000));
+  }
+  auto lastFailureAt = kNow + Millis(15000);
+  auto query = fixture.MakeQuery();
+  fixture.registry.Put(MakeUpstream("a"));
+  CHECK_FALSE(fixture.registry.FindPlacement(query, lastFailureAt));
+  auto moved = MakeUpstream("a");
+  moved.endpoint = { "10.0.0.2", 80 };
+  SUBCASE("what it asked for still holds")
+  {
+    state->pausedUntil = lastFailureAt + Millis(1);
+    fixture.registry.Put(moved);
+    CHECK_FALSE(fixture.registry.FindPlacement(query, lastFailureAt));
+  }
+  fixture.registry.Put(moved);
+  auto placement =
+    fixture.registry.FindPlacement(query, lastFailureAt + Millis(1));
+  REQUIRE(placement);
+  CHECK(placement->upstream->record.endpoint == moved.endpoint);
+  // The same incarnation still runs what was sent to the old address.
+  CHECK(placement->upstream->own == UseCount{ 1, 100 });
+  // The first failure there is not taken for one of a series.
+  placement->upstream->health.RecordOutcome(Outcome::Unreachable,
+                                            lastFailureAt);
+  CHECK(fixture.registry.FindPlacement(query, lastFailureAt + Millis(500)));
+}
+
 // The directory reports a leave late, and after a restore of the log it may
 // state an older state again.
 TEST_CASE("leave: an upstream that announced its exit gets no work again")
