--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -73,7 +73,10 @@
   }
 };
 
-// An upstream's record is its state.
+const net::Endpoint kAddress{ "10.0.0.1", 80 };
+const net::Endpoint kOtherAddress{ "10.0.0.2", 80 };
+
+// An upstream's record is its state; "moved": ready at the other address.
 platform::FleetCodecs
 MakeCodecs()
 {
@@ -83,6 +86,7 @@
       platform::Upstream upstream;
       upstream.id = aId;
       upstream.service = "service";
+      upstream.endpoint = aText == "moved" ? kOtherAddress : kAddress;
       upstream.startedMs = 1;
       upstream.draining = aText == "draining";
       return std::optional(upstream);
@@ -350,6 +354,50 @@
   CHECK(fixture.registry.Find("a")->record.draining);
 }
 
+// Guards against requests that go to an upstream's old address after the
+// directory has stated another one for the same incarnation.
+TEST_CASE("an upstream's new address applies with the record that states it")
+{
+  Fixture fixture;
+  KeyedRecord moved{ "a", "moved", 5, false };
+  SUBCASE("its own read")
+  {
+    fixture.log.changes = { { moved }, 6 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("a read after an outage")
+  {
+    fixture.FailReads(5, Millis(800));
+    fixture.log.changes = { { moved }, 6 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("an update")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(2, 6, { moved }));
+  }
+  SUBCASE("an update while its read waits")
+  {
+    fixture.log.onRead = [&] {
+      fixture.follower.ApplyUpdate(MakeUpdate(2, 6, { moved }));
+    };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("an update after a gap, and a read of the gap that is older")
+  {
+    fixture.follower.ApplyUpdate(MakeUpdate(5, 6, { moved }));
+    fixture.log.changes = { { { "a", "ready", 4, false } }, 5 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  SUBCASE("the complete directory")
+  {
+    fixture.log.trimmed = true;
+    fixture.log.newest = { { moved, { "b", "ready", 1, false } }, 8 };
+    REQUIRE(fixture.follower.Poll());
+  }
+  REQUIRE(fixture.Holds("a"));
+  CHECK(fixture.registry.Find("a")->record.endpoint == kOtherAddress);
+}
+
 // A read that waits for changes must not delay a removal that falls due.
 TEST_CASE("an entry waits no longer for changes than until the next removal")
 {
