Fleet: a grace of the directory counts from the region's first observation

What callers saw: requests that reached an upstream up to 2.5 s after the entry had read that it was gone, where half or more of its service was in doubt.

Cause: the time for upstreams to register again counted from this entry's own observation of the outage's end or of the restore, though other entries had read the log all the time, or since long before.

Updates of the directory now state for how long the log has answered entries without a restore or a gap of more than 2.5 s, as far as their sender observed. A statement of an entry of the same region shortens the grace, whether it arrives before the entry's own read or after it. A gap in the sender's own observation, such as a suspension, starts its time anew, and a late message shortens less. An entry of another region proves nothing: while regions have lost each other, this region's upstreams may have expired although the log answered there.

"another entry's reads since an outage leave the rest of its grace" and "an entry states only the time in which it has observed the log" guard the other direction.

Left: without any update of its region an entry still waits the full grace. Until the next update, at most about 0.75 s, the removed upstream stays in doubt.

--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -168,10 +168,16 @@
   if (IsOutageOfAll()) {
     graceUntil_ = clock_.Now() + kReregistrationGrace;
   } else {
-    graceUntil_ = std::max(graceUntil_, *logReadAt_ + kMaxHoldAfterFailure);
+    failureHoldUntil_ = *logReadAt_ + kMaxHoldAfterFailure;
   }
 }
 
+Millis
+DirectoryFollower::GetHoldEnd() const
+{
+  return std::max(graceUntil_, failureHoldUntil_);
+}
+
 // Only failed reads show an outage: a process that was suspended, or whose
 // datagrams were lost, also sees no read for a long time. A read that a
 // suspension made fail shows nothing for the time of the suspension.
@@ -197,6 +203,10 @@
 void
 DirectoryFollower::RecordRead()
 {
+  // What happened in a gap is unknown, whatever its cause.
+  if (!logReadAt_ || clock_.Now() - *logReadAt_ > kOutageThreshold) {
+    steadySince_ = clock_.Now();
+  }
   logReadAt_ = clock_.Now();
   readFailed_ = false;
   stalledTime_ = Millis(0);
@@ -262,7 +272,11 @@
   appliedAhead_.clear();
   receivedOffsets_.clear();
   if (isRestored_) {
-    graceUntil_ = clock_.Now() + kReregistrationGrace;
+    // An entry that was suspended observes the restore late.
+    bool isStated = peerSteadiness_ && peerSteadiness_->epoch == aEpoch;
+    auto observedAt = isStated ? peerSteadiness_->since : clock_.Now();
+    graceUntil_ = observedAt + kReregistrationGrace;
+    steadySince_ = clock_.Now();
     logger_.Warn("the log was restored from an older copy",
                  { { "epoch", std::to_string(aEpoch) } });
   }
@@ -331,9 +345,12 @@
   if (!onUpdate_) {
     return;
   }
+  auto steadyMs =
+    static_cast<std::uint64_t>((clock_.Now() - steadySince_).value);
   schema::DirectoryNews update;
   update.set_from(aFrom);
   update.set_epoch(epoch_);
+  update.set_steady_ms(steadyMs);
   std::uint64_t left = aChanges.size();
   for (const auto& record : aChanges) {
     auto size = update.ByteSizeLong() + record.key.size() + record.value.size();
@@ -344,6 +361,7 @@
       update.Clear();
       update.set_from(split);
       update.set_epoch(epoch_);
+      update.set_steady_ms(steadyMs);
     }
     auto& row = *update.add_records();
     row.set_key(record.key);
@@ -399,6 +417,27 @@
   }
 }
 
+// A statement that arrives late makes the log steady since a later time, which
+// shortens less.
+void
+DirectoryFollower::ShortenGrace(const schema::DirectoryNews& aUpdate)
+{
+  auto steadyTime = Millis(static_cast<std::int64_t>(aUpdate.steady_ms()));
+  if (aUpdate.epoch() < epoch_ || steadyTime == Millis(0)) {
+    return;
+  }
+  auto since = clock_.Now() - steadyTime;
+  peerSteadiness_ = { aUpdate.epoch(), since };
+  if (aUpdate.epoch() != epoch_ || since + kReregistrationGrace > graceUntil_) {
+    return;
+  }
+  graceUntil_ = since + kReregistrationGrace;
+  for (auto& [id, removedAt] : missing_) {
+    removedAt = std::min(removedAt, GetHoldEnd());
+  }
+  RemoveExpired();
+}
+
 void
 DirectoryFollower::AdvanceEnd(std::uint64_t aEnd)
 {
@@ -427,7 +466,7 @@
     return false;
   }
   if (aRecord.dropped) {
-    return Remove(aRecord.key, clock_.Now() >= graceUntil_);
+    return Remove(aRecord.key, clock_.Now() >= GetHoldEnd());
   }
   utils::Error reason;
   auto upstream = codecs_.parseUpstream(aRecord.key, aRecord.value, reason);
@@ -466,7 +505,7 @@
   // Whether the upstream has left or its entry has expired can't be
   // distinguished.
   registry_.SetInDoubt(aId, true);
-  missing_.try_emplace(aId, aImmediately ? clock_.Now() : graceUntil_);
+  missing_.try_emplace(aId, aImmediately ? clock_.Now() : GetHoldEnd());
   return true;
 }
 
--- a/libs/fleet/src/DirectoryFollower.h
+++ b/libs/fleet/src/DirectoryFollower.h
@@ -63,6 +63,14 @@
    */
   void ApplyUpdate(const schema::DirectoryNews& aUpdate);
 
+  /**
+   * Ends a grace period early if aUpdate shows that it began earlier than this
+   * entry observed, or that there was no outage. To be called after ApplyUpdate
+   * with updates of entries of the own region only: in another region the log
+   * may have answered while this region's upstreams were cut off from it.
+   */
+  void ShortenGrace(const schema::DirectoryNews& aUpdate);
+
   /**
    * Sets this entry's rank among the entries. Rank 0 reads all the time; the
    * others read, in the order of their ranks, if no updates arrive.
@@ -92,6 +100,7 @@
   void RecordStall(utils::Millis aDueAt);
   bool IsOutageOfAll() const;
   void HoldDropped();
+  utils::Millis GetHoldEnd() const;
 
   platform::KeyedLog& log_;
   platform::FleetCodecs codecs_;
@@ -112,6 +121,18 @@
   bool readFailed_ = false;
   /** Time since logReadAt_ in which this process did not run. */
   utils::Millis stalledTime_;
+  /**
+   * Since when the log has answered entries in this epoch, without a gap in
+   * which entries of the directory could expire.
+   */
+  utils::Millis steadySince_;
+  /** The same, as another entry of the region last stated it. */
+  struct PeerSteadiness
+  {
+    std::uint64_t epoch = 0;
+    utils::Millis since;
+  };
+  std::optional<PeerSteadiness> peerSteadiness_;
   /** An update arrived with a gap between it and the last applied offset. */
   bool missedUpdate_ = false;
   bool started_ = false;
@@ -135,6 +156,8 @@
    * Until then a dropped entry may belong to an upstream that registers again.
    */
   utils::Millis graceUntil_;
+  /** The same after a failure that was too short for an outage. */
+  utils::Millis failureHoldUntil_;
   /** Upstreams without an entry, and when each is removed. */
   std::map<std::string, utils::Millis> missing_;
   /** An upstream that was removed, by its id. */
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -625,6 +625,9 @@
   }
   if (aNotice.has_directory()) {
     directory.ApplyUpdate(aNotice.directory());
+    if (aFrom.region == settings.region) {
+      directory.ShortenGrace(aNotice.directory());
+    }
   }
   ApplyCrashes(aFrom.vm, aNotice);
   for (const auto& refused : aNotice.refused()) {
--- a/libs/fleet/tests/DirectoryOutageTest.cpp
+++ b/libs/fleet/tests/DirectoryOutageTest.cpp
@@ -112,6 +112,18 @@
   return update;
 }
 
+schema::DirectoryNews
+MakeSteadyUpdate(std::uint64_t aEnd,
+                 Millis aSteadyTime,
+                 std::uint64_t aEpoch = 0,
+                 const std::vector<KeyedRecord>& aRecords = {})
+{
+  auto update = MakeUpdate(aEnd - 1, aEnd, aRecords);
+  update.set_epoch(aEpoch);
+  update.set_steady_ms(static_cast<std::uint64_t>(aSteadyTime.value));
+  return update;
+}
+
 KeyedRecord
 MakeRemoval(std::uint64_t aOffset)
 {
@@ -149,6 +161,23 @@
     REQUIRE(follower.Poll());
   }
 
+  /** An update of an entry of the same region. */
+  void ApplyLocal(const schema::DirectoryNews& aUpdate)
+  {
+    follower.ApplyUpdate(aUpdate);
+    follower.ShortenGrace(aUpdate);
+  }
+
+  /** Reads the directory without a, from a log restored as of aEpoch. */
+  void ReadRestored(std::uint64_t aEpoch)
+  {
+    log.newest = { { { "b", "ready", 1, false } }, 2 };
+    log.newest.epoch = aEpoch;
+    log.changes = { {}, 2 };
+    log.changes.epoch = aEpoch;
+    REQUIRE(follower.Poll());
+  }
+
   bool Holds(const std::string& aId) const
   {
     return registry.Find(aId) != nullptr;
@@ -235,6 +264,149 @@
   CHECK(fixture.Holds("b"));
 }
 
+// Guards against requests to an upstream that left while the log and all other
+// entries were out of this entry's reach, which it takes for an outage of all.
+TEST_CASE("another entry's reads end the grace of an entry that was cut off")
+{
+  Fixture fixture;
+  fixture.FailReads(5, Millis(800));
+  SUBCASE("the entry's own read comes first")
+  {
+    fixture.ReadRemoval();
+    REQUIRE(fixture.Holds("a"));
+    fixture.Advance(Millis(100));
+    fixture.ApplyLocal(MakeSteadyUpdate(3, Millis(60000)));
+  }
+  SUBCASE("the update comes first")
+  {
+    fixture.ApplyLocal(MakeSteadyUpdate(2, Millis(60000)));
+    fixture.ReadRemoval();
+  }
+  SUBCASE("the update contains the removal")
+  {
+    fixture.ApplyLocal(
+      MakeSteadyUpdate(3, Millis(60000), 0, { MakeRemoval(2) }));
+  }
+  CHECK_FALSE(fixture.Holds("a"));
+  CHECK(fixture.Holds("b"));
+}
+
+// Guards against the loss of upstreams that expired in an outage, because of an
+// update that does not show that the log answered in it.
+TEST_CASE("another entry's reads since an outage leave the rest of its grace")
+{
+  Fixture fixture;
+  fixture.FailReads(5, Millis(800));
+  fixture.ReadRemoval();
+  fixture.Advance(Millis(1500));
+  SUBCASE("it read first when the outage ended")
+  {
+    fixture.ApplyLocal(MakeSteadyUpdate(3, Millis(1500)));
+  }
+  SUBCASE("it states nothing")
+  {
+    fixture.ApplyLocal(MakeUpdate(3, 3));
+  }
+  SUBCASE("it is of another region")
+  {
+    fixture.follower.ApplyUpdate(MakeSteadyUpdate(3, Millis(60000)));
+  }
+  CHECK(fixture.Holds("a"));
+  fixture.Advance(Millis(1000));
+  fixture.follower.Step();
+  CHECK_FALSE(fixture.Holds("a"));
+}
+
+// Guards against requests to an upstream that left before or after a restore of
+// the log, by an entry that was suspended across it.
+TEST_CASE("the grace after a restore counts from another entry's observation")
+{
+  constexpr Millis kSinceRestore(4000);
+  Fixture fixture;
+  fixture.ReadRestored(1);
+  fixture.ApplyLocal(MakeSteadyUpdate(2, Millis(60000), 1));
+  fixture.follower.ApplyUpdate(
+    MakeSteadyUpdate(3, Millis(0), 1, { { "a", "ready", 2, false } }));
+  REQUIRE(fixture.Holds("a"));
+  fixture.Advance(Millis(6000));
+  SUBCASE("the entry's own read comes first")
+  {
+    fixture.ReadRestored(2);
+    REQUIRE(fixture.Holds("a"));
+    fixture.ApplyLocal(MakeSteadyUpdate(2, kSinceRestore, 2));
+    CHECK_FALSE(fixture.Holds("a"));
+  }
+  SUBCASE("the update comes first")
+  {
+    fixture.ApplyLocal(MakeSteadyUpdate(2, kSinceRestore, 2));
+    fixture.ReadRestored(2);
+    CHECK_FALSE(fixture.Holds("a"));
+  }
+  SUBCASE("the other entry has observed the restore just before")
+  {
+    fixture.ReadRestored(2);
+    fixture.ApplyLocal(MakeSteadyUpdate(2, Millis(500), 2));
+    fixture.Advance(Millis(1900));
+    fixture.follower.Step();
+    CHECK(fixture.Holds("a"));
+  }
+  SUBCASE("the other entry has not observed the restore")
+  {
+    fixture.ReadRestored(2);
+    fixture.ApplyLocal(MakeSteadyUpdate(9, Millis(60000), 1));
+    fixture.Advance(Millis(2400));
+    fixture.follower.Step();
+    CHECK(fixture.Holds("a"));
+  }
+  CHECK(fixture.Holds("b"));
+}
+
+// Guards against a grace that ends early by the statement of an entry that was
+// suspended itself, or has not yet observed for how long the log answers.
+TEST_CASE("an entry states only the time in which it has observed the log")
+{
+  Fixture fixture;
+  std::vector<schema::DirectoryNews> updates;
+  fixture.follower.OnUpdate(
+    [&updates](const auto& aUpdate) { updates.push_back(aUpdate); });
+  auto poll = [&] {
+    REQUIRE(fixture.follower.Poll());
+    return updates.back().steady_ms();
+  };
+  CHECK(poll() == 0);
+  for (int i = 0; i < 5; ++i) {
+    fixture.Advance(Millis(2000));
+    fixture.FailReads(1, Millis(0));
+    poll();
+  }
+  CHECK(poll() == 10000);
+  SUBCASE("it was suspended")
+  {
+    fixture.Advance(Millis(4000));
+    CHECK(poll() == 0);
+  }
+  SUBCASE("it was suspended and receives what was sent before")
+  {
+    fixture.Advance(Millis(4000));
+    fixture.ApplyLocal(MakeSteadyUpdate(3, Millis(60000)));
+    CHECK(poll() == 0);
+  }
+  SUBCASE("the log was unavailable")
+  {
+    fixture.FailReads(5, Millis(800));
+    CHECK(poll() == 0);
+  }
+  SUBCASE("the log was restored")
+  {
+    fixture.ReadRestored(1);
+    fixture.Advance(Millis(1000));
+    poll();
+    fixture.ReadRestored(2);
+    fixture.Advance(Millis(500));
+    CHECK(poll() == 500);
+  }
+}
+
 // A lost answer or a single refusal is no outage in which entries expire.
 TEST_CASE("a failed read does not hold a removed upstream beyond its bound")
 {
