Test bed: a block of addresses stays reserved until its processes have ended

Seen: a test program that is killed (by hand, or by ctest at its timeout) leaves its daemons running, here three of fleet_roles_test. Its block of addresses counted as free from then on, and the next program with a process id that picks the same block (one in 140) ran beside them: in a trial the second program's entry could not listen and its calls were answered by the old one, unnoticed.

Cause: the socket that reserves a block was held by the test program alone.

Processes now inherit it.

Ruled out: ending the children with their parent (PR_SET_PDEATHSIG), which counts from the end of the thread that started them.

--- a/tests/bed/include/bed/AddressBlock.h
+++ b/tests/bed/include/bed/AddressBlock.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <utils/Error.h>
 
@@ -10,7 +11,8 @@
 
 /**
  * A /16 block of loopback addresses that no other test bed on the machine
- * uses while this object exists. All ports that a test bed listens on are
+ * uses while this object exists, or a process that was started meanwhile by
+ * Process. All ports that a test bed listens on are
  * below the kernel's ephemeral port range, so that outgoing connections
  * cannot occupy them.
  */
@@ -20,6 +22,12 @@
   /** Reserves a block; null, with aReason set, if all blocks are in use. */
   static std::unique_ptr<AddressBlock> Acquire(utils::Error& aReason);
 
+  /**
+   * The sockets that reserve the blocks of this process, in ascending order. A
+   * child process that inherits one keeps its block reserved.
+   */
+  static std::vector<int> ListLocks();
+
   ~AddressBlock();
 
   AddressBlock(const AddressBlock&) = delete;
--- a/tests/bed/src/AddressBlock.cpp
+++ b/tests/bed/src/AddressBlock.cpp
@@ -1,5 +1,8 @@
 #include <bed/AddressBlock.h>
 
+#include <mutex>
+#include <set>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -13,6 +16,20 @@
 constexpr unsigned kBlockCount = 140;
 constexpr std::uint16_t kLockPort = 6999;
 
+/** The locks of all AddressBlocks of this process. */
+struct Locks
+{
+  std::mutex mutex;
+  std::set<int> sockets;
+};
+
+Locks&
+GetLocks()
+{
+  static Locks sLocks;
+  return sLocks;
+}
+
 // Reserves a block by binding a socket to one port in it, which also works
 // between processes. Returns the socket; -1 if the block is in use.
 int
@@ -51,14 +68,28 @@
   return nullptr;
 }
 
+std::vector<int>
+AddressBlock::ListLocks()
+{
+  auto& locks = GetLocks();
+  std::scoped_lock guard(locks.mutex);
+  return { locks.sockets.begin(), locks.sockets.end() };
+}
+
 AddressBlock::AddressBlock(int aLock, unsigned aBlock)
   : lock_(aLock)
   , block_(aBlock)
 {
+  auto& locks = GetLocks();
+  std::scoped_lock guard(locks.mutex);
+  locks.sockets.insert(lock_);
 }
 
 AddressBlock::~AddressBlock()
 {
+  auto& locks = GetLocks();
+  std::scoped_lock guard(locks.mutex);
+  locks.sockets.erase(lock_);
   close(lock_);
 }
 
--- a/tests/bed/src/Process.cpp
+++ b/tests/bed/src/Process.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <bed/AddressBlock.h>
 #include <net/Runtime.h>
 
 extern char** environ;
@@ -36,9 +37,16 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // If this process is killed, its children run on and use the addresses of its
+  // blocks. As the locks ascend, none is overwritten before it is duplicated.
+  int firstUnused = STDERR_FILENO + 1;
+  for (int lock : AddressBlock::ListLocks()) {
+    posix_spawn_file_actions_adddup2(&actions, lock, firstUnused);
+    ++firstUnused;
+  }
   // A process that held a fake's listening socket would keep its address in use
   // after the fake has closed it.
-  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  posix_spawn_file_actions_addclosefrom_np(&actions, firstUnused);
   pid_t id = 0;
   int error = posix_spawn(
     &id, arguments[0], &actions, nullptr, arguments.data(), environ);
