Soak: SIGHUP is sent to a daemon once it handles the signal

Until a program has reached its main, some 15 ms after its start, SIGHUP ends it: nothing in the daemon can change that.

Process::HandlesSignal reads what the kernel states of the process. The soak's check for daemons that do not run stays as it was, and the signal still reaches a daemon before its settings are read.

--- a/soak/src/ProcessFaults.cpp
+++ b/soak/src/ProcessFaults.cpp
@@ -107,8 +107,16 @@
 void
 ProcessFaults::Signal(std::size_t aDaemon, int aSignal)
 {
-  if (auto& daemon = GetDaemon(aDaemon); daemon.process) {
-    daemon.process->Signal(aSignal);
+  constexpr Millis kPollInterval(5);
+  // Its process may be replaced during the wait.
+  auto& daemon = GetDaemon(aDaemon);
+  auto end = clock_.Now() + kStopTimeout;
+  while (clock_.Now() < end) {
+    if (daemon.process && daemon.process->HandlesSignal(aSignal)) {
+      daemon.process->Signal(aSignal);
+      return;
+    }
+    net::Runtime::Sleep(kPollInterval);
   }
 }
 
--- a/soak/src/ProcessFaults.h
+++ b/soak/src/ProcessFaults.h
@@ -31,7 +31,10 @@
    */
   void Restart(std::size_t aDaemon, int aSignal, utils::Millis aDownTime);
 
-  /** Sends a signal that does not end it. */
+  /**
+   * Sends a signal that does not end it, once it handles the signal; before
+   * that the signal would end any program.
+   */
   void Signal(std::size_t aDaemon, int aSignal);
 
 private:
--- a/tests/BedTest.cpp
+++ b/tests/BedTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -11,6 +12,7 @@
 
 #include <unistd.h>
 
+#include <Deployment.h>
 #include <bed/AddressBlock.h>
 #include <bed/Bed.h>
 #include <bed/Process.h>
@@ -99,6 +101,27 @@
   net::HttpClient client_;
 };
 
+/** Starts an entry whose log can't be reached. */
+std::unique_ptr<Process>
+StartEntry(const AddressBlock& aBlock, const net::Endpoint& aReadiness)
+{
+  auto settings = MakeLogName() + ".json";
+  auto address = aBlock.GetAddress(1, 1);
+  std::ofstream(settings) << adapter::MakeDaemonSettings(
+    { "vm1",
+      address,
+      { address, 8005 },
+      aReadiness,
+      { address, 8001 },
+      { aBlock.GetAddress(1, 9), 8007 } });
+  setenv("WAXWINGYOKE_BOOT", settings.c_str(), 1);
+  utils::Error reason;
+  auto entry = Process::Start(
+    { GetProgramPath("waxwingyoked"), "fleet-entry" }, MakeLogName(), reason);
+  REQUIRE_MESSAGE(entry, reason.detail);
+  return entry;
+}
+
 std::unique_ptr<AddressBlock>
 AcquireBlock()
 {
@@ -158,6 +181,36 @@
   });
 }
 
+// Guards against a SIGHUP that ends a daemon without a line in its log, because
+// it is sent while the daemon is being loaded.
+TEST_CASE("a daemon that handles SIGHUP goes on when it receives it")
+{
+  constexpr int kStarts = 10;
+  net::Runtime runtime(1);
+  runtime.Run([] {
+    auto block = AcquireBlock();
+    net::Endpoint readiness{ block->GetAddress(1, 1), 8002 };
+    net::HttpClient client;
+    for (int i = 0; i < kStarts; ++i) {
+      auto entry = StartEntry(*block, readiness);
+      utils::Clock clock;
+      auto end = clock.Now() + kTimeout;
+      while (!entry->HandlesSignal(SIGHUP) && clock.Now() < end) {
+        net::Runtime::Sleep(Millis(1));
+      }
+      entry->Signal(SIGHUP);
+      while (entry->IsRunning() && clock.Now() < end &&
+             !client.CanConnect(readiness, kTimeout)) {
+        net::Runtime::Sleep(kPoll);
+      }
+      CHECK(entry->IsRunning());
+    }
+    std::filesystem::remove(MakeLogName() + ".json");
+    std::filesystem::remove(MakeLogName());
+    return 0;
+  });
+}
+
 // Guards against a process that can't listen because an outgoing connection
 // of any other process, to which the kernel gave the port, occupies it.
 TEST_CASE("the bed's ports are below those that outgoing connections get")
--- a/tests/bed/include/bed/Process.h
+++ b/tests/bed/include/bed/Process.h
@@ -38,6 +38,12 @@
   /** Sends a signal; does nothing if the process has ended. */
   void Signal(int aSignal);
 
+  /**
+   * Whether it ignores or catches the signal. A program that is to catch one
+   * does not until it has reached its own code, some milliseconds after Start.
+   */
+  bool HandlesSignal(int aSignal) const;
+
   bool IsRunning();
 
   /** Suspends the calling fiber; false if it still runs after aTimeout. */
--- a/tests/bed/src/Process.cpp
+++ b/tests/bed/src/Process.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <cstdint>
 #include <cstring>
+#include <fstream>
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -82,6 +84,21 @@
   }
 }
 
+bool
+Process::HandlesSignal(int aSignal) const
+{
+  std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+  std::string name;
+  while (status >> name) {
+    std::uint64_t mask = 0;
+    if ((name == "SigIgn:" || name == "SigCgt:") &&
+        status >> std::hex >> mask && (mask >> (aSignal - 1) & 1) != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 Process::IsRunning()
 {
