--- a/tests/bed/src/Process.cpp
+++ b/tests/bed/src/Process.cpp
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <cstdint>
 #include <cstring>
+#include <fstream>
 
 #include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <bed/AddressBlock.h>
 #include <net/Runtime.h>
 
 extern char** environ;
@@ -36,9 +39,16 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // If this process is killed, its children run on and use the addresses of its
+  // blocks. As the locks ascend, none is overwritten before it is duplicated.
+  int firstUnused = STDERR_FILENO + 1;
+  for (int lock : AddressBlock::ListLocks()) {
+    posix_spawn_file_actions_adddup2(&actions, lock, firstUnused);
+    ++firstUnused;
+  }
   // A process that held a fake's listening socket would keep its address in use
   // after the fake has closed it.
-  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  posix_spawn_file_actions_addclosefrom_np(&actions, firstUnused);
   pid_t id = 0;
   int error = posix_spawn(
     &id, arguments[0], &actions, nullptr, arguments.data(), environ);
@@ -74,6 +84,21 @@
   }
 }
 
+bool
+Process::HandlesSignal(int aSignal) const
+{
+  std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+  std::string name;
+  while (status >> name) {
+    std::uint64_t mask = 0;
+    if ((name == "SigIgn:" || name == "SigCgt:") &&
+        status >> std::hex >> mask && (mask >> (aSignal - 1) & 1) != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool
 Process::IsRunning()
 {
