Net: a response that names no request is not taken for the next one's

What callers saw: an unsafe request that an upstream had run or was running was answered 503, which promises "not run" (REFUSED), or ran at a second upstream too (TWICE); a caller could also get another request's success.

Cause: an answer without an attempt id counted as the one to the request at hand, also on a connection that had carried another request before. A faulty upstream that writes an earlier refusal once more, without its id and after the next request was sent, thus refused that request. The connection is kept after refusals without a body, as no body is left unread.

The fix: the client asks which request a response answers. One that names none is accepted only as the first of a new connection, where nothing can be a repeat, and that connection is not kept; so an upstream that never states ids is still served. Anywhere else the answer is lost: 502 or 504 for what may run once, another send for what may be repeated, and the connection is closed.

--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -115,8 +115,8 @@
   net::CallOptions options;
   options.canceller = aParameters.canceller;
   options.retryGet = false;
-  options.accepts = [&](const net::HttpFields& aFields) {
-    return dialect.IsAnswerTo(aFields, aParameters.attemptId);
+  options.findOwner = [&](const net::HttpFields& aFields) {
+    return dialect.FindOwner(aFields, aParameters.attemptId);
   };
   auto headTimeout = GetHeadTimeout(aParameters);
   bool mayStart =
@@ -144,6 +144,8 @@
                          answer.reason.kind == ErrorKind::TimedOut;
     if (startTimedOut) {
       RecordStartTimeout(aServices, aLease, aParameters);
+    } else if (!cancelled && answer.reason.kind == ErrorKind::AnswerBroken) {
+      upstream.health.RecordOutcome(Outcome::Failed, aServices.Now());
     } else if (!cancelled && answer.reason.kind != ErrorKind::ConnectionLost) {
       upstream.health.RecordOutcome(Outcome::Unreachable, aServices.Now());
     }
--- a/libs/fleet/tests/NamedVersionsTest.cpp
+++ b/libs/fleet/tests/NamedVersionsTest.cpp
@@ -706,9 +706,10 @@
     head.stamped = true;
     return head;
   }
-  bool IsAnswerTo(const net::HttpFields&, std::string_view) const override
+  net::ResponseOwner FindOwner(const net::HttpFields&,
+                               std::string_view) const override
   {
-    return true;
+    return net::ResponseOwner::ThisRequest;
   }
   net::HttpFields MakeCallerFields(const net::HttpFields&) const override
   {
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -86,6 +86,14 @@
   std::function<void()> cancelRunning_;
 };
 
+/** The request that a response answers, as far as its header states it. */
+enum class ResponseOwner
+{
+  ThisRequest,
+  AnotherRequest,
+  NotStated
+};
+
 /** Larger than the largest chunk that a manifest may contain. */
 inline constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
@@ -95,11 +103,13 @@
   /** May be null. Must stay valid until Call or Open returns. */
   CallCanceller* canceller = nullptr;
   /**
-   * Whether a response with these fields belongs to the request. One that
-   * does not is read and discarded, and the next one on the connection is
-   * examined. If empty, every response is accepted.
+   * Reads from a response's fields which request it answers. If empty, every
+   * response is accepted. One to another request is discarded, and the next one
+   * on the connection is examined. One that states no request is accepted only
+   * as the first on a new connection, which is not kept; otherwise the call
+   * fails with AnswerBroken, as the response may repeat an earlier one.
    */
-  std::function<bool(const HttpFields&)> accepts;
+  std::function<ResponseOwner(const HttpFields&)> findOwner;
   /** Whether a GET is retried once if a kept connection was closed. */
   bool retryGet = true;
   /** False for a peer that accepts few connections and that many processes
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -35,6 +35,16 @@
   return message;
 }
 
+ResponseOwner
+FindOwner(const ResponseStream::Impl& aResponse,
+          const IoResult& aResult,
+          const CallOptions& aOptions)
+{
+  return aOptions.findOwner && !aResult.error
+           ? aOptions.findOwner(aResponse.fields)
+           : ResponseOwner::ThisRequest;
+}
+
 } // namespace
 
 void
@@ -98,10 +108,10 @@
   if (!result.error) {
     result = streamImpl->ReadHead();
   }
-  for (int skipped = 0; !result.error && aOptions.accepts &&
-                        !aOptions.accepts(streamImpl->fields);
-       ++skipped) {
-    if (skipped == kMaxSkippedResponses) {
+  auto owner = FindOwner(*streamImpl, result, aOptions);
+  int skipped = 0;
+  while (!result.error && owner == ResponseOwner::AnotherRequest) {
+    if (skipped++ == kMaxSkippedResponses) {
       result.error = http::make_error_code(http::error::bad_status);
       break;
     }
@@ -109,11 +119,20 @@
     if (!result.error) {
       result = streamImpl->ReadHead();
     }
+    owner = FindOwner(*streamImpl, result, aOptions);
   }
   if (result.error) {
     SetIoError(result.error, "exchange", aReason);
     return nullptr;
   }
+  bool mayBeRepeat = connection.reused || skipped > 0;
+  if (owner == ResponseOwner::NotStated && mayBeRepeat) {
+    aReason.Set(ErrorKind::AnswerBroken,
+                "exchange: the response does not state its request");
+    return nullptr;
+  }
+  streamImpl->keepConnection =
+    aOptions.keepConnection && owner == ResponseOwner::ThisRequest;
   return streamImpl;
 }
 
@@ -201,7 +220,6 @@
   if (!streamImpl) {
     return nullptr;
   }
-  streamImpl->keepConnection = aOptions.keepConnection;
   return std::make_unique<ResponseStream>(std::move(streamImpl));
 }
 
--- a/libs/net/tests/FaultyServerTest.cpp
+++ b/libs/net/tests/FaultyServerTest.cpp
@@ -63,8 +63,13 @@
 Expect(const std::string& aId)
 {
   CallOptions options;
-  options.accepts = [aId](const HttpFields& aFields) {
-    return aFields.Find("Id") == aId;
+  options.findOwner = [aId](const HttpFields& aFields) {
+    auto id = aFields.Find("Id");
+    if (id.empty()) {
+      return ResponseOwner::NotStated;
+    }
+    return id == aId ? ResponseOwner::ThisRequest
+                     : ResponseOwner::AnotherRequest;
   };
   return options;
 }
@@ -266,3 +271,53 @@
     });
   }
 }
+
+// Guards against a repeated response without an id that is taken for the
+// response to the connection's next request.
+TEST_CASE("a response that states no request is not the next request's")
+{
+  const std::string unnamed = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<int> connections = 0;
+  auto script = [&](RawServer::Peer& aPeer) {
+    ++connections;
+    for (bool isFirst = true; aPeer.ReadRequest(); isFirst = false) {
+      if (!isFirst) {
+        aPeer.Send(unnamed);
+        usleep(20000);
+      }
+      aPeer.Send(MakeResponse("a", "body"));
+    }
+  };
+  WithServer(script, [&](HttpClient& aClient, const Endpoint& aPeer) {
+    for (int i = 0; i < 3; ++i) {
+      utils::Error reason;
+      auto response = aClient.Call(aPeer, {}, {}, reason, Expect("a"));
+      REQUIRE_MESSAGE(response, reason.detail);
+      CHECK(response->body == "body");
+      CHECK_FALSE(aClient.Call(aPeer, {}, {}, reason, Expect("a")));
+      CHECK(reason.kind == utils::ErrorKind::AnswerBroken);
+      // The failed call has closed its connection.
+      CHECK(connections == i + 1);
+    }
+  });
+}
+
+TEST_CASE("a response that states no request is accepted on a new connection")
+{
+  std::atomic<int> connections = 0;
+  auto script = [&](RawServer::Peer& aPeer) {
+    ++connections;
+    while (aPeer.ReadRequest()) {
+      aPeer.Send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+    }
+  };
+  WithServer(script, [&](HttpClient& aClient, const Endpoint& aPeer) {
+    for (int i = 0; i < 3; ++i) {
+      utils::Error reason;
+      auto response = aClient.Call(aPeer, {}, {}, reason, Expect("a"));
+      REQUIRE_MESSAGE(response, reason.detail);
+      CHECK(response->body == "body");
+      CHECK(connections == i + 1);
+    }
+  });
+}
--- a/libs/platform/include/platform/RequestDialect.h
+++ b/libs/platform/include/platform/RequestDialect.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <net/Http.h>
+#include <net/HttpClient.h>
 #include <utils/Time.h>
 
 namespace waxwingyoke::platform {
@@ -83,8 +84,8 @@
                                 const net::HttpFields& aFields) const = 0;
 
   /** Whether an answer with these fields belongs to the attempt. */
-  virtual bool IsAnswerTo(const net::HttpFields& aFields,
-                          std::string_view aAttemptId) const = 0;
+  virtual net::ResponseOwner FindOwner(const net::HttpFields& aFields,
+                                       std::string_view aAttemptId) const = 0;
 
   /** The upstream's fields that are forwarded to the caller. */
   virtual net::HttpFields MakeCallerFields(
