--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -117,8 +117,8 @@
   options.retryGet = false;
   options.onSilence = aParameters.onSilence;
   options.silenceTimeout = aParameters.silenceTimeout;
-  options.accepts = [&](const net::HttpFields& aFields) {
-    return dialect.IsAnswerTo(aFields, aParameters.attemptId);
+  options.findOwner = [&](const net::HttpFields& aFields) {
+    return dialect.FindOwner(aFields, aParameters.attemptId);
   };
   auto headTimeout = GetHeadTimeout(aParameters);
   bool mayStart =
@@ -146,6 +146,8 @@
                          answer.reason.kind == ErrorKind::TimedOut;
     if (startTimedOut) {
       RecordStartTimeout(aServices, aLease, aParameters);
+    } else if (!cancelled && answer.reason.kind == ErrorKind::AnswerBroken) {
+      upstream.health.RecordOutcome(Outcome::Failed, aServices.Now());
     } else if (!cancelled && answer.reason.kind != ErrorKind::ConnectionLost) {
       upstream.health.RecordOutcome(Outcome::Unreachable, aServices.Now());
     }
