Fleet: a request keeps the engine model that it uses

What callers saw: none of it reported; found by reading. In a build with the address sanitizer the entry ends within seconds when configurations come into force faster than requests end, and each call in progress ends with it. In the ordinary build a request that waited computes its placement from freed memory.

Cause: EntryServices::FindEngine frees the models as soon as the configuration has another version, while requests that wait in the queue, are sent again or resume a stream keep a plain pointer to the one that they found on arrival.

Evidence: fleet_config_test with the address sanitizer on the code before: the entry ends with heap-use-after-free in EngineModel::GetSlots under UpstreamRegistry::FindBest and WaitQueue::PlaceQueued; 0 of 120 calls have an answer or a refusal. With the change it passed 3 of 3 with the sanitizers and once in the ordinary build, where it also passes without the change: freed memory alone does not show there.

Ruled out: the request's configuration itself, its route, organisation and service. The exchange shares the configuration that they point into.

Why it works: whoever found a model owns a share of it for as long as it waits; the map keeps the models of the configuration in force only.

--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -132,7 +132,7 @@
   return service;
 }
 
-const dispatch::EngineModel*
+std::shared_ptr<const dispatch::EngineModel>
 EntryServices::FindEngine(const platform::ServiceInfo& aService)
 {
   if (!aService.engine) {
@@ -145,9 +145,9 @@
   }
   auto& model = engines_[aService.name];
   if (!model) {
-    model = std::make_unique<dispatch::EngineModel>(*aService.engine);
+    model = std::make_shared<const dispatch::EngineModel>(*aService.engine);
   }
-  return model.get();
+  return model;
 }
 
 dispatch::Trust
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -105,8 +105,11 @@
    */
   ServiceState& GetService(const std::string& aName);
 
-  /** The engine model of a service; null for a service without an engine. */
-  const dispatch::EngineModel* FindEngine(
+  /**
+   * The engine model of a service; null for a service without an engine. Models
+   * of an older configuration live for as long as callers hold them.
+   */
+  std::shared_ptr<const dispatch::EngineModel> FindEngine(
     const platform::ServiceInfo& aService);
 
   /** What the configuration may be used for at its present age. */
@@ -164,7 +167,7 @@
   EntryMetrics metrics_;
   std::map<std::string, ServiceState> services_;
   /** By service; built from the configuration of enginesVersion_. */
-  std::map<std::string, std::unique_ptr<dispatch::EngineModel>> engines_;
+  std::map<std::string, std::shared_ptr<const dispatch::EngineModel>> engines_;
   std::uint64_t enginesVersion_ = 0;
   std::size_t entryCount_ = 1;
   bool useChanged_ = false;
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -198,7 +198,8 @@
 Exchange::MakeQuery()
 {
   query_.service = service_->name;
-  query_.engine = services_.FindEngine(*service_);
+  engine_ = services_.FindEngine(*service_);
+  query_.engine = engine_.get();
   if (service_->engine) {
     query_.model = service_->engine->model;
     query_.layers = service_->engine->layers;
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -124,6 +124,8 @@
   const platform::Route* route_ = nullptr;
   const platform::Organisation* organisation_ = nullptr;
   const platform::ServiceInfo* service_ = nullptr;
+  /** Kept for query_, which refers to it, until the request ends. */
+  std::shared_ptr<const dispatch::EngineModel> engine_;
   dispatch::PlacementQuery query_;
   std::uint64_t digest_ = 0;
   /** Stable hashes of the prompt's parts that other requests may share. */
