--- a/build.sh
+++ b/build.sh
@@ -24,6 +24,8 @@
   test       build, then run every test
   demo       build, then run the main job: see README.md
   sanitize   unit tests with address and undefined-behaviour sanitizers
+  sanitize-fleet
+             the same with real processes: fleet_config_test and the daemon
   threads    concurrency tests with the thread sanitizer
   format     format every source; with --check only tell
   lint       run clang-tidy on every source that changed since it passed
@@ -104,6 +106,27 @@
   ctest --test-dir "$1" --output-on-failure -j "$JOBS" -LE integration
 }
 
+configure_sanitized() {
+  configure build-asan -DWAXWINGYOKE_SANITIZE=address -DCMAKE_BUILD_TYPE=Debug -DWAXWINGYOKE_UNIT_ONLY=ON
+}
+
+# The daemons write their reports beside the test, which doesn't read their
+# output; each report is a failure, also of a process that the test ended.
+sanitize_fleet() {
+  local reports passed=yes
+  configure_sanitized
+  compile build-asan --target fleet_config_test
+  reports=$(mktemp -d)
+  ASAN_OPTIONS=log_path="$reports/report" UBSAN_OPTIONS=log_path="$reports/report" \
+    build-asan/platform/tests/fleet_config_test || passed=no
+  if [ -n "$(ls "$reports")" ]; then
+    cat "$reports"/*
+    passed=no
+  fi
+  rm -r "$reports"
+  [ $passed = yes ]
+}
+
 case "${1:-}" in
   packages) install_packages ;;
   build) build ;;
@@ -117,10 +140,11 @@
     build/bin/waxwingyoke-demo
     ;;
   sanitize)
-    configure build-asan -DWAXWINGYOKE_SANITIZE=address -DCMAKE_BUILD_TYPE=Debug -DWAXWINGYOKE_UNIT_ONLY=ON
+    configure_sanitized
     compile build-asan
     run_unit_tests build-asan
     ;;
+  sanitize-fleet) sanitize_fleet ;;
   threads)
     configure build-tsan -DWAXWINGYOKE_SANITIZE=thread -DWAXWINGYOKE_UNIT_ONLY=ON
     compile build-tsan --target "${THREAD_TESTS[@]}"
