Net: the server counts and logs how connections end without an answer

A caller's connection that ended on a request left nothing behind: neither a closed idle connection, nor a request that was not in time, nor a refusal that could not be written, nor a response that was left unfinished was counted or logged. Each kind now has a counter, and a line a second at most with the request's target, the bytes read and the reason. http_broken_requests_total no longer counts requests that were not in time, as its description states; those have http_requests_late_total.

The raw caller of the server's tests becomes a source that other tests use. No behaviour towards callers changes.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -11,6 +11,7 @@
 
 #include "Await.h"
 #include "Beast.h"
+#include "ConnectionEnds.h"
 #include "RuntimeImpl.h"
 #include "StreamWriter.h"
 #include "Traffic.h"
@@ -25,6 +26,15 @@
 // was accepted before.
 constexpr utils::Millis kClosingIdle(1000);
 
+/** The end of a wait for a caller's next request. */
+enum class Wait
+{
+  Arrived,
+  Expired,
+  Cancelled,
+  PeerClosed
+};
+
 /** Counts a request as active while it is read and served. */
 class ActiveScope
 {
@@ -74,7 +84,7 @@
                     beast::flat_buffer& aBuffer,
                     const HttpLimits& aLimits,
                     bool aIsFirst);
-  bool AwaitInput(Stream& aStream,
+  Wait AwaitInput(Stream& aStream,
                   beast::flat_buffer& aBuffer,
                   utils::Millis aTime);
   /** Serves one request; false if the connection has to be closed after it. */
@@ -91,7 +101,9 @@
   /** Runs the handler; false if the connection has to be closed after it. */
   bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
   /** Responds to a request that could not be read, where a response helps. */
-  void Refuse(Stream& aStream, beast::error_code aError);
+  void Refuse(Stream& aStream,
+              beast::error_code aError,
+              const EndedRequest& aRequest);
   void Track(Stream& aStream);
   void Untrack(Stream& aStream);
 
@@ -228,23 +240,27 @@
 {
   bool wasClosing = closing;
   auto closingIdle = std::min(aLimits.idle, kClosingIdle);
-  if (AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : aLimits.idle)) {
-    return true;
-  }
+  auto wait =
+    AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : aLimits.idle);
   // The close cancelled the wait. A new caller's request may be on its way.
-  bool mayArrive = aIsFirst && closing && !wasClosing;
-  return mayArrive && AwaitInput(aStream, aBuffer, closingIdle);
+  if (wait == Wait::Cancelled && aIsFirst && !wasClosing) {
+    wait = AwaitInput(aStream, aBuffer, closingIdle);
+  }
+  if (wait == Wait::Expired || wait == Wait::Cancelled) {
+    RecordEnd(closing ? ConnectionEnd::Shutdown : ConnectionEnd::IdleLimit, {});
+  }
+  return wait == Wait::Arrived;
 }
 
-// True if there is input, also if the wait was cancelled at that moment.
-bool
+// Input that arrived as the wait was cancelled counts.
+Wait
 HttpServer::Impl::AwaitInput(Stream& aStream,
                              beast::flat_buffer& aBuffer,
                              utils::Millis aTime)
 {
   constexpr std::size_t kFirstReadBytes = 4096;
   if (aBuffer.size() > 0) {
-    return true;
+    return Wait::Arrived;
   }
   aStream.expires_after(aTime.ToChrono());
   Track(aStream);
@@ -254,8 +270,14 @@
   });
   Untrack(aStream);
   aBuffer.commit(result.bytes);
-  return !result.error || (result.error == asio::error::operation_aborted &&
-                           HasInput(aStream, aBuffer));
+  if (!result.error) {
+    return Wait::Arrived;
+  }
+  if (result.error == asio::error::operation_aborted) {
+    return HasInput(aStream, aBuffer) ? Wait::Arrived : Wait::Cancelled;
+  }
+  return result.error == beast::error::timeout ? Wait::Expired
+                                               : Wait::PeerClosed;
 }
 
 bool
@@ -273,18 +295,25 @@
   parser.body_limit(limits.bodyBytes);
   parser.header_limit(limits.headerBytes);
   aStream.expires_after(limits.header.ToChrono());
+  std::size_t readBytes = 0;
   auto result = Await([&](auto aHandler) {
     http::async_read_header(aStream, aBuffer, parser, std::move(aHandler));
   });
+  readBytes += result.bytes;
   if (!result.error && !parser.is_done()) {
     aStream.expires_after(limits.header.ToChrono());
     result = Await([&](auto aHandler) {
       http::async_read(aStream, aBuffer, parser, std::move(aHandler));
     });
+    readBytes += result.bytes;
   }
-  Traffic::Get().received.Add(result.bytes);
+  Traffic::Get().received.Add(readBytes);
   if (result.error) {
-    Refuse(aStream, result.error);
+    auto target = parser.is_header_done() ? std::string(parser.get().target())
+                                          : std::string();
+    Refuse(aStream,
+           result.error,
+           { target, readBytes + aBuffer.size(), result.error.message() });
     return false;
   }
   auto message = parser.release();
@@ -312,6 +341,13 @@
   }
   writer.EndWatch();
   if (!writer.IsComplete()) {
+    auto end = writer.IsPeerDisconnected() && !writer.HasTimedOut()
+                 ? ConnectionEnd::PeerClosed
+                 : ConnectionEnd::ResponseUnfinished;
+    RecordEnd(end,
+              { aRequest.target,
+                aRequest.body.size(),
+                writer.HasTimedOut() ? "the caller does not read" : "" });
     aStream.close();
     return false;
   }
@@ -338,14 +374,15 @@
 }
 
 void
-HttpServer::Impl::Refuse(Stream& aStream, beast::error_code aError)
+HttpServer::Impl::Refuse(Stream& aStream,
+                         beast::error_code aError,
+                         const EndedRequest& aRequest)
 {
   constexpr int kTimeoutStatus = 408;
   constexpr int kHeaderTooLargeStatus = 431;
-  static auto& sBroken =
-    telemetry::Metrics::Get().GetCounter("http_broken_requests_total");
   utils::Error error;
   std::optional<int> status;
+  auto end = ConnectionEnd::RequestRefused;
   if (aError == http::error::body_limit) {
     error.Set(utils::ErrorKind::TooLarge, aError.message());
   } else if (aError == http::error::header_limit) {
@@ -355,18 +392,22 @@
     error.Set(utils::ErrorKind::BadRequest,
               "the request did not arrive in time");
     status = kTimeoutStatus;
+    end = ConnectionEnd::RequestLate;
   } else if (aError.category() ==
                http::make_error_code(http::error::bad_method).category() &&
              aError != http::error::end_of_stream &&
              aError != http::error::partial_message) {
     error.Set(utils::ErrorKind::BadRequest, aError.message());
   } else {
+    RecordEnd(ConnectionEnd::PeerClosed, aRequest);
     return;
   }
-  sBroken.Add();
+  RecordEnd(end, aRequest);
   auto response = MakeErrorResponse(error);
   response.status = status.value_or(response.status);
-  StreamWriter(aStream, options.writeTimeout, false).Send(response);
+  if (!StreamWriter(aStream, options.writeTimeout, false).Send(response)) {
+    RecordEnd(ConnectionEnd::RefusalUnwritten, aRequest);
+  }
 }
 
 HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -18,6 +18,7 @@
   auto result = Await(std::move(aOperation));
   Traffic::Get().sent.Add(result.bytes);
   broken_ = static_cast<bool>(result.error);
+  timedOut_ = result.error == beast::error::timeout;
   return !broken_;
 }
 
--- a/libs/net/src/StreamWriter.h
+++ b/libs/net/src/StreamWriter.h
@@ -41,6 +41,9 @@
    * next read. */
   void EndWatch();
 
+  /** Whether a write waited too long for a caller that does not read. */
+  bool HasTimedOut() const { return timedOut_; }
+
   /** Whether the response was sent completely. */
   bool IsComplete() const { return finished_ && !broken_; }
 
@@ -63,6 +66,7 @@
   bool started_ = false;
   bool finished_ = false;
   bool broken_ = false;
+  bool timedOut_ = false;
 };
 
 } // namespace waxwingyoke::net
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -5,14 +5,14 @@
 #include <string>
 #include <vector>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <net/HttpClient.h>
 #include <net/HttpServer.h>
 #include <net/Router.h>
 
+#include "RawCaller.h"
+
 using namespace waxwingyoke;
 using namespace waxwingyoke::net;
 
@@ -65,54 +65,6 @@
   return request;
 }
 
-/** A caller's connection whose bytes the test controls. */
-class RawCaller
-{
-public:
-  explicit RawCaller(const Endpoint& aPeer)
-    : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-  {
-    sockaddr_in native{};
-    native.sin_family = AF_INET;
-    native.sin_port = htons(aPeer.port);
-    inet_pton(AF_INET, aPeer.address.c_str(), &native.sin_addr);
-    REQUIRE(::connect(socket_,
-                      reinterpret_cast<const sockaddr*>(&native),
-                      sizeof(native)) == 0);
-  }
-  ~RawCaller() { ::close(socket_); }
-  RawCaller(const RawCaller&) = delete;
-  RawCaller& operator=(const RawCaller&) = delete;
-
-  void Send(const std::string& aBytes)
-  {
-    ::send(socket_, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
-  }
-
-  /** All bytes until the server closes, for two seconds at most. */
-  std::string ReadToEnd()
-  {
-    std::string received;
-    utils::Clock clock;
-    auto end = clock.Now() + utils::Millis(2000);
-    while (clock.Now() < end) {
-      char buffer[4096];
-      auto count = ::recv(socket_, buffer, sizeof(buffer), MSG_DONTWAIT);
-      if (count == 0 || (count < 0 && errno != EAGAIN)) {
-        break;
-      }
-      if (count > 0) {
-        received.append(buffer, static_cast<std::size_t>(count));
-      }
-      Runtime::Sleep(utils::Millis(5));
-    }
-    return received;
-  }
-
-private:
-  int socket_;
-};
-
 } // namespace
 
 // A planned stop under load: callers' connections are accepted by the kernel,
