Net: limits end a caller's read without closing its socket

A request that did not arrive in time got no answer, and a request that arrived as its connection's idle limit ended was lost with the connection: the timer of the stream closes the socket when it fires, so the 408 was written to a closed socket, and bytes that had just arrived were never read.

The server now waits with a timer of its own that only cancels the wait. At the idle limit it looks for input before it closes; at the limit of a header or a body it reads what has arrived by then, and refuses only a request that is still not complete.

Tests on the code before: the refusal was missing for a late header and a late body (four checks of 'is refused with 408' failed), and the request sent between the timer queue's check and the timer's handler got no answer. The case of a stall past a limit passed before too: timers that are due are handled after the sockets' events of the same pass; it stays as a guard.

--- a/libs/net/src/Beast.h
+++ b/libs/net/src/Beast.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <telemetry/Metrics.h>
 
 #include "Await.h"
+#include "AwaitFor.h"
 #include "Beast.h"
 #include "ConnectionEnds.h"
 #include "RuntimeImpl.h"
@@ -21,6 +22,7 @@
 namespace {
 
 using Stream = beast::tcp_stream;
+using Parser = http::request_parser<http::string_body>;
 
 // How long a closing server waits for the first request of a connection that
 // was accepted before.
@@ -35,6 +37,15 @@
   PeerClosed
 };
 
+/** The time in which a request's header, or its body, has to arrive. */
+struct ReadPhase
+{
+  utils::Millis limit;
+  utils::Millis startedAt;
+  /** After the limit: bytes that had arrived by then and are not read yet. */
+  std::optional<std::size_t> overdueBytes;
+};
+
 /** Counts a request as active while it is read and served. */
 class ActiveScope
 {
@@ -91,6 +102,15 @@
   bool ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
                     bool aIsFirst);
+  /** Reads a request into aParser; aReadBytes receives its size so far. */
+  beast::error_code ReadRequest(Stream& aStream,
+                                beast::flat_buffer& aBuffer,
+                                utils::Millis aLimit,
+                                Parser& aParser,
+                                std::size_t& aReadBytes);
+  beast::error_code ReadMore(Stream& aStream,
+                             beast::flat_buffer& aBuffer,
+                             ReadPhase& aPhase);
   /** Runs the handler. An exception is logged and leaves the response as it is.
    */
   void CallHandler(const HttpRequest& aRequest, ResponseWriter& aWriter);
@@ -252,7 +272,7 @@
   return wait == Wait::Arrived;
 }
 
-// Input that arrived as the wait was cancelled counts.
+// Input that arrived as the wait was cancelled or its time ended counts.
 Wait
 HttpServer::Impl::AwaitInput(Stream& aStream,
                              beast::flat_buffer& aBuffer,
@@ -262,22 +282,93 @@
   if (aBuffer.size() > 0) {
     return Wait::Arrived;
   }
-  aStream.expires_after(aTime.ToChrono());
+  auto& socket = aStream.socket();
   Track(aStream);
-  auto result = Await([&](auto aHandler) {
-    aStream.async_read_some(aBuffer.prepare(kFirstReadBytes),
-                            std::move(aHandler));
+  auto result = AwaitFor(socket, aTime, [&](auto aHandler) {
+    socket.async_read_some(aBuffer.prepare(kFirstReadBytes),
+                           std::move(aHandler));
   });
   Untrack(aStream);
   aBuffer.commit(result.bytes);
-  if (!result.error) {
+  bool hasEnded = result.error == beast::error::timeout ||
+                  result.error == asio::error::operation_aborted;
+  if (!result.error || (hasEnded && HasInput(aStream, aBuffer))) {
     return Wait::Arrived;
   }
-  if (result.error == asio::error::operation_aborted) {
-    return HasInput(aStream, aBuffer) ? Wait::Arrived : Wait::Cancelled;
+  if (!hasEnded) {
+    return Wait::PeerClosed;
   }
   return result.error == beast::error::timeout ? Wait::Expired
-                                               : Wait::PeerClosed;
+                                               : Wait::Cancelled;
+}
+
+beast::error_code
+HttpServer::Impl::ReadRequest(Stream& aStream,
+                              beast::flat_buffer& aBuffer,
+                              utils::Millis aLimit,
+                              Parser& aParser,
+                              std::size_t& aReadBytes)
+{
+  utils::Clock clock;
+  ReadPhase phase{ aLimit, clock.Now(), std::nullopt };
+  bool inHeader = true;
+  beast::error_code error;
+  aParser.eager(true);
+  while (!error) {
+    auto used = aParser.put(aBuffer.data(), error);
+    aBuffer.consume(used);
+    aReadBytes += used;
+    if (error == http::error::need_more) {
+      error = {};
+    }
+    if (error || aParser.is_done()) {
+      break;
+    }
+    if (inHeader && aParser.is_header_done()) {
+      inHeader = false;
+      phase = { aLimit, clock.Now(), phase.overdueBytes };
+    }
+    error = ReadMore(aStream, aBuffer, phase);
+  }
+  return error == asio::error::eof ? http::error::partial_message : error;
+}
+
+// After the limit it still reads what has arrived by then, so that a stall of
+// this process refuses no request that its caller has sent in time.
+beast::error_code
+HttpServer::Impl::ReadMore(Stream& aStream,
+                           beast::flat_buffer& aBuffer,
+                           ReadPhase& aPhase)
+{
+  constexpr std::size_t kMaxReadBytes = 64 * 1024;
+  auto& socket = aStream.socket();
+  auto left = aPhase.startedAt + aPhase.limit - utils::Clock().Now();
+  if (!aPhase.overdueBytes && left > utils::Millis(0)) {
+    auto result = AwaitFor(socket, left, [&](auto aHandler) {
+      socket.async_read_some(
+        aBuffer.prepare(beast::read_size(aBuffer, kMaxReadBytes)),
+        std::move(aHandler));
+    });
+    aBuffer.commit(result.bytes);
+    if (result.error != beast::error::timeout) {
+      return result.error;
+    }
+  }
+  beast::error_code error;
+  if (!aPhase.overdueBytes) {
+    aPhase.overdueBytes = socket.available(error);
+  }
+  if (error || *aPhase.overdueBytes == 0) {
+    return error ? error : beast::error::timeout;
+  }
+  auto result = Await([&](auto aHandler) {
+    socket.async_read_some(
+      aBuffer.prepare(std::min(*aPhase.overdueBytes, kMaxReadBytes)),
+      std::move(aHandler));
+  });
+  aBuffer.commit(result.bytes);
+  *aPhase.overdueBytes -= result.bytes;
+  return result.error;
 }
 
 bool
@@ -291,29 +382,17 @@
     return false;
   }
   ActiveScope scope(active);
-  http::request_parser<http::string_body> parser;
+  Parser parser;
   parser.body_limit(limits.bodyBytes);
   parser.header_limit(limits.headerBytes);
-  aStream.expires_after(limits.header.ToChrono());
   std::size_t readBytes = 0;
-  auto result = Await([&](auto aHandler) {
-    http::async_read_header(aStream, aBuffer, parser, std::move(aHandler));
-  });
-  readBytes += result.bytes;
-  if (!result.error && !parser.is_done()) {
-    aStream.expires_after(limits.header.ToChrono());
-    result = Await([&](auto aHandler) {
-      http::async_read(aStream, aBuffer, parser, std::move(aHandler));
-    });
-    readBytes += result.bytes;
-  }
+  auto error = ReadRequest(aStream, aBuffer, limits.header, parser, readBytes);
   Traffic::Get().received.Add(readBytes);
-  if (result.error) {
+  if (error) {
     auto target = parser.is_header_done() ? std::string(parser.get().target())
                                           : std::string();
-    Refuse(aStream,
-           result.error,
-           { target, readBytes + aBuffer.size(), result.error.message() });
+    Refuse(
+      aStream, error, { target, readBytes + aBuffer.size(), error.message() });
     return false;
   }
   auto message = parser.release();
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -1,15 +1,20 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include <unistd.h>
 
 #include <net/HttpServer.h>
 #include <telemetry/Metrics.h>
 
+#include "Beast.h"
 #include "RawCaller.h"
+#include "RuntimeImpl.h"
 
 using namespace waxwingyoke;
 using namespace waxwingyoke::net;
@@ -171,3 +176,69 @@
   RunServer(
     &Echo, [&limits] { return limits; }, test);
 }
+
+// Guards against a caller that sends too slowly and gets no answer at all: the
+// timer closed the socket to which the refusal was then written.
+TEST_CASE("a request that does not arrive in time is refused with 408")
+{
+  auto limits = MakeLimits(Millis(60000), Millis(100));
+  for (const auto& part : { std::string("GET / HT"), kPostHead + "bo" }) {
+    CAPTURE(part);
+    auto test = [&](HttpServer&) {
+      RawCaller caller(MakeEndpoint());
+      caller.Send(part);
+      auto answer = caller.ReadToEnd(kWaitTimeout);
+      CHECK(answer.starts_with("HTTP/1.1 408 "));
+      CHECK(answer.find("Connection: close") != std::string::npos);
+      CHECK_FALSE(caller.IsReset());
+    };
+    RunServer(
+      &Echo, [&limits] { return limits; }, test);
+  }
+}
+
+// Guards against the close of a connection whose request has arrived while the
+// process was not running: its timers are due by then too.
+TEST_CASE("a request that arrived during a stall past a limit is answered")
+{
+  auto limits = MakeLimits(Millis(100), Millis(100));
+  auto test = [&](HttpServer&) {
+    RawCaller idle(MakeEndpoint());
+    RawCaller header(MakeEndpoint());
+    RawCaller body(MakeEndpoint());
+    header.Send("POST / HT");
+    body.Send(kPostHead + "bo");
+    Runtime::Sleep(Millis(30));
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    idle.Send(kPostHead + "body");
+    header.Send("TP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    body.Send("dy");
+    for (auto* caller : { &idle, &header, &body }) {
+      auto answer = caller->ReadToEnd();
+      CHECK(answer.starts_with("HTTP/1.1 200 "));
+      CHECK(answer.ends_with("body"));
+    }
+  };
+  RunServer(
+    &Echo, [&limits] { return limits; }, test);
+}
+
+// Guards against the close of a connection under a request: its bytes arrived
+// just before the idle timer's handler ran, which closed the socket.
+TEST_CASE("a request that arrives as the idle limit ends is answered")
+{
+  constexpr Millis kIdle(200);
+  auto limits = MakeLimits(kIdle, Millis(60000));
+  auto test = [&](HttpServer&) {
+    RawCaller caller(MakeEndpoint());
+    // Timers that are due at once run in their order: the request is sent
+    // between the timer queue's check and the idle timer's handler.
+    asio::steady_timer timer(GetThreadIo(), (kIdle - Millis(50)).ToChrono());
+    timer.async_wait([&caller](auto) { caller.Send(kPostHead + "body"); });
+    Runtime::Sleep(Millis(50));
+    std::this_thread::sleep_for((kIdle * 2).ToChrono());
+    CHECK(caller.ReadToEnd().ends_with("body"));
+  };
+  RunServer(
+    &Echo, [&limits] { return limits; }, test);
+}
