Net: a longer limit holds for connections that already wait

After a configuration that lengthened the idle limit, kept connections were closed by the old one: the limits were taken when a connection's wait began, and also used for the request that ended the wait. Callers use connections that were idle for most of the limit in force, so their requests met the close; and a body that only the new configuration allows was refused 413, a header that only it gives time for was cut off.

The limits of a request are now those in force when its first bytes have arrived, and a time that ends is compared with the limit in force by then. A shorter limit closes no connection under a request: it holds from the next wait on.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -45,7 +45,10 @@
   virtual void SetDisconnectHook(std::function<void()> aHook);
 };
 
-/** Limits on callers and their requests; may change while the server runs. */
+/**
+ * Limits on callers and their requests; may change while the server runs. A
+ * longer time holds for waits that have begun, a shorter one from the next on.
+ */
 struct HttpLimits
 {
   std::size_t bodyBytes = 8 << 20;
@@ -100,7 +103,7 @@
   Endpoint endpoint;
   HttpHandler handler;
   HttpLimits limits;
-  /** If set, called for each request and used in place of `limits`. */
+  /** If set, called for each wait and request and used in place of `limits`. */
   std::function<HttpLimits()> currentLimits;
   std::size_t maxConnections = 20000;
   /** Whether responses ask the caller to close its connection; called for
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -40,6 +40,7 @@
 /** The time in which a request's header, or its body, has to arrive. */
 struct ReadPhase
 {
+  /** At its start; a longer one that is in force later counts instead. */
   utils::Millis limit;
   utils::Millis startedAt;
   /** After the limit: bytes that had arrived by then and are not read yet. */
@@ -89,11 +90,11 @@
 
   bool Bind(utils::Error& aReason);
   void AcceptLoop();
+  HttpLimits GetLimits() const;
   void ServeConnection(Stream& aStream);
   /** Waits for the first bytes of the next request; false if none arrived. */
   bool AwaitRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    const HttpLimits& aLimits,
                     bool aIsFirst);
   Wait AwaitInput(Stream& aStream,
                   beast::flat_buffer& aBuffer,
@@ -252,16 +253,32 @@
   aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
 }
 
+HttpLimits
+HttpServer::Impl::GetLimits() const
+{
+  return options.currentLimits ? options.currentLimits() : options.limits;
+}
+
+// Callers go by the limit in force when they send, so one that was lengthened
+// during the wait counts. A shorter one holds from the next wait on.
 bool
 HttpServer::Impl::AwaitRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               const HttpLimits& aLimits,
                                bool aIsFirst)
 {
+  utils::Clock clock;
+  auto since = clock.Now();
   bool wasClosing = closing;
-  auto closingIdle = std::min(aLimits.idle, kClosingIdle);
-  auto wait =
-    AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : aLimits.idle);
+  auto limit = GetLimits().idle;
+  auto closingIdle = std::min(limit, kClosingIdle);
+  auto wait = AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : limit);
+  while (wait == Wait::Expired && !closing) {
+    auto left = since + GetLimits().idle - clock.Now();
+    if (left <= utils::Millis(0)) {
+      break;
+    }
+    wait = AwaitInput(aStream, aBuffer, left);
+  }
   // The close cancelled the wait. A new caller's request may be on its way.
   if (wait == Wait::Cancelled && aIsFirst && !wasClosing) {
     wait = AwaitInput(aStream, aBuffer, closingIdle);
@@ -342,8 +359,12 @@
 {
   constexpr std::size_t kMaxReadBytes = 64 * 1024;
   auto& socket = aStream.socket();
-  auto left = aPhase.startedAt + aPhase.limit - utils::Clock().Now();
-  if (!aPhase.overdueBytes && left > utils::Millis(0)) {
+  auto getLeft = [this, &aPhase] {
+    auto limit = std::max(aPhase.limit, GetLimits().header);
+    return aPhase.startedAt + limit - utils::Clock().Now();
+  };
+  for (auto left = getLeft(); !aPhase.overdueBytes && left > utils::Millis(0);
+       left = getLeft()) {
     auto result = AwaitFor(socket, left, [&](auto aHandler) {
       socket.async_read_some(
         aBuffer.prepare(beast::read_size(aBuffer, kMaxReadBytes)),
@@ -376,12 +397,11 @@
                                beast::flat_buffer& aBuffer,
                                bool aIsFirst)
 {
-  auto limits =
-    options.currentLimits ? options.currentLimits() : options.limits;
-  if (!AwaitRequest(aStream, aBuffer, limits, aIsFirst)) {
+  if (!AwaitRequest(aStream, aBuffer, aIsFirst)) {
     return false;
   }
   ActiveScope scope(active);
+  auto limits = GetLimits();
   Parser parser;
   parser.body_limit(limits.bodyBytes);
   parser.header_limit(limits.headerBytes);
--- a/libs/net/tests/RawCaller.h
+++ b/libs/net/tests/RawCaller.h
@@ -37,7 +37,7 @@
   /** All bytes until the server closes, for aTime at most. */
   std::string ReadToEnd(utils::Millis aTime = utils::Millis(2000));
 
-  /** The same until aSize bytes are read in all. */
+  /** The same until aSize bytes or more are read in all. */
   std::string ReadBytes(std::size_t aSize, utils::Millis aTime);
 
   /** What has arrived, without waiting; empty at the end of the connection. */
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -242,3 +242,71 @@
   RunServer(
     &Echo, [&limits] { return limits; }, test);
 }
+
+// Guards against a close by a limit that is no longer in force: callers use
+// connections that were idle for most of the present limit.
+TEST_CASE("a longer limit holds for connections that already wait")
+{
+  auto limits = MakeLimits(Millis(150), Millis(150));
+  auto test = [&](HttpServer&) {
+    RawCaller idle(MakeEndpoint());
+    RawCaller header(MakeEndpoint());
+    RawCaller body(MakeEndpoint());
+    header.Send("POST / HT");
+    body.Send(kPostHead + "bo");
+    Runtime::Sleep(Millis(30));
+    limits = MakeLimits(Millis(60000), Millis(60000));
+    Runtime::Sleep(Millis(300));
+    idle.Send(kPostHead + "body");
+    header.Send("TP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    body.Send("dy");
+    for (auto* caller : { &idle, &header, &body }) {
+      CHECK(caller->ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    }
+  };
+  RunServer(
+    &Echo, [&limits] { return limits; }, test);
+}
+
+// Guards against limits from before a connection's wait for its next request:
+// the request is sent under those in force at its start.
+TEST_CASE("a request is read under the limits in force when it begins")
+{
+  auto limits = MakeLimits(Millis(60000), Millis(100));
+  auto test = [&](HttpServer&) {
+    RawCaller slow(MakeEndpoint());
+    RawCaller large(MakeEndpoint());
+    Runtime::Sleep(Millis(30));
+    limits = MakeLimits(Millis(60000), Millis(60000));
+    limits.bodyBytes = 100000;
+    slow.Send("POST / HT");
+    large.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n" +
+               std::string(5000, 'x'));
+    CHECK(large.ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    Runtime::Sleep(Millis(300));
+    slow.Send("TP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    CHECK(slow.ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+  };
+  RunServer(
+    &Echo, [&limits] { return limits; }, test);
+}
+
+TEST_CASE("a shorter limit closes no connection under a request")
+{
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  auto test = [&](HttpServer&) {
+    RawCaller idle(MakeEndpoint());
+    RawCaller header(MakeEndpoint());
+    header.Send("POST / HT");
+    Runtime::Sleep(Millis(30));
+    limits = MakeLimits(Millis(50), Millis(50));
+    Runtime::Sleep(Millis(200));
+    idle.Send(kPostHead + "body");
+    header.Send("TP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
+    for (auto* caller : { &idle, &header }) {
+      CHECK(caller->ReadToEnd().ends_with("body"));
+    }
+  };
+  RunServer(
+    &Echo, [&limits] { return limits; }, test);
+}
