Net: the close of a caller that has sent more is noticed

A caller that had pipelined another request and then closed was never noticed: its bytes ended the watch for the close, and the check for a close looked only at the first unread byte. Upstreams went on working for callers that had left.

The check now asks the kernel whether the peer has closed (POLLRDHUP), also behind unread bytes. Once there is input, the watch waits on an epoll descriptor that reports nothing but the close, so it neither consumes the bytes nor ends again and again.

--- a/libs/net/src/Beast.h
+++ b/libs/net/src/Beast.h
@@ -41,7 +41,10 @@
   return fields;
 }
 
-/** Whether the peer has closed; neither waits nor consumes bytes. */
+/**
+ * Whether the peer has closed at least its sending direction, also if bytes
+ * from before are not read yet. Neither waits nor consumes bytes.
+ */
 bool
 IsClosedByPeer(Tcp::socket& aSocket);
 
--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -1,7 +1,14 @@
 #include "StreamWriter.h"
 
+#include <cerrno>
+#include <optional>
 #include <utility>
 
+#include <poll.h>
+#include <sys/epoll.h>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+
 #include "Await.h"
 #include "Traffic.h"
 
@@ -22,41 +29,104 @@
   return !broken_;
 }
 
+/** Shared with the waits' handlers, which may outlive the writer. */
+struct StreamWriter::Watch : std::enable_shared_from_this<Watch>
+{
+  explicit Watch(Tcp::socket& aSocket)
+    : socket(aSocket)
+  {
+  }
+
+  void Start();
+  void WatchHangup();
+  void HandleEvent(beast::error_code aError);
+  void End();
+
+  Tcp::socket& socket;
+  std::function<void()> hook;
+  /** Watches the socket for its close only; exists once there is input. */
+  std::optional<asio::posix::stream_descriptor> hangup;
+  bool isWaiting = false;
+  bool hasEnded = false;
+};
+
 void
-StreamWriter::SetDisconnectHook(std::function<void()> aHook)
+StreamWriter::Watch::Start()
+{
+  isWaiting = true;
+  socket.async_wait(Tcp::socket::wait_read,
+                    [watch = shared_from_this()](beast::error_code aError) {
+                      watch->HandleEvent(aError);
+                    });
+}
+
+// Any bytes received are the caller's next request. They keep the socket
+// readable, so a wait for input would end at once from then on.
+void
+StreamWriter::Watch::HandleEvent(beast::error_code aError)
+{
+  if (hasEnded) {
+    return;
+  }
+  isWaiting = false;
+  if (aError) {
+    return;
+  }
+  if (!IsClosedByPeer(socket)) {
+    WatchHangup();
+  } else if (hook) {
+    hook();
+  }
+}
+
+void
+StreamWriter::Watch::WatchHangup()
 {
-  if (watch_) {
-    watch_->hook = std::move(aHook);
+  int descriptor = ::epoll_create1(EPOLL_CLOEXEC);
+  epoll_event event{};
+  event.events = EPOLLRDHUP;
+  if (descriptor < 0) {
     return;
   }
-  watch_ = std::make_shared<Watch>();
+  hangup.emplace(socket.get_executor(), descriptor);
+  ::epoll_ctl(descriptor, EPOLL_CTL_ADD, socket.native_handle(), &event);
+  hangup->async_wait(asio::posix::stream_descriptor::wait_read,
+                     [watch = shared_from_this()](beast::error_code aError) {
+                       watch->HandleEvent(aError);
+                     });
+}
+
+void
+StreamWriter::Watch::End()
+{
+  hasEnded = true;
+  hook = nullptr;
+  hangup.reset();
+  if (isWaiting) {
+    beast::error_code ignored;
+    socket.cancel(ignored);
+  }
+}
+
+void
+StreamWriter::SetDisconnectHook(std::function<void()> aHook)
+{
+  bool isNew = !watch_;
+  if (isNew) {
+    watch_ = std::make_shared<Watch>(stream_.socket());
+  }
   watch_->hook = std::move(aHook);
-  auto watch = watch_;
-  auto& socket = stream_.socket();
-  socket.async_wait(Tcp::socket::wait_read,
-                    [watch, &socket](beast::error_code aError) {
-                      if (watch->ended) {
-                        return;
-                      }
-                      watch->fired = true;
-                      // Any bytes received are the caller's next request.
-                      if (!aError && IsClosedByPeer(socket) && watch->hook) {
-                        watch->hook();
-                      }
-                    });
+  if (isNew) {
+    watch_->Start();
+  }
 }
 
 // The wait must end before the connection reads its next request.
 void
 StreamWriter::EndWatch()
 {
-  if (watch_ && !watch_->ended) {
-    watch_->ended = true;
-    watch_->hook = nullptr;
-    if (!watch_->fired) {
-      beast::error_code ignored;
-      stream_.socket().cancel(ignored);
-    }
+  if (watch_ && !watch_->hasEnded) {
+    watch_->End();
   }
 }
 
@@ -141,10 +211,15 @@
 
 } // namespace
 
+// A read would only see the bytes before the close.
 bool
 IsClosedByPeer(Tcp::socket& aSocket)
 {
-  return Peek(aSocket) == InputState::Closed;
+  if (!aSocket.is_open()) {
+    return true;
+  }
+  pollfd row{ aSocket.native_handle(), POLLRDHUP, 0 };
+  return ::poll(&row, 1, 0) > 0;
 }
 
 bool
--- a/libs/net/src/StreamWriter.h
+++ b/libs/net/src/StreamWriter.h
@@ -51,13 +51,7 @@
   template<typename Operation>
   bool RunWrite(Operation aOperation);
 
-  /** Shared with the wait's handler, which may outlive this object. */
-  struct Watch
-  {
-    std::function<void()> hook;
-    bool fired = false;
-    bool ended = false;
-  };
+  struct Watch;
 
   beast::tcp_stream& stream_;
   std::shared_ptr<Watch> watch_;
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -310,3 +310,85 @@
   RunServer(
     &Echo, [&limits] { return limits; }, test);
 }
+
+namespace {
+
+/** A handler that waits for its caller's close and records what it saw. */
+struct CloseWatcher
+{
+  bool started = false;
+  bool hookCalled = false;
+  bool isDisconnected = false;
+  bool isReleased = false;
+
+  // Watches for the caller's close during the first request only.
+  void Handle(ResponseWriter& aWriter)
+  {
+    if (started) {
+      aWriter.Send({});
+      return;
+    }
+    aWriter.SetDisconnectHook([this] { hookCalled = true; });
+    started = true;
+    WaitUntil([this] { return hookCalled || isReleased; });
+    isDisconnected = aWriter.IsPeerDisconnected();
+    aWriter.Send({});
+  }
+};
+
+void
+RunWatcher(CloseWatcher& aWatcher, const std::function<void()>& aTest)
+{
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  RunServer(
+    [&aWatcher](const auto&, auto& aWriter) { aWatcher.Handle(aWriter); },
+    [&limits] { return limits; },
+    [&](HttpServer&) { aTest(); });
+}
+
+} // namespace
+
+// Guards against upstreams that go on working for a caller that pipelined
+// another request and closed: those bytes ended the watch for the close.
+TEST_CASE("the close of a caller that has sent more is noticed")
+{
+  CloseWatcher watcher;
+  RunWatcher(watcher, [&watcher] {
+    auto caller = std::make_unique<RawCaller>(MakeEndpoint());
+    caller->Send(kGet);
+    REQUIRE(WaitUntil([&watcher] { return watcher.started; }));
+    caller->Send(kGet);
+    Runtime::Sleep(Millis(50));
+    // Waiting beside unread input takes no processor time.
+    auto before = std::clock();
+    Runtime::Sleep(Millis(400));
+    CHECK(static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC < 0.2);
+    CHECK_FALSE(watcher.hookCalled);
+    caller.reset();
+    CHECK(WaitUntil([&watcher] { return watcher.hookCalled; }));
+    watcher.isReleased = true;
+    Runtime::Sleep(Millis(50));
+    CHECK(watcher.isDisconnected);
+  });
+}
+
+TEST_CASE("requests that were pipelined are answered in order")
+{
+  CloseWatcher watcher;
+  RunWatcher(watcher, [&watcher] {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(kGet + kGet);
+    REQUIRE(WaitUntil([&watcher] { return watcher.started; }));
+    caller.Send(kGet);
+    Runtime::Sleep(Millis(50));
+    watcher.isReleased = true;
+    auto answers = caller.ReadToEnd(Millis(500));
+    std::size_t count = 0;
+    for (auto at = answers.find("HTTP/1.1 200 "); at != std::string::npos;
+         at = answers.find("HTTP/1.1 200 ", at + 1)) {
+      ++count;
+    }
+    CHECK(count == 3);
+    CHECK_FALSE(watcher.hookCalled);
+  });
+}
