Net: an interrupted look at a kept connection doesn't count as its close

The look for unread bytes took EINTR for the end of the connection, so that an idle connection to an upstream would have been given up. It is repeated now, and the three states that nothing else used any more are gone.

Found by reading. There is no test: a recv that doesn't wait is not interrupted on the kernels that we run on, so none could be made to fail.

--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -187,30 +187,6 @@
   });
 }
 
-namespace {
-
-/** The state of a socket's input. */
-enum class InputState
-{
-  None,
-  Bytes,
-  Closed
-};
-
-InputState
-Peek(Tcp::socket& aSocket)
-{
-  char byte = 0;
-  auto got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got > 0) {
-    return InputState::Bytes;
-  }
-  bool empty = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return empty ? InputState::None : InputState::Closed;
-}
-
-} // namespace
-
 // A read would only see the bytes before the close.
 bool
 IsClosedByPeer(Tcp::socket& aSocket)
@@ -225,7 +201,12 @@
 bool
 IsIdle(Tcp::socket& aSocket)
 {
-  return Peek(aSocket) == InputState::None;
+  char byte = 0;
+  ssize_t got = -1;
+  do {
+    got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  } while (got < 0 && errno == EINTR);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace waxwingyoke::net
