Net: a response promises to keep its connection by the state at its start

A request that ran while its server began to close got a response that kept the connection, which was then closed at once: whether to keep it was decided before the handler ran. A caller that goes by the response sends its next request to a closed connection. It is now decided when the response's head is written.

Test on the code before: the response that started after the close had no Connection: close.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -429,9 +429,11 @@
                              const HttpRequest& aRequest,
                              bool aKeep)
 {
-  bool leaving = closing || (options.isLeaving && options.isLeaving());
-  bool keep = aKeep && !leaving;
-  StreamWriter writer(aStream, options.writeTimeout, keep);
+  // The server may begin to leave while the handler runs.
+  auto mayKeep = [this, aKeep] {
+    return aKeep && !closing && !(options.isLeaving && options.isLeaving());
+  };
+  StreamWriter writer(aStream, options.writeTimeout, mayKeep);
   CallHandler(aRequest, writer);
   if (!writer.IsStarted()) {
     utils::Error error;
@@ -450,7 +452,7 @@
     aStream.close();
     return false;
   }
-  return keep;
+  return writer.KeepsConnection();
 }
 
 // An exception that left the fiber would end the process and with it the other
@@ -504,7 +506,8 @@
   RecordEnd(end, aRequest);
   auto response = MakeErrorResponse(error);
   response.status = status.value_or(response.status);
-  if (!StreamWriter(aStream, options.writeTimeout, false).Send(response)) {
+  StreamWriter writer(aStream, options.writeTimeout, [] { return false; });
+  if (!writer.Send(response)) {
     RecordEnd(ConnectionEnd::RefusalUnwritten, aRequest);
   }
 }
--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -139,6 +139,7 @@
   message.version(11);
   message.result(static_cast<unsigned>(aResponse.status));
   CopyFields(aResponse.fields, message);
+  keepAlive_ = mayKeep_();
   message.keep_alive(keepAlive_);
   message.body() = aResponse.body;
   message.prepare_payload();
@@ -155,6 +156,7 @@
   message.version(11);
   message.result(static_cast<unsigned>(aStatus));
   CopyFields(aFields, message);
+  keepAlive_ = mayKeep_();
   message.keep_alive(keepAlive_);
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
--- a/libs/net/src/StreamWriter.h
+++ b/libs/net/src/StreamWriter.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include <net/HttpServer.h>
 
@@ -17,12 +18,13 @@
 class StreamWriter : public ResponseWriter
 {
 public:
+  /** aMayKeep is asked once, when the response's head is written. */
   StreamWriter(beast::tcp_stream& aStream,
                utils::Millis aTimeout,
-               bool aKeepAlive)
+               std::function<bool()> aMayKeep)
     : stream_(aStream)
     , timeout_(aTimeout)
-    , keepAlive_(aKeepAlive)
+    , mayKeep_(std::move(aMayKeep))
   {
   }
 
@@ -41,6 +43,9 @@
    * next read. */
   void EndWatch();
 
+  /** Whether the response promised to keep the connection. */
+  bool KeepsConnection() const { return keepAlive_; }
+
   /** Whether a write waited too long for a caller that does not read. */
   bool HasTimedOut() const { return timedOut_; }
 
@@ -56,7 +61,8 @@
   beast::tcp_stream& stream_;
   std::shared_ptr<Watch> watch_;
   utils::Millis timeout_;
-  bool keepAlive_;
+  std::function<bool()> mayKeep_;
+  bool keepAlive_ = false;
   bool started_ = false;
   bool finished_ = false;
   bool broken_ = false;
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -392,3 +392,24 @@
     CHECK_FALSE(watcher.hookCalled);
   });
 }
+
+// Guards against a response that promises to keep a connection which the
+// stopping server then closes: the caller's next request would be lost on it.
+TEST_CASE("a response that starts after the server's close ends the connection")
+{
+  CloseWatcher watcher;
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  auto test = [&](HttpServer& aServer) {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(kGet);
+    REQUIRE(WaitUntil([&watcher] { return watcher.started; }));
+    aServer.Close();
+    watcher.isReleased = true;
+    auto answer = caller.ReadToEnd(kWaitTimeout);
+    CHECK(answer.starts_with("HTTP/1.1 200 "));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+  };
+  RunServer([&watcher](const auto&, auto& aWriter) { watcher.Handle(aWriter); },
+            [&limits] { return limits; },
+            test);
+}
