Net: the close of a connection destroys no answer or refusal

An answer that its caller had not received yet was lost if the caller had sent more: a close with unread input makes the kernel reset the connection and discard what is still to be sent. The same befell the refusal of a request whose body was still being sent (413, 431, 408, 400).

A connection that ends with unread input now stays open until the caller's kernel has acknowledged the response, as long as it makes progress; the input itself stays unread, because a request that was read and not answered may not be sent again. After a refusal the input is read and discarded up to the caller's end, 2 s or 32 MB. Both count as active, as a process that ends closes at once.

Reading to the caller's end after each response was ruled out: it would consume whole requests that nobody answers. Waiting after each response, with no input to destroy it, was tried and dropped: 'requests that arrive around a close are answered' failed, as the active count stayed above 0 until the last acknowledgement. Input that arrives after the close can still reset the connection.

'callers that never read or close' bounds the new waits.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -87,8 +87,9 @@
   void Close();
 
   /**
-   * The number of requests that are being read or served, and of connections
-   * whose first request is awaited.
+   * The number of requests that are being read or served, of connections
+   * whose first request is awaited, and of those that end and whose caller has
+   * not received the response yet.
    */
   std::size_t GetActiveCount() const;
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -6,6 +6,9 @@
 #include <set>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <telemetry/Logger.h>
 #include <telemetry/Metrics.h>
 
@@ -37,6 +40,15 @@
   PeerClosed
 };
 
+/** How a connection goes on after a request. */
+enum class Next
+{
+  Request,
+  Close,
+  /** Close after a refusal, to which the caller may still be sending. */
+  DiscardAndClose
+};
+
 /** The time in which a request's header, or its body, has to arrive. */
 struct ReadPhase
 {
@@ -71,6 +83,55 @@
   return aBuffer.size() > 0 || aStream.socket().available(ignored) > 0;
 }
 
+/** Bytes that the caller's kernel has not acknowledged. */
+int
+CountUnacknowledged(Tcp::socket& aSocket)
+{
+  int bytes = 0;
+  bool known = ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known ? bytes : 0;
+}
+
+// A close with unread input makes the kernel reset the connection and discard
+// what the caller has not received. The input itself stays unread: a request
+// that was read and not answered may not be sent again.
+void
+AwaitAcknowledgement(Tcp::socket& aSocket, utils::Millis aTime)
+{
+  constexpr utils::Millis kProgressTimeout(2000);
+  constexpr utils::Millis kPollInterval(10);
+  utils::Clock clock;
+  auto end = clock.Now() + aTime;
+  auto progressAt = clock.Now();
+  auto left = CountUnacknowledged(aSocket);
+  while (left > 0 && clock.Now() < end &&
+         clock.Now() < progressAt + kProgressTimeout) {
+    Runtime::Sleep(kPollInterval);
+    auto before = std::exchange(left, CountUnacknowledged(aSocket));
+    progressAt = left < before ? clock.Now() : progressAt;
+  }
+}
+
+// A caller that is still sending reads the refusal afterwards.
+void
+DiscardInput(Tcp::socket& aSocket)
+{
+  constexpr utils::Millis kDiscardTime(2000);
+  constexpr std::size_t kPartBytes = 16 * 1024;
+  constexpr std::size_t kDiscardBytes = 32 << 20;
+  utils::Clock clock;
+  auto end = clock.Now() + kDiscardTime;
+  std::string part(kPartBytes, '\0');
+  IoResult result;
+  for (std::size_t bytes = 0;
+       !result.error && bytes < kDiscardBytes && clock.Now() < end;
+       bytes += result.bytes) {
+    result = AwaitFor(aSocket, end - clock.Now(), [&](auto aHandler) {
+      aSocket.async_read_some(asio::buffer(part), std::move(aHandler));
+    });
+  }
+}
+
 } // namespace
 
 void
@@ -99,8 +160,7 @@
   Wait AwaitInput(Stream& aStream,
                   beast::flat_buffer& aBuffer,
                   utils::Millis aTime);
-  /** Serves one request; false if the connection has to be closed after it. */
-  bool ServeRequest(Stream& aStream,
+  Next ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
                     bool aIsFirst);
   /** Reads a request into aParser; aReadBytes receives its size so far. */
@@ -119,8 +179,9 @@
   void AcceptPending();
   /** Serves an accepted connection on a fiber of its own. */
   void Serve(std::shared_ptr<Tcp::socket> aSocket, asio::io_context& aIo);
-  /** Runs the handler; false if the connection has to be closed after it. */
-  bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
+  /** Closes so that the caller receives what was sent to it. */
+  void CloseGracefully(Stream& aStream, Next aNext);
+  Next RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
   /** Responds to a request that could not be read, where a response helps. */
   void Refuse(Stream& aStream,
               beast::error_code aError,
@@ -244,13 +305,30 @@
   beast::flat_buffer buffer;
   // A caller whose connection was accepted just before the close may have sent
   // its request, so the first one is served in any case.
-  bool open = ServeRequest(aStream, buffer, true);
+  auto next = ServeRequest(aStream, buffer, true);
   --active;
-  while (open && (!closing || HasInput(aStream, buffer))) {
-    open = ServeRequest(aStream, buffer, false);
+  while (next == Next::Request && (!closing || HasInput(aStream, buffer))) {
+    next = ServeRequest(aStream, buffer, false);
   }
+  CloseGracefully(aStream, next);
+}
+
+void
+HttpServer::Impl::CloseGracefully(Stream& aStream, Next aNext)
+{
+  auto& socket = aStream.socket();
+  if (!socket.is_open()) {
+    return;
+  }
+  // A process that ends closes the connection at once.
+  ActiveScope scope(active);
   beast::error_code ignored;
-  aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (aNext == Next::DiscardAndClose) {
+    DiscardInput(socket);
+  } else if (socket.available(ignored) > 0) {
+    AwaitAcknowledgement(socket, options.writeTimeout);
+  }
 }
 
 HttpLimits
@@ -392,13 +470,13 @@
   return result.error;
 }
 
-bool
+Next
 HttpServer::Impl::ServeRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
                                bool aIsFirst)
 {
   if (!AwaitRequest(aStream, aBuffer, aIsFirst)) {
-    return false;
+    return Next::Close;
   }
   ActiveScope scope(active);
   auto limits = GetLimits();
@@ -413,7 +491,7 @@
                                           : std::string();
     Refuse(
       aStream, error, { target, readBytes + aBuffer.size(), error.message() });
-    return false;
+    return Next::DiscardAndClose;
   }
   auto message = parser.release();
   HttpRequest request;
@@ -424,7 +502,7 @@
   return RunHandler(aStream, request, message.keep_alive());
 }
 
-bool
+Next
 HttpServer::Impl::RunHandler(Stream& aStream,
                              const HttpRequest& aRequest,
                              bool aKeep)
@@ -450,9 +528,9 @@
                 aRequest.body.size(),
                 writer.HasTimedOut() ? "the caller does not read" : "" });
     aStream.close();
-    return false;
+    return Next::Close;
   }
-  return writer.KeepsConnection();
+  return writer.KeepsConnection() ? Next::Request : Next::Close;
 }
 
 // An exception that left the fiber would end the process and with it the other
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -413,3 +413,68 @@
             [&limits] { return limits; },
             test);
 }
+
+// Guards against answers that a reset destroys: a close with unread input
+// makes the kernel discard what the caller has not received yet.
+TEST_CASE("an answer reaches a slow reader that has sent another request")
+{
+  constexpr std::size_t kAnswerBytes = 100 * 1024;
+  constexpr int kReceiveBytes = 4096;
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  bool answered = false;
+  auto handler = [&](const HttpRequest&, ResponseWriter& aWriter) {
+    Runtime::Sleep(Millis(50));
+    answered = aWriter.Send(
+      MakeJsonResponse(200, std::string(kAnswerBytes, 'x') + "end"));
+  };
+  auto test = [&](HttpServer& aServer) {
+    RawCaller caller(MakeEndpoint(), kReceiveBytes);
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" +
+                kGet);
+    Runtime::Sleep(Millis(20));
+    caller.Send(kGet);
+    CHECK(WaitUntil([&answered] { return answered; }));
+    Runtime::Sleep(Millis(300));
+    CHECK(aServer.GetActiveCount() > 0);
+    CHECK(caller.ReadToEnd(kWaitTimeout).ends_with("end"));
+    CHECK(WaitUntil([&aServer] { return aServer.GetActiveCount() == 0; }));
+  };
+  RunServer(
+    handler, [&limits] { return limits; }, test);
+}
+
+TEST_CASE("a refusal reaches a caller that is still sending its body")
+{
+  constexpr std::size_t kBodyBytes = 1 << 20;
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  auto test = [&](HttpServer&) {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n");
+    for (std::size_t sent = 0; sent < kBodyBytes; sent += 64 * 1024) {
+      Runtime::Sleep(Millis(10));
+      CHECK(caller.Send(std::string(64 * 1024, 'x')));
+    }
+    CHECK(caller.ReadToEnd(kWaitTimeout).starts_with("HTTP/1.1 413 "));
+    CHECK_FALSE(caller.IsReset());
+  };
+  RunServer(
+    &Echo, [&limits] { return limits; }, test);
+}
+
+TEST_CASE("callers that never read or close do not hold the server for long")
+{
+  auto limits = MakeLimits(Millis(60000), Millis(100));
+  auto test = [&](HttpServer& aServer) {
+    RawCaller refused(MakeEndpoint());
+    refused.Send("GET / HT");
+    RawCaller deaf(MakeEndpoint(), 4096);
+    deaf.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + kGet);
+    CHECK(WaitUntil([&aServer] { return aServer.GetActiveCount() == 0; }));
+  };
+  auto handler = [](const HttpRequest&, ResponseWriter& aWriter) {
+    aWriter.Send(MakeJsonResponse(200, std::string(100 * 1024, 'x')));
+  };
+  RunServer(
+    handler, [&limits] { return limits; }, test);
+}
