Net: a caller that closes its sending direction counts as gone, stated and tested

No change of behaviour: a half-close can't be told from a close, and upstreams must stop working for callers that have left.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -31,7 +31,11 @@
   virtual bool Write(std::string_view aPart) = 0;
   virtual bool Finish() = 0;
 
-  /** Whether the caller has closed its connection. */
+  /**
+   * Whether the caller has closed its connection. One that has closed only its
+   * sending direction counts as closed too: the two can't be told apart, and
+   * upstreams must stop working for callers that have left.
+   */
   virtual bool IsPeerDisconnected() = 0;
 
   /** Whether Send or Start was called. */
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -393,6 +393,22 @@
   });
 }
 
+// Guards against upstreams that go on working for callers that have left: a
+// half-close cannot be told from a close.
+TEST_CASE("a caller that closes its sending direction counts as gone")
+{
+  CloseWatcher watcher;
+  RunWatcher(watcher, [&watcher] {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(kGet);
+    REQUIRE(WaitUntil([&watcher] { return watcher.started; }));
+    caller.HalfClose();
+    CHECK(WaitUntil([&watcher] { return watcher.hookCalled; }));
+    Runtime::Sleep(Millis(50));
+    CHECK(watcher.isDisconnected);
+  });
+}
+
 // Guards against a response that promises to keep a connection which the
 // stopping server then closes: the caller's next request would be lost on it.
 TEST_CASE("a response that starts after the server's close ends the connection")
