--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -31,7 +31,11 @@
   virtual bool Write(std::string_view aPart) = 0;
   virtual bool Finish() = 0;
 
-  /** Whether the caller has closed its connection. */
+  /**
+   * Whether the caller has closed its connection. One that has closed only its
+   * sending direction counts as closed too: the two can't be told apart, and
+   * upstreams must stop working for callers that have left.
+   */
   virtual bool IsPeerDisconnected() = 0;
 
   /** Whether Send or Start was called. */
@@ -45,7 +49,10 @@
   virtual void SetDisconnectHook(std::function<void()> aHook);
 };
 
-/** Limits on callers and their requests; may change while the server runs. */
+/**
+ * Limits on callers and their requests; may change while the server runs. A
+ * longer time holds for waits that have begun, a shorter one from the next on.
+ */
 struct HttpLimits
 {
   std::size_t bodyBytes = 8 << 20;
@@ -84,8 +91,9 @@
   void Close();
 
   /**
-   * The number of requests that are being read or served, and of connections
-   * whose first request is awaited.
+   * The number of requests that are being read or served, of connections
+   * whose first request is awaited, and of those that end and whose caller has
+   * not received the response yet.
    */
   std::size_t GetActiveCount() const;
 
@@ -100,7 +108,7 @@
   Endpoint endpoint;
   HttpHandler handler;
   HttpLimits limits;
-  /** If set, called for each request and used in place of `limits`. */
+  /** If set, called for each wait and request and used in place of `limits`. */
   std::function<HttpLimits()> currentLimits;
   std::size_t maxConnections = 20000;
   /** Whether responses ask the caller to close its connection; called for
--- a/libs/net/src/Beast.h
+++ b/libs/net/src/Beast.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
@@ -40,7 +41,10 @@
   return fields;
 }
 
-/** Whether the peer has closed; neither waits nor consumes bytes. */
+/**
+ * Whether the peer has closed at least its sending direction, also if bytes
+ * from before are not read yet. Neither waits nor consumes bytes.
+ */
 bool
 IsClosedByPeer(Tcp::socket& aSocket);
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -6,11 +6,16 @@
 #include <set>
 #include <utility>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <telemetry/Logger.h>
 #include <telemetry/Metrics.h>
 
 #include "Await.h"
+#include "AwaitFor.h"
 #include "Beast.h"
+#include "ConnectionEnds.h"
 #include "RuntimeImpl.h"
 #include "StreamWriter.h"
 #include "Traffic.h"
@@ -20,11 +25,40 @@
 namespace {
 
 using Stream = beast::tcp_stream;
+using Parser = http::request_parser<http::string_body>;
 
 // How long a closing server waits for the first request of a connection that
 // was accepted before.
 constexpr utils::Millis kClosingIdle(1000);
 
+/** The end of a wait for a caller's next request. */
+enum class Wait
+{
+  Arrived,
+  Expired,
+  Cancelled,
+  PeerClosed
+};
+
+/** How a connection goes on after a request. */
+enum class Next
+{
+  Request,
+  Close,
+  /** Close after a refusal, to which the caller may still be sending. */
+  DiscardAndClose
+};
+
+/** The time in which a request's header, or its body, has to arrive. */
+struct ReadPhase
+{
+  /** At its start; a longer one that is in force later counts instead. */
+  utils::Millis limit;
+  utils::Millis startedAt;
+  /** After the limit: bytes that had arrived by then and are not read yet. */
+  std::optional<std::size_t> overdueBytes;
+};
+
 /** Counts a request as active while it is read and served. */
 class ActiveScope
 {
@@ -49,6 +83,55 @@
   return aBuffer.size() > 0 || aStream.socket().available(ignored) > 0;
 }
 
+/** Bytes that the caller's kernel has not acknowledged. */
+int
+CountUnacknowledged(Tcp::socket& aSocket)
+{
+  int bytes = 0;
+  bool known = ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known ? bytes : 0;
+}
+
+// A close with unread input makes the kernel reset the connection and discard
+// what the caller has not received. The input itself stays unread: a request
+// that was read and not answered may not be sent again.
+void
+AwaitAcknowledgement(Tcp::socket& aSocket, utils::Millis aTime)
+{
+  constexpr utils::Millis kProgressTimeout(2000);
+  constexpr utils::Millis kPollInterval(10);
+  utils::Clock clock;
+  auto end = clock.Now() + aTime;
+  auto progressAt = clock.Now();
+  auto left = CountUnacknowledged(aSocket);
+  while (left > 0 && clock.Now() < end &&
+         clock.Now() < progressAt + kProgressTimeout) {
+    Runtime::Sleep(kPollInterval);
+    auto before = std::exchange(left, CountUnacknowledged(aSocket));
+    progressAt = left < before ? clock.Now() : progressAt;
+  }
+}
+
+// A caller that is still sending reads the refusal afterwards.
+void
+DiscardInput(Tcp::socket& aSocket)
+{
+  constexpr utils::Millis kDiscardTime(2000);
+  constexpr std::size_t kPartBytes = 16 * 1024;
+  constexpr std::size_t kDiscardBytes = 32 << 20;
+  utils::Clock clock;
+  auto end = clock.Now() + kDiscardTime;
+  std::string part(kPartBytes, '\0');
+  IoResult result;
+  for (std::size_t bytes = 0;
+       !result.error && bytes < kDiscardBytes && clock.Now() < end;
+       bytes += result.bytes) {
+    result = AwaitFor(aSocket, end - clock.Now(), [&](auto aHandler) {
+      aSocket.async_read_some(asio::buffer(part), std::move(aHandler));
+    });
+  }
+}
+
 } // namespace
 
 void
@@ -68,19 +151,27 @@
 
   bool Bind(utils::Error& aReason);
   void AcceptLoop();
+  HttpLimits GetLimits() const;
   void ServeConnection(Stream& aStream);
   /** Waits for the first bytes of the next request; false if none arrived. */
   bool AwaitRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    const HttpLimits& aLimits,
                     bool aIsFirst);
-  bool AwaitInput(Stream& aStream,
+  Wait AwaitInput(Stream& aStream,
                   beast::flat_buffer& aBuffer,
                   utils::Millis aTime);
-  /** Serves one request; false if the connection has to be closed after it. */
-  bool ServeRequest(Stream& aStream,
+  Next ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
                     bool aIsFirst);
+  /** Reads a request into aParser; aReadBytes receives its size so far. */
+  beast::error_code ReadRequest(Stream& aStream,
+                                beast::flat_buffer& aBuffer,
+                                utils::Millis aLimit,
+                                Parser& aParser,
+                                std::size_t& aReadBytes);
+  beast::error_code ReadMore(Stream& aStream,
+                             beast::flat_buffer& aBuffer,
+                             ReadPhase& aPhase);
   /** Runs the handler. An exception is logged and leaves the response as it is.
    */
   void CallHandler(const HttpRequest& aRequest, ResponseWriter& aWriter);
@@ -88,10 +179,13 @@
   void AcceptPending();
   /** Serves an accepted connection on a fiber of its own. */
   void Serve(std::shared_ptr<Tcp::socket> aSocket, asio::io_context& aIo);
-  /** Runs the handler; false if the connection has to be closed after it. */
-  bool RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
+  /** Closes so that the caller receives what was sent to it. */
+  void CloseGracefully(Stream& aStream, Next aNext);
+  Next RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
   /** Responds to a request that could not be read, where a response helps. */
-  void Refuse(Stream& aStream, beast::error_code aError);
+  void Refuse(Stream& aStream,
+              beast::error_code aError,
+              const EndedRequest& aRequest);
   void Track(Stream& aStream);
   void Untrack(Stream& aStream);
 
@@ -211,81 +305,193 @@
   beast::flat_buffer buffer;
   // A caller whose connection was accepted just before the close may have sent
   // its request, so the first one is served in any case.
-  bool open = ServeRequest(aStream, buffer, true);
+  auto next = ServeRequest(aStream, buffer, true);
   --active;
-  while (open && (!closing || HasInput(aStream, buffer))) {
-    open = ServeRequest(aStream, buffer, false);
+  while (next == Next::Request && (!closing || HasInput(aStream, buffer))) {
+    next = ServeRequest(aStream, buffer, false);
   }
+  CloseGracefully(aStream, next);
+}
+
+void
+HttpServer::Impl::CloseGracefully(Stream& aStream, Next aNext)
+{
+  auto& socket = aStream.socket();
+  if (!socket.is_open()) {
+    return;
+  }
+  // A process that ends closes the connection at once.
+  ActiveScope scope(active);
   beast::error_code ignored;
-  aStream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (aNext == Next::DiscardAndClose) {
+    DiscardInput(socket);
+  } else if (socket.available(ignored) > 0) {
+    AwaitAcknowledgement(socket, options.writeTimeout);
+  }
 }
 
+HttpLimits
+HttpServer::Impl::GetLimits() const
+{
+  return options.currentLimits ? options.currentLimits() : options.limits;
+}
+
+// Callers go by the limit in force when they send, so one that was lengthened
+// during the wait counts. A shorter one holds from the next wait on.
 bool
 HttpServer::Impl::AwaitRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               const HttpLimits& aLimits,
                                bool aIsFirst)
 {
+  utils::Clock clock;
+  auto since = clock.Now();
   bool wasClosing = closing;
-  auto closingIdle = std::min(aLimits.idle, kClosingIdle);
-  if (AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : aLimits.idle)) {
-    return true;
+  auto limit = GetLimits().idle;
+  auto closingIdle = std::min(limit, kClosingIdle);
+  auto wait = AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : limit);
+  while (wait == Wait::Expired && !closing) {
+    auto left = since + GetLimits().idle - clock.Now();
+    if (left <= utils::Millis(0)) {
+      break;
+    }
+    wait = AwaitInput(aStream, aBuffer, left);
   }
   // The close cancelled the wait. A new caller's request may be on its way.
-  bool mayArrive = aIsFirst && closing && !wasClosing;
-  return mayArrive && AwaitInput(aStream, aBuffer, closingIdle);
+  if (wait == Wait::Cancelled && aIsFirst && !wasClosing) {
+    wait = AwaitInput(aStream, aBuffer, closingIdle);
+  }
+  if (wait == Wait::Expired || wait == Wait::Cancelled) {
+    RecordEnd(closing ? ConnectionEnd::Shutdown : ConnectionEnd::IdleLimit, {});
+  }
+  return wait == Wait::Arrived;
 }
 
-// True if there is input, also if the wait was cancelled at that moment.
-bool
+// Input that arrived as the wait was cancelled or its time ended counts.
+Wait
 HttpServer::Impl::AwaitInput(Stream& aStream,
                              beast::flat_buffer& aBuffer,
                              utils::Millis aTime)
 {
   constexpr std::size_t kFirstReadBytes = 4096;
   if (aBuffer.size() > 0) {
-    return true;
+    return Wait::Arrived;
   }
-  aStream.expires_after(aTime.ToChrono());
+  auto& socket = aStream.socket();
   Track(aStream);
-  auto result = Await([&](auto aHandler) {
-    aStream.async_read_some(aBuffer.prepare(kFirstReadBytes),
-                            std::move(aHandler));
+  auto result = AwaitFor(socket, aTime, [&](auto aHandler) {
+    socket.async_read_some(aBuffer.prepare(kFirstReadBytes),
+                           std::move(aHandler));
   });
   Untrack(aStream);
   aBuffer.commit(result.bytes);
-  return !result.error || (result.error == asio::error::operation_aborted &&
-                           HasInput(aStream, aBuffer));
+  bool hasEnded = result.error == beast::error::timeout ||
+                  result.error == asio::error::operation_aborted;
+  if (!result.error || (hasEnded && HasInput(aStream, aBuffer))) {
+    return Wait::Arrived;
+  }
+  if (!hasEnded) {
+    return Wait::PeerClosed;
+  }
+  return result.error == beast::error::timeout ? Wait::Expired
+                                               : Wait::Cancelled;
 }
 
-bool
+beast::error_code
+HttpServer::Impl::ReadRequest(Stream& aStream,
+                              beast::flat_buffer& aBuffer,
+                              utils::Millis aLimit,
+                              Parser& aParser,
+                              std::size_t& aReadBytes)
+{
+  utils::Clock clock;
+  ReadPhase phase{ aLimit, clock.Now(), std::nullopt };
+  bool inHeader = true;
+  beast::error_code error;
+  aParser.eager(true);
+  while (!error) {
+    auto used = aParser.put(aBuffer.data(), error);
+    aBuffer.consume(used);
+    aReadBytes += used;
+    if (error == http::error::need_more) {
+      error = {};
+    }
+    if (error || aParser.is_done()) {
+      break;
+    }
+    if (inHeader && aParser.is_header_done()) {
+      inHeader = false;
+      phase = { aLimit, clock.Now(), phase.overdueBytes };
+    }
+    error = ReadMore(aStream, aBuffer, phase);
+  }
+  return error == asio::error::eof ? http::error::partial_message : error;
+}
+
+// After the limit it still reads what has arrived by then, so that a stall of
+// this process refuses no request that its caller has sent in time.
+beast::error_code
+HttpServer::Impl::ReadMore(Stream& aStream,
+                           beast::flat_buffer& aBuffer,
+                           ReadPhase& aPhase)
+{
+  constexpr std::size_t kMaxReadBytes = 64 * 1024;
+  auto& socket = aStream.socket();
+  auto getLeft = [this, &aPhase] {
+    auto limit = std::max(aPhase.limit, GetLimits().header);
+    return aPhase.startedAt + limit - utils::Clock().Now();
+  };
+  for (auto left = getLeft(); !aPhase.overdueBytes && left > utils::Millis(0);
+       left = getLeft()) {
+    auto result = AwaitFor(socket, left, [&](auto aHandler) {
+      socket.async_read_some(
+        aBuffer.prepare(beast::read_size(aBuffer, kMaxReadBytes)),
+        std::move(aHandler));
+    });
+    aBuffer.commit(result.bytes);
+    if (result.error != beast::error::timeout) {
+      return result.error;
+    }
+  }
+  beast::error_code error;
+  if (!aPhase.overdueBytes) {
+    aPhase.overdueBytes = socket.available(error);
+  }
+  if (error || *aPhase.overdueBytes == 0) {
+    return error ? error : beast::error::timeout;
+  }
+  auto result = Await([&](auto aHandler) {
+    socket.async_read_some(
+      aBuffer.prepare(std::min(*aPhase.overdueBytes, kMaxReadBytes)),
+      std::move(aHandler));
+  });
+  aBuffer.commit(result.bytes);
+  *aPhase.overdueBytes -= result.bytes;
+  return result.error;
+}
+
+Next
 HttpServer::Impl::ServeRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
                                bool aIsFirst)
 {
-  auto limits =
-    options.currentLimits ? options.currentLimits() : options.limits;
-  if (!AwaitRequest(aStream, aBuffer, limits, aIsFirst)) {
-    return false;
+  if (!AwaitRequest(aStream, aBuffer, aIsFirst)) {
+    return Next::Close;
   }
   ActiveScope scope(active);
-  http::request_parser<http::string_body> parser;
+  auto limits = GetLimits();
+  Parser parser;
   parser.body_limit(limits.bodyBytes);
   parser.header_limit(limits.headerBytes);
-  aStream.expires_after(limits.header.ToChrono());
-  auto result = Await([&](auto aHandler) {
-    http::async_read_header(aStream, aBuffer, parser, std::move(aHandler));
-  });
-  if (!result.error && !parser.is_done()) {
-    aStream.expires_after(limits.header.ToChrono());
-    result = Await([&](auto aHandler) {
-      http::async_read(aStream, aBuffer, parser, std::move(aHandler));
-    });
-  }
-  Traffic::Get().received.Add(result.bytes);
-  if (result.error) {
-    Refuse(aStream, result.error);
-    return false;
+  std::size_t readBytes = 0;
+  auto error = ReadRequest(aStream, aBuffer, limits.header, parser, readBytes);
+  Traffic::Get().received.Add(readBytes);
+  if (error) {
+    auto target = parser.is_header_done() ? std::string(parser.get().target())
+                                          : std::string();
+    Refuse(
+      aStream, error, { target, readBytes + aBuffer.size(), error.message() });
+    return Next::DiscardAndClose;
   }
   auto message = parser.release();
   HttpRequest request;
@@ -296,14 +502,16 @@
   return RunHandler(aStream, request, message.keep_alive());
 }
 
-bool
+Next
 HttpServer::Impl::RunHandler(Stream& aStream,
                              const HttpRequest& aRequest,
                              bool aKeep)
 {
-  bool leaving = closing || (options.isLeaving && options.isLeaving());
-  bool keep = aKeep && !leaving;
-  StreamWriter writer(aStream, options.writeTimeout, keep);
+  // The server may begin to leave while the handler runs.
+  auto mayKeep = [this, aKeep] {
+    return aKeep && !closing && !(options.isLeaving && options.isLeaving());
+  };
+  StreamWriter writer(aStream, options.writeTimeout, mayKeep);
   CallHandler(aRequest, writer);
   if (!writer.IsStarted()) {
     utils::Error error;
@@ -312,10 +520,17 @@
   }
   writer.EndWatch();
   if (!writer.IsComplete()) {
+    auto end = writer.IsPeerDisconnected() && !writer.HasTimedOut()
+                 ? ConnectionEnd::PeerClosed
+                 : ConnectionEnd::ResponseUnfinished;
+    RecordEnd(end,
+              { aRequest.target,
+                aRequest.body.size(),
+                writer.HasTimedOut() ? "the caller does not read" : "" });
     aStream.close();
-    return false;
+    return Next::Close;
   }
-  return keep;
+  return writer.KeepsConnection() ? Next::Request : Next::Close;
 }
 
 // An exception that left the fiber would end the process and with it the other
@@ -338,14 +553,15 @@
 }
 
 void
-HttpServer::Impl::Refuse(Stream& aStream, beast::error_code aError)
+HttpServer::Impl::Refuse(Stream& aStream,
+                         beast::error_code aError,
+                         const EndedRequest& aRequest)
 {
   constexpr int kTimeoutStatus = 408;
   constexpr int kHeaderTooLargeStatus = 431;
-  static auto& sBroken =
-    telemetry::Metrics::Get().GetCounter("http_broken_requests_total");
   utils::Error error;
   std::optional<int> status;
+  auto end = ConnectionEnd::RequestRefused;
   if (aError == http::error::body_limit) {
     error.Set(utils::ErrorKind::TooLarge, aError.message());
   } else if (aError == http::error::header_limit) {
@@ -355,18 +571,23 @@
     error.Set(utils::ErrorKind::BadRequest,
               "the request did not arrive in time");
     status = kTimeoutStatus;
+    end = ConnectionEnd::RequestLate;
   } else if (aError.category() ==
                http::make_error_code(http::error::bad_method).category() &&
              aError != http::error::end_of_stream &&
              aError != http::error::partial_message) {
     error.Set(utils::ErrorKind::BadRequest, aError.message());
   } else {
+    RecordEnd(ConnectionEnd::PeerClosed, aRequest);
     return;
   }
-  sBroken.Add();
+  RecordEnd(end, aRequest);
   auto response = MakeErrorResponse(error);
   response.status = status.value_or(response.status);
-  StreamWriter(aStream, options.writeTimeout, false).Send(response);
+  StreamWriter writer(aStream, options.writeTimeout, [] { return false; });
+  if (!writer.Send(response)) {
+    RecordEnd(ConnectionEnd::RefusalUnwritten, aRequest);
+  }
 }
 
 HttpServer::HttpServer(std::shared_ptr<Impl> aImpl)
--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -1,7 +1,14 @@
 #include "StreamWriter.h"
 
+#include <cerrno>
+#include <optional>
 #include <utility>
 
+#include <poll.h>
+#include <sys/epoll.h>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+
 #include "Await.h"
 #include "Traffic.h"
 
@@ -18,44 +25,108 @@
   auto result = Await(std::move(aOperation));
   Traffic::Get().sent.Add(result.bytes);
   broken_ = static_cast<bool>(result.error);
+  timedOut_ = result.error == beast::error::timeout;
   return !broken_;
 }
 
+/** Shared with the waits' handlers, which may outlive the writer. */
+struct StreamWriter::Watch : std::enable_shared_from_this<Watch>
+{
+  explicit Watch(Tcp::socket& aSocket)
+    : socket(aSocket)
+  {
+  }
+
+  void Start();
+  void WatchHangup();
+  void HandleEvent(beast::error_code aError);
+  void End();
+
+  Tcp::socket& socket;
+  std::function<void()> hook;
+  /** Watches the socket for its close only; exists once there is input. */
+  std::optional<asio::posix::stream_descriptor> hangup;
+  bool isWaiting = false;
+  bool hasEnded = false;
+};
+
 void
-StreamWriter::SetDisconnectHook(std::function<void()> aHook)
+StreamWriter::Watch::Start()
 {
-  if (watch_) {
-    watch_->hook = std::move(aHook);
+  isWaiting = true;
+  socket.async_wait(Tcp::socket::wait_read,
+                    [watch = shared_from_this()](beast::error_code aError) {
+                      watch->HandleEvent(aError);
+                    });
+}
+
+// Any bytes received are the caller's next request. They keep the socket
+// readable, so a wait for input would end at once from then on.
+void
+StreamWriter::Watch::HandleEvent(beast::error_code aError)
+{
+  if (hasEnded) {
+    return;
+  }
+  isWaiting = false;
+  if (aError) {
+    return;
+  }
+  if (!IsClosedByPeer(socket)) {
+    WatchHangup();
+  } else if (hook) {
+    hook();
+  }
+}
+
+void
+StreamWriter::Watch::WatchHangup()
+{
+  int descriptor = ::epoll_create1(EPOLL_CLOEXEC);
+  epoll_event event{};
+  event.events = EPOLLRDHUP;
+  if (descriptor < 0) {
     return;
   }
-  watch_ = std::make_shared<Watch>();
+  hangup.emplace(socket.get_executor(), descriptor);
+  ::epoll_ctl(descriptor, EPOLL_CTL_ADD, socket.native_handle(), &event);
+  hangup->async_wait(asio::posix::stream_descriptor::wait_read,
+                     [watch = shared_from_this()](beast::error_code aError) {
+                       watch->HandleEvent(aError);
+                     });
+}
+
+void
+StreamWriter::Watch::End()
+{
+  hasEnded = true;
+  hook = nullptr;
+  hangup.reset();
+  if (isWaiting) {
+    beast::error_code ignored;
+    socket.cancel(ignored);
+  }
+}
+
+void
+StreamWriter::SetDisconnectHook(std::function<void()> aHook)
+{
+  bool isNew = !watch_;
+  if (isNew) {
+    watch_ = std::make_shared<Watch>(stream_.socket());
+  }
   watch_->hook = std::move(aHook);
-  auto watch = watch_;
-  auto& socket = stream_.socket();
-  socket.async_wait(Tcp::socket::wait_read,
-                    [watch, &socket](beast::error_code aError) {
-                      if (watch->ended) {
-                        return;
-                      }
-                      watch->fired = true;
-                      // Any bytes received are the caller's next request.
-                      if (!aError && IsClosedByPeer(socket) && watch->hook) {
-                        watch->hook();
-                      }
-                    });
+  if (isNew) {
+    watch_->Start();
+  }
 }
 
 // The wait must end before the connection reads its next request.
 void
 StreamWriter::EndWatch()
 {
-  if (watch_ && !watch_->ended) {
-    watch_->ended = true;
-    watch_->hook = nullptr;
-    if (!watch_->fired) {
-      beast::error_code ignored;
-      stream_.socket().cancel(ignored);
-    }
+  if (watch_ && !watch_->hasEnded) {
+    watch_->End();
   }
 }
 
@@ -68,6 +139,7 @@
   message.version(11);
   message.result(static_cast<unsigned>(aResponse.status));
   CopyFields(aResponse.fields, message);
+  keepAlive_ = mayKeep_();
   message.keep_alive(keepAlive_);
   message.body() = aResponse.body;
   message.prepare_payload();
@@ -84,6 +156,7 @@
   message.version(11);
   message.result(static_cast<unsigned>(aStatus));
   CopyFields(aFields, message);
+  keepAlive_ = mayKeep_();
   message.keep_alive(keepAlive_);
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
@@ -116,40 +189,26 @@
   });
 }
 
-namespace {
-
-/** The state of a socket's input. */
-enum class InputState
-{
-  None,
-  Bytes,
-  Closed
-};
-
-InputState
-Peek(Tcp::socket& aSocket)
-{
-  char byte = 0;
-  auto got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got > 0) {
-    return InputState::Bytes;
-  }
-  bool empty = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-  return empty ? InputState::None : InputState::Closed;
-}
-
-} // namespace
-
+// A read would only see the bytes before the close.
 bool
 IsClosedByPeer(Tcp::socket& aSocket)
 {
-  return Peek(aSocket) == InputState::Closed;
+  if (!aSocket.is_open()) {
+    return true;
+  }
+  pollfd row{ aSocket.native_handle(), POLLRDHUP, 0 };
+  return ::poll(&row, 1, 0) > 0;
 }
 
 bool
 IsIdle(Tcp::socket& aSocket)
 {
-  return Peek(aSocket) == InputState::None;
+  char byte = 0;
+  ssize_t got = -1;
+  do {
+    got = ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  } while (got < 0 && errno == EINTR);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 } // namespace waxwingyoke::net
--- a/libs/net/src/StreamWriter.h
+++ b/libs/net/src/StreamWriter.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include <net/HttpServer.h>
 
@@ -17,12 +18,13 @@
 class StreamWriter : public ResponseWriter
 {
 public:
+  /** aMayKeep is asked once, when the response's head is written. */
   StreamWriter(beast::tcp_stream& aStream,
                utils::Millis aTimeout,
-               bool aKeepAlive)
+               std::function<bool()> aMayKeep)
     : stream_(aStream)
     , timeout_(aTimeout)
-    , keepAlive_(aKeepAlive)
+    , mayKeep_(std::move(aMayKeep))
   {
   }
 
@@ -41,6 +43,12 @@
    * next read. */
   void EndWatch();
 
+  /** Whether the response promised to keep the connection. */
+  bool KeepsConnection() const { return keepAlive_; }
+
+  /** Whether a write waited too long for a caller that does not read. */
+  bool HasTimedOut() const { return timedOut_; }
+
   /** Whether the response was sent completely. */
   bool IsComplete() const { return finished_ && !broken_; }
 
@@ -48,21 +56,17 @@
   template<typename Operation>
   bool RunWrite(Operation aOperation);
 
-  /** Shared with the wait's handler, which may outlive this object. */
-  struct Watch
-  {
-    std::function<void()> hook;
-    bool fired = false;
-    bool ended = false;
-  };
+  struct Watch;
 
   beast::tcp_stream& stream_;
   std::shared_ptr<Watch> watch_;
   utils::Millis timeout_;
-  bool keepAlive_;
+  std::function<bool()> mayKeep_;
+  bool keepAlive_ = false;
   bool started_ = false;
   bool finished_ = false;
   bool broken_ = false;
+  bool timedOut_ = false;
 };
 
 } // namespace waxwingyoke::net
