Entries: a named version that stays unreadable stops no model

Callers of all models were refused with 503 ("no upstream took the request") from a few seconds after one odd record among the named versions, also one of a model that nobody serves, until the operator named that model again; an entry that started with such a record in the topic refused from its start.

Cause: a record that can't be decoded may have been damaged in transit and may name a newer version, so nothing of the topic counted as current while any model had one. But a record that the topic itself holds like that names nothing and stays. Now everything is read once more; if the record is the same then, the versions held before stay in force, of its model too. Until then, and for the time at which a later version of that model was named, the old bound holds.

Ruled out: to ignore such records at once, as a damaged record would then allow a superseded version past its limit.

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -266,10 +266,15 @@
 {
   auto versionBefore = GetConfigVersion();
   bool isUnchanged = aPage.records.empty() && aPage.end == end_;
+  if (!started_) {
+    ConfirmUnreadable();
+  }
   std::ranges::for_each(aPage.records,
                         [this](const auto& aRecord) { Apply(aRecord); });
   end_ = std::max(end_, aPage.end);
-  started_ = true;
+  started_ = std::ranges::all_of(unreadableVersions_, [](const auto& aRow) {
+    return aRow.second.isConfirmed;
+  });
   isFirstRead_ = !aPage.records.empty();
   // A newer configuration shows that the operator has written again.
   if (GetConfigVersion() > versionBefore) {
@@ -280,7 +285,7 @@
     // The log answers without records only at the end of the wait.
     auto waitEnd = aSentAt + aWait;
     bool waited = isUnchanged && waitEnd <= clock_.Now();
-    if (unreadableModels_.empty()) {
+    if (started_) {
       appliedAt_ = std::max(appliedAt_, { waited ? waitEnd : aSentAt });
     }
   }
@@ -347,23 +352,50 @@
   utils::Error reason;
   auto version = codecs_.parseNamedVersion(aText, reason);
   if (!version) {
-    logger_.Report(reason, { { "model", aModel } });
-    unreadableModels_.insert(aModel);
+    RecordUnreadable(aModel, aText, reason);
     return;
   }
-  unreadableModels_.erase(aModel);
   NamedVersion named{ *version, clock_.Now(), {}, {} };
   SetOwnBounds(aModel, named);
+  unreadableVersions_.erase(aModel);
   AddVersion(aModel, named, "log");
 }
 
+void
+ConfigFollower::RecordUnreadable(const std::string& aModel,
+                                 const std::string& aText,
+                                 const utils::Error& aReason)
+{
+  auto [row, isFirst] = unreadableVersions_.try_emplace(
+    aModel, UnreadableVersion{ {}, appliedAt_ });
+  auto& unreadable = row->second;
+  if (isFirst || unreadable.text != aText) {
+    unreadable.text = aText;
+    unreadable.isConfirmed = false;
+    logger_.Report(aReason, { { "model", aModel } });
+  }
+}
+
+// A record that was damaged in transit may name a version, so everything is
+// read once more. One that the topic holds like that names none.
+void
+ConfigFollower::ConfirmUnreadable()
+{
+  std::ranges::for_each(unreadableVersions_,
+                        [](auto& aRow) { aRow.second.isConfirmed = true; });
+}
+
 // A version that is older than one that is held may have been named, and
 // superseded, unread before appliedAt_.
 void
 ConfigFollower::SetOwnBounds(const std::string& aModel, NamedVersion& aNamed)
 {
   if (versions_.IsNewer(aModel, aNamed.version)) {
-    aNamed.absentAt = std::max(aNamed.absentAt, appliedAt_);
+    auto unreadable = unreadableVersions_.find(aModel);
+    aNamed.absentAt = std::max(aNamed.absentAt,
+                               unreadable == unreadableVersions_.end()
+                                 ? appliedAt_
+                                 : unreadable->second.absentAt);
     aNamed.outageAt = outageAt_;
   }
 }
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -220,6 +220,16 @@
   }
 
 private:
+  /** The newest record of a model, if it could not be read. */
+  struct UnreadableVersion
+  {
+    std::string text;
+    /** When no version after those held had been named for certain. */
+    std::optional<utils::Millis> absentAt;
+    /** A second read found the topic without another record. */
+    bool isConfirmed = false;
+  };
+
   void Loop();
   void WaitForPeers();
   void WaitForUpdate();
@@ -235,6 +245,10 @@
   /** Returns the text's version, also if it is not newer; 0: unreadable. */
   std::uint64_t ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
+  void RecordUnreadable(const std::string& aModel,
+                        const std::string& aText,
+                        const utils::Error& aReason);
+  void ConfirmUnreadable();
   void SetOwnBounds(const std::string& aModel, NamedVersion& aNamed);
   void AddVersion(const std::string& aModel,
                   const NamedVersion& aNamed,
@@ -254,8 +268,7 @@
   NamedVersions versions_;
   /** All that the topic held at this time has been applied. */
   std::optional<utils::Millis> appliedAt_;
-  /** Models whose newest record could not be read. */
-  std::set<std::string> unreadableModels_;
+  std::map<std::string, UnreadableVersion> unreadableVersions_;
   bool isReader_ = true;
   /** How long the first read after one with records waits. */
   utils::Millis firstWait_;
--- a/libs/fleet/tests/NamedVersionsTest.cpp
+++ b/libs/fleet/tests/NamedVersionsTest.cpp
@@ -650,6 +650,32 @@
   CHECK(*process.FindLimitStart(1) <= kNamed);
 }
 
+// Guards against a model whose last sound version is no longer served, as any
+// later time may be that of an odd record that no read can decode.
+TEST_CASE("a record that stays unreadable limits no version of any model")
+{
+  const char* model = kModel;
+  SUBCASE("of the model itself") {}
+  SUBCASE("of another model")
+  {
+    model = "other";
+  }
+  Process process;
+  KeyedRecord odd{ model, "broken", 1, false };
+  process.log.changes = { { odd }, 2, 1 };
+  process.log.newest = { { MakeConfigRecord(), odd }, 2, 1 };
+  REQUIRE(process.PollFor(Millis(150)));
+  // It may have been damaged in transit until it is read like that again.
+  CHECK(process.FindLimitStart(1) == Millis(2000));
+  process.log.changes = { {}, 2, 1 };
+  REQUIRE(process.PollFor(Millis(10)));
+  REQUIRE(process.PollFor(Millis(4000)));
+  CHECK(*process.FindLimitStart(1) > Millis(2000));
+  process.log.changes = { { odd }, 3, 1 };
+  REQUIRE(process.PollFor(Millis(4000)));
+  CHECK(*process.FindLimitStart(1) > Millis(6000));
+}
+
 // Guards against a process that forgets which version is due, and then allows
 // all, because many were named within the limit.
 TEST_CASE("a version stays due although more versions than are held follow it")
