--- a/libs/net/src/Endpoint.cpp
+++ b/libs/net/src/Endpoint.cpp
@@ -2,8 +2,23 @@
 
 #include <charconv>
 
+#include <boost/asio/ip/address.hpp>
+
 namespace waxwingyoke::net {
 
+namespace {
+
+// The conversion ends at a NUL byte, so one is excluded first.
+bool
+IsIpAddress(std::string_view aText)
+{
+  boost::system::error_code error;
+  boost::asio::ip::make_address(std::string(aText), error);
+  return !error && aText.find('\0') == std::string_view::npos;
+}
+
+} // namespace
+
 std::string
 Endpoint::ToString() const
 {
@@ -14,7 +29,7 @@
 Endpoint::Parse(std::string_view aText)
 {
   auto colon = aText.rfind(':');
-  if (colon == std::string_view::npos || colon == 0) {
+  if (colon == std::string_view::npos || !IsIpAddress(aText.substr(0, colon))) {
     return std::nullopt;
   }
   Endpoint endpoint;
