RPC, schema: a deeply nested body is refused, not the end of the process

What callers saw: a process that serves JSON-RPC ended with a signal when it received one body, or one reply, nested some 700 levels deep; from 1,000 levels on, the library's exception left the handler, which ends the process as well.

Cause: libjsonrpccpp parses with the JSON library's limit of 1,000 levels, which a fiber's stack does not hold, and has no setting for it. The nesting of a text is now bounded before it is parsed, in the bridge (requests, replies, params) and where messages are read from JSON. The bound follows the parsers: wrong ends, comments and single quotes, which some of them read or skip, are refused.

An error reply with the code 0 counted as a result; it is an error now.

Ruled out: members of other types and numbers out of range, which pass without a change.

--- a/libs/rpc/bridge/JsonRpcBridge.cpp
+++ b/libs/rpc/bridge/JsonRpcBridge.cpp
@@ -12,6 +12,7 @@
 #include <jsonrpccpp/server/iclientconnectionhandler.h>
 #include <jsonrpccpp/server/iprocedureinvokationhandler.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
+#include <schema/Nesting.h>
 
 namespace waxwingyoke {
 namespace rpc {
@@ -29,6 +30,9 @@
 bool
 ReadJson(const std::string& aText, Json::Value& aValue)
 {
+  if (!schema::IsNestingBounded(aText)) {
+    return false;
+  }
   Json::CharReaderBuilder builder;
   std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   return reader->parse(
@@ -50,6 +54,11 @@
       throw jsonrpc::JsonRpcException(kTransportFailed,
                                       "the transport received no response");
     }
+    if (!schema::IsNestingBounded(aResult)) {
+      throw jsonrpc::JsonRpcException(
+        jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE,
+        "the response is nested too deeply");
+    }
   }
 
 private:
@@ -102,7 +111,10 @@
 ServerBridge::Process(const std::string& aRequest)
 {
   std::string answer;
-  impl_->protocol->HandleRequest(aRequest, answer);
+  // The library parses the text without a bound that fits a fiber's stack. An
+  // empty text gets the same error as one that is not JSON.
+  impl_->protocol->HandleRequest(
+    schema::IsNestingBounded(aRequest) ? aRequest : std::string(), answer);
   return answer;
 }
 
@@ -125,7 +137,10 @@
     client.CallMethod(aName, params, output);
     result.text = WriteJson(output);
   } catch (const jsonrpc::JsonRpcException& error) {
-    result.code = error.GetCode();
+    // 0 would count as a result.
+    result.code = error.GetCode() != 0
+                    ? error.GetCode()
+                    : jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE;
     result.text = error.GetMessage();
   } catch (const Json::Exception& error) {
     result.code = jsonrpc::Errors::ERROR_RPC_INTERNAL_ERROR;
--- a/libs/schema/src/Json.cpp
+++ b/libs/schema/src/Json.cpp
@@ -2,6 +2,7 @@
 
 #include <google/protobuf/message.h>
 #include <google/protobuf/util/json_util.h>
+#include <schema/Nesting.h>
 
 namespace waxwingyoke::schema {
 
@@ -31,6 +32,10 @@
       google::protobuf::Message& aMessage,
       utils::Error& aReason)
 {
+  if (!IsNestingBounded(std::string(aJson))) {
+    aReason.Set(utils::ErrorKind::BadRequest, "nested too deeply, or no JSON");
+    return false;
+  }
   auto status = JsonStringToMessage(
     google::protobuf::StringPiece(aJson.data(), aJson.size()),
     &aMessage,
--- a/libs/schema/tests/JsonTest.cpp
+++ b/libs/schema/tests/JsonTest.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <schema/Json.h>
+#include <schema/Nesting.h>
 #include <schema/log.pb.h>
 
 using namespace waxwingyoke;
@@ -23,3 +24,20 @@
   CHECK_FALSE(schema::FromJson(R"({"nmae": "x"})", profile, reason));
   CHECK(reason.kind == utils::ErrorKind::BadRequest);
 }
+
+// Guards against nesting that the bound doesn't count, but a parser does.
+TEST_CASE("nesting is counted as a parser sees it")
+{
+  auto isBounded = &schema::IsNestingBounded;
+  std::string deep(schema::kMaxNesting + 1, '[');
+  CHECK(isBounded(std::string(schema::kMaxNesting, '[')));
+  CHECK(isBounded(R"({"a":")" + deep + R"(\"[[","b":[{}]})"));
+  CHECK(isBounded(""));
+  CHECK(isBounded("\"\\"));
+  CHECK_FALSE(isBounded(deep));
+  CHECK_FALSE(isBounded(R"("\\")" + deep));
+  CHECK_FALSE(isBounded(std::string(schema::kMaxNesting, ']') + deep));
+  CHECK_FALSE(isBounded("[}" + deep));
+  CHECK_FALSE(isBounded("/*\"*/" + deep));
+  CHECK_FALSE(isBounded("'\"'" + deep));
+}
