--- a/libs/fleet/src/DirectoryFollower.cpp
+++ b/libs/fleet/src/DirectoryFollower.cpp
@@ -484,6 +484,7 @@
   }
   bool changed = !existing ||
                  existing->record.startedMs != upstream->startedMs ||
+                 existing->record.endpoint != upstream->endpoint ||
                  existing->record.draining != upstream->draining;
   if (changed) {
     logger_.Info("upstream",
