Fleet: an error of the next upstream does not become part of a stream

Cause: any answer with status 200 counted as the rest of the stream, whatever its type, and each block of lines up to a blank one as an event. Text and JSON answers were relayed, as was an error's head in a body that only the close ends, and an answer without an event ended the stream in order.

Ruled out: 500, 503 with and without proof, 404, 421, a 500 that is an event stream, a head without a body, bytes that are no answer, and text without an end never reached a caller. The entry's own refusals are not written once a stream has begun (Refuse and Fail return then; Deny comes before any send).

The fix: an answer resumes a stream only if it states that it is an event stream; each of its events must consist of fields and have an id after the last one. Anything else breaks it off there, and the stream goes on at the next upstream or ends unfinished. The first upstream's own events are not checked.

--- a/libs/fleet/src/EventRelay.cpp
+++ b/libs/fleet/src/EventRelay.cpp
@@ -43,6 +43,22 @@
   return false;
 }
 
+// Whether each line is blank, a comment or a field with a value.
+bool
+HasOnlyFields(std::string_view aEvent)
+{
+  constexpr std::string_view kNameCharacters =
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_";
+  while (auto line = net::TakeLine(aEvent)) {
+    auto nameEnd = line->find_first_not_of(kNameCharacters);
+    bool isField = nameEnd != std::string_view::npos && (*line)[nameEnd] == ':';
+    if (!line->empty() && !isField) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::optional<std::int64_t>
 ParseNumber(std::string_view aText)
 {
@@ -56,21 +72,25 @@
 } // namespace
 
 // An upstream that resumes a stream may repeat events that were already taken.
-// Stores the id of an event that is new.
 bool
-EventRelay::IsDuplicate(std::string_view aEvent)
+EventRelay::IsDuplicate(std::string_view aEvent) const
 {
-  auto id = FindId(aEvent);
-  if (id.empty()) {
-    return false;
-  }
-  auto number = ParseNumber(id);
+  auto number = ParseNumber(FindId(aEvent));
   auto last = ParseNumber(lastEventId_);
-  if (number && last && *number <= *last) {
-    return true;
+  return number && last && *number <= *last;
+}
+
+// The head of the response is sent by then, so an upstream's error text must be
+// told from the stream's events by their content.
+bool
+EventRelay::Continues(std::string_view aEvent) const
+{
+  if (!HasOnlyFields(aEvent)) {
+    return false;
   }
-  lastEventId_ = id;
-  return false;
+  auto id = FindId(aEvent);
+  bool isComparable = ParseNumber(id) || !ParseNumber(lastEventId_);
+  return !HasFields(aEvent) || (!id.empty() && isComparable);
 }
 
 std::string
@@ -82,6 +102,12 @@
   while (size != std::string_view::npos) {
     auto event = rest.substr(0, size);
     if (!IsDuplicate(event)) {
+      if (isResumed_ && !Continues(event)) {
+        hasForeignEvent_ = true;
+        break;
+      }
+      auto id = FindId(event);
+      lastEventId_ = id.empty() ? lastEventId_ : std::string(id);
       events += event;
       eventCount_ += HasFields(event) ? 1 : 0;
     }
@@ -108,6 +134,8 @@
 EventRelay::DiscardPartialEvent()
 {
   pending_.clear();
+  isResumed_ = true;
+  hasForeignEvent_ = false;
 }
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/EventRelay.h
+++ b/libs/fleet/src/EventRelay.h
@@ -19,7 +19,10 @@
   /** Adds bytes of the current upstream's response. */
   void Add(std::string_view aBytes) { pending_ += aBytes; }
 
-  /** Removes and returns the complete events; empty if there are none. */
+  /**
+   * Removes and returns the complete events, up to a foreign one; empty if
+   * there are none.
+   */
   std::string TakeEvents();
 
   /**
@@ -42,10 +45,14 @@
 
   /**
    * Drops the buffered part of an event before another upstream resumes the
-   * stream after the last complete one.
+   * stream after the last complete one. From then on each event has to continue
+   * the stream: it has an id after the last one, and consists of fields only.
    */
   void DiscardPartialEvent();
 
+  /** Whether an event that does not continue the stream has stopped it. */
+  bool HasForeignEvent() const { return hasForeignEvent_; }
+
   /** The id of the last event taken; empty before the first. */
   const std::string& GetLastEventId() const { return lastEventId_; }
 
@@ -53,11 +60,14 @@
   // Bounds the memory that an upstream takes up with an event without end.
   static constexpr std::size_t kMaxEventBytes = 256 * 1024;
 
-  bool IsDuplicate(std::string_view aEvent);
+  bool IsDuplicate(std::string_view aEvent) const;
+  bool Continues(std::string_view aEvent) const;
 
   std::string pending_;
   std::string lastEventId_;
   std::uint64_t eventCount_ = 0;
+  bool isResumed_ = false;
+  bool hasForeignEvent_ = false;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -147,11 +147,6 @@
   relay_.Add(aPart);
   auto eventsBefore = relay_.GetEventCount();
   auto events = relay_.TakeEvents();
-  if (relay_.IsEventTooLarge()) {
-    answer_.reason.Set(ErrorKind::AnswerBroken, "an event is too large");
-    RecordBrokenStream();
-    return false;
-  }
   if (relay_.GetEventCount() > eventsBefore) {
     RecordEvents();
     lease_->MarkPromptProcessed();
@@ -160,6 +155,14 @@
     canceller_.Cancel();
     return false;
   }
+  if (relay_.IsEventTooLarge() || relay_.HasForeignEvent()) {
+    answer_.reason.Set(ErrorKind::AnswerBroken,
+                       relay_.HasForeignEvent()
+                         ? "an event does not continue the stream"
+                         : "an event is too large");
+    RecordBrokenStream();
+    return false;
+  }
   return true;
 }
 
@@ -211,7 +214,8 @@
         !AcquirePlacement(false) || !SendOnce()) {
       return false;
     }
-    if (answer_.result == SendResult::Answered && answer_.head.status == kOk) {
+    if (answer_.result == SendResult::Answered && answer_.head.status == kOk &&
+        answer_.head.isEventStream) {
       services_.GetMetrics().resumed.Add();
       return true;
     }
--- a/libs/fleet/tests/EventRelayTest.cpp
+++ b/libs/fleet/tests/EventRelayTest.cpp
@@ -65,3 +65,29 @@
   CHECK(relay.TakeEvents() == "id: 3\r\ndata: c\r\n\r\n");
   CHECK_FALSE(relay.EndsInsideEvent());
 }
+
+// Guards against an error's text that is relayed as the rest of a stream.
+TEST_CASE("a resumed stream stops at an event that does not continue it")
+{
+  for (const auto* foreign : { "wrong\n\n",
+                               "wrong text: x\nid: 3\ndata: 3\n\n",
+                               "HTTP/1.1 500 Error\nid: 3\n\n",
+                               "event: error\ndata: x\n\n",
+                               "id: x\ndata: 3\n\n" }) {
+    CAPTURE(foreign);
+    EventRelay relay;
+    relay.Add("id: 1\ndata: 1\n\ndata: ");
+    CHECK(relay.TakeEvents() == "id: 1\ndata: 1\n\n");
+    relay.DiscardPartialEvent();
+    relay.Add("id: 1\ndata: 1\n\nv: 2\nid: 2\ndata: 2\n\n");
+    relay.Add(foreign);
+    relay.Add("id: 4\ndata: 4\n\n");
+    CHECK(relay.TakeEvents() == "v: 2\nid: 2\ndata: 2\n\n");
+    CHECK(relay.HasForeignEvent());
+    CHECK(relay.GetLastEventId() == "2");
+    relay.DiscardPartialEvent();
+    relay.Add(": alive\n\nid: 3\ndata: 3\n\n");
+    CHECK(relay.TakeEvents() == ": alive\n\nid: 3\ndata: 3\n\n");
+    CHECK_FALSE(relay.HasForeignEvent());
+  }
+}
--- a/libs/platform/include/platform/RequestDialect.h
+++ b/libs/platform/include/platform/RequestDialect.h
@@ -57,6 +57,8 @@
   bool misdirected = false;
   /** It carries a field that only an upstream sets. */
   bool stamped = false;
+  /** The body is a stream of events. */
+  bool isEventStream = false;
   /** The body was re-encoded after the upstream sent it. */
   bool encoded = false;
   /** Version of the weights that served the request; 0: not given. */
