Net: a head that runs into another response's is not accepted

What callers saw: a faulty upstream breaks a repeated refusal off within a line of its head; the true answer follows, and both were read as one head. It had the refusal's status or mark and the true answer's id, so a request that ran was answered as not run, or was sent to a second upstream.

Cause: the reason phrase and a field's value may hold any text, also another response's status line. Between two lines the parser refuses such a line.

Evidence: "a head that continues as another response's is not accepted" on the code without the check: the call succeeds in all three rows (a 421 broken off in its phrase, a 503 in the value of its mark and in another value).

The fix: a head with a status line in its phrase or in a value fails the call as bytes that are no response do, and the connection is closed.

--- a/libs/net/src/ResponseStream.cpp
+++ b/libs/net/src/ResponseStream.cpp
@@ -32,6 +32,24 @@
   { BodyFraming::Close, "close" },
 } };
 
+// Whether aText holds the begin of a response's head, such as "HTTP/1.1 200".
+bool
+ContainsStatusLine(std::string_view aText)
+{
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kRestBytes = 5;
+  auto isDigit = [](char aChar) { return aChar >= '0' && aChar <= '9'; };
+  for (auto at = aText.find(kVersion); at != std::string_view::npos;
+       at = aText.find(kVersion, at + 1)) {
+    auto rest = aText.substr(at + kVersion.size(), kRestBytes);
+    if (rest.size() == kRestBytes && isDigit(rest[0]) && rest[1] == ' ' &&
+        std::ranges::all_of(rest.substr(2), isDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 } // namespace
 
 std::string_view
@@ -75,6 +93,14 @@
   Traffic::Get().received.Add(result.bytes);
   if (!result.error) {
     fields = ReadFields(parser->get());
+    // The first response broke off within a line, and the next one followed.
+    auto reason = parser->get().reason();
+    bool isJoined =
+      ContainsStatusLine({ reason.data(), reason.size() }) ||
+      std::ranges::any_of(fields, ContainsStatusLine, &HttpField::value);
+    if (isJoined) {
+      result.error = http::make_error_code(http::error::bad_value);
+    }
   }
   return result;
 }
--- a/libs/net/tests/FaultyServerTest.cpp
+++ b/libs/net/tests/FaultyServerTest.cpp
@@ -321,3 +321,26 @@
     }
   });
 }
+
+// Guards against a response whose first part is that of a repeated refusal,
+// broken off within a line, and whose rest names the request.
+TEST_CASE("a head that continues as another response's is not accepted")
+{
+  for (const auto* begin : { "HTTP/1.1 421 Misdir",
+                             "HTTP/1.1 503 Full\r\nNot-Executed: 1",
+                             "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nA: " }) {
+    CAPTURE(begin);
+    auto script = [&](RawServer::Peer& aPeer) {
+      for (bool isFirst = true; aPeer.ReadRequest(); isFirst = false) {
+        aPeer.Send((isFirst ? "" : begin) + MakeResponse("a", "body"));
+      }
+    };
+    WithServer(script, [](HttpClient& aClient, const Endpoint& aPeer) {
+      utils::Error reason;
+      CallOptions options = Expect("a");
+      options.retryGet = false;
+      REQUIRE(aClient.Call(aPeer, {}, {}, reason, options));
+      CHECK_FALSE(aClient.Call(aPeer, {}, {}, reason, options));
+    });
+  }
+}
