Net: a request is not sent on a connection that has carried it before

What callers saw: nothing reported. A caller that uses one attempt id for two requests could be told "not run" about the second, which ran.

Cause: an answer is recognised by the attempt's id. On a kept connection that has carried a request with that id, a repeat of the first answer names the second request too.

Evidence: "a request is not sent on a connection that has carried it before" on the code without the fix: three calls with one id use one connection.

Ruled out: one request of a caller never goes to an upstream twice, as each upstream that was tried is excluded; so this takes a caller that reuses ids.

The fix: a connection remembers hashes of the ids that it has carried, and is not used for one of them again. It is not kept beyond 1,000 ids, which bounds its memory.

--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -115,6 +115,7 @@
   net::CallOptions options;
   options.canceller = aParameters.canceller;
   options.retryGet = false;
+  options.requestId = aParameters.attemptId;
   options.findOwner = [&](const net::HttpFields& aFields) {
     return dialect.FindOwner(aFields, aParameters.attemptId);
   };
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -110,6 +110,12 @@
    * fails with AnswerBroken, as the response may repeat an earlier one.
    */
   std::function<ResponseOwner(const HttpFields&)> findOwner;
+  /**
+   * What findOwner recognises the request by. A request is not sent on a
+   * connection that has carried one with the same id, whose repeated response
+   * would pass as its own.
+   */
+  std::string requestId;
   /** Whether a GET is retried once if a kept connection was closed. */
   bool retryGet = true;
   /** False for a peer that accepts few connections and that many processes
--- a/libs/net/src/ClientConnection.cpp
+++ b/libs/net/src/ClientConnection.cpp
@@ -8,6 +8,8 @@
 
 #include <netinet/tcp.h>
 
+#include <utils/Hash.h>
+
 #include "Await.h"
 #include "RuntimeImpl.h"
 
@@ -18,6 +20,8 @@
 using utils::ErrorKind;
 
 constexpr std::size_t kMaxIdlePerPeer = 64;
+// Bounds the memory of a connection that is kept.
+constexpr std::size_t kMaxRequestIds = 1000;
 // Fraction of the peer's announced keep-alive timeout for which an idle
 // connection is reused, so that a request does not cross the peer's close.
 constexpr double kKeepAliveShare = 0.8;
@@ -97,13 +101,17 @@
 }
 
 std::unique_ptr<ClientConnection>
-TakeIdle(const Endpoint& aPeer, utils::Millis aNow)
+TakeIdle(const Endpoint& aPeer,
+         utils::Millis aNow,
+         const std::string& aRequestId)
 {
   auto& idle = GetIdle()[aPeer];
   while (!idle.empty()) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    bool fresh = aNow - connection->idleSince < connection->maxIdle;
+    bool fresh =
+      aNow - connection->idleSince < connection->maxIdle &&
+      !connection->requestIds.contains(utils::StableHash(aRequestId));
     // Unsolicited bytes would be read as the response to the next request.
     if (fresh && IsIdle(connection->stream.socket())) {
       connection->reused = true;
@@ -120,7 +128,8 @@
 {
   aConnection->maxIdle = ReadMaxIdle(aKeepAlive);
   auto& idle = GetIdle()[aPeer];
-  bool clean = aConnection->buffer.size() == 0;
+  bool clean = aConnection->buffer.size() == 0 &&
+               aConnection->requestIds.size() < kMaxRequestIds;
   if (clean && idle.size() < kMaxIdlePerPeer) {
     aConnection->stream.expires_never();
     aConnection->idleSince = utils::Clock().Now();
--- a/libs/net/src/ClientConnection.h
+++ b/libs/net/src/ClientConnection.h
@@ -1,8 +1,10 @@
 #ifndef waxwingyoke_net_ClientConnection_h
 #define waxwingyoke_net_ClientConnection_h
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <net/Endpoint.h>
@@ -37,6 +39,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer{ kMaxBufferedBytes };
   bool reused = false;
+  /** Hashes of the ids of the requests that it has carried. */
+  std::set<std::uint64_t> requestIds;
   utils::Millis idleSince;
   utils::Millis maxIdle = kMaxIdleTime;
 };
@@ -52,9 +56,14 @@
 void
 SetIoError(beast::error_code aError, const char* aStep, utils::Error& aReason);
 
-/** An idle connection to aPeer that can be reused; null if there is none. */
+/**
+ * An idle connection to aPeer that can be reused and has carried no request
+ * with this id; null if there is none. Closes those that it passes over.
+ */
 std::unique_ptr<ClientConnection>
-TakeIdle(const Endpoint& aPeer, utils::Millis aNow);
+TakeIdle(const Endpoint& aPeer,
+         utils::Millis aNow,
+         const std::string& aRequestId);
 
 /**
  * Keeps a connection for the next request to aPeer. aKeepAlive is the field
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <utils/Hash.h>
+
 #include "Await.h"
 #include "Beast.h"
 #include "ClientConnection.h"
@@ -100,6 +102,9 @@
   streamImpl->connection = std::move(aConnection);
   streamImpl->isToHead = aMessage.method() == http::verb::head;
   auto& connection = *streamImpl->connection;
+  if (!aOptions.requestId.empty()) {
+    connection.requestIds.insert(utils::StableHash(aOptions.requestId));
+  }
   connection.stream.expires_after(aTimeouts.head.ToChrono());
   auto result = Await([&](auto aHandler) {
     http::async_write(connection.stream, aMessage, std::move(aHandler));
@@ -150,7 +155,7 @@
       canceller->cancelRunning_ = [&aStream] { aStream.cancel(); };
     }
   };
-  auto connection = TakeIdle(aPeer, utils::Clock().Now());
+  auto connection = TakeIdle(aPeer, utils::Clock().Now(), aOptions.requestId);
   bool reused = connection != nullptr;
   if (reused) {
     setCancelHandler(connection->stream);
--- a/libs/net/tests/FaultyServerTest.cpp
+++ b/libs/net/tests/FaultyServerTest.cpp
@@ -344,3 +344,25 @@
     });
   }
 }
+
+// Guards against a repeated response that names the request because its server
+// had received the same one on that connection before.
+TEST_CASE("a request is not sent on a connection that has carried it before")
+{
+  std::atomic<int> connections = 0;
+  auto script = [&](RawServer::Peer& aPeer) {
+    ++connections;
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(MakeResponse("a", "body"));
+    }
+  };
+  WithServer(script, [&](HttpClient& aClient, const Endpoint& aPeer) {
+    utils::Error reason;
+    auto options = Expect("a");
+    options.requestId = "a";
+    for (int i = 0; i < 3; ++i) {
+      CHECK(aClient.Call(aPeer, {}, {}, reason, options));
+      CHECK(connections == i + 1);
+    }
+  });
+}
