--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -101,10 +101,14 @@
 Exchange::IsHedgeUsable() const
 {
   const auto& answer = hedge_->GetAnswer();
-  bool isStream = route_->kind == platform::RequestKind::Stream;
-  return answer.result == SendResult::Answered &&
-         (isStream ? answer.head.status == kOk
-                   : answer.head.status < kServerError);
+  if (answer.result != SendResult::Answered) {
+    return false;
+  }
+  if (route_->kind == platform::RequestKind::Stream) {
+    return answer.head.status == kOk &&
+           (!streaming_ || answer.head.isEventStream);
+  }
+  return answer.head.status < kServerError;
 }
 
 void
--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -117,6 +117,7 @@
   options.retryGet = false;
   options.onSilence = aParameters.onSilence;
   options.silenceTimeout = aParameters.silenceTimeout;
+  options.requestId = aParameters.attemptId;
   options.findOwner = [&](const net::HttpFields& aFields) {
     return dialect.FindOwner(aFields, aParameters.attemptId);
   };
--- a/tests/BedTest.cpp
+++ b/tests/BedTest.cpp
@@ -83,19 +83,33 @@
   void OpenConnections(int aCount)
   {
     for (int i = 0; i < aCount; ++i) {
+      ++openCalls_;
       net::Runtime::SpawnHere([this] {
         net::HttpRequest request;
         request.target = "/links";
         utils::Error ignored;
         client_.Call(endpoint_, request, {}, ignored);
+        --openCalls_;
       });
     }
     net::Runtime::Sleep(kPoll);
   }
 
+  /** Waits until the connections that were opened have ended. */
+  bool AwaitEnds()
+  {
+    utils::Clock clock;
+    auto end = clock.Now() + kTimeout;
+    while (openCalls_ > 0 && clock.Now() < end) {
+      net::Runtime::Sleep(kPoll);
+    }
+    return openCalls_ == 0;
+  }
+
   std::unique_ptr<Process> process;
 
 private:
+  int openCalls_ = 0;
   net::Endpoint endpoint_;
   std::string link_;
   net::HttpClient client_;
@@ -176,7 +190,7 @@
       listener.Start();
     }
     CHECK(listener.AwaitListening());
-    net::Runtime::Sleep(Millis(100));
+    REQUIRE(listener.AwaitEnds());
     return 0;
   });
 }
