Net: a kept connection stays with the peer that it was made to

What callers saw: not reported; found while looking for what a request holds across a wait. If the directory gives an upstream another address while a request connects to the old one, later requests to the new address reach the server at the old one, for as long as the connection is kept.

Cause: HttpClient::Open reads the caller's endpoint again after the connect, to key the connection. Requests pass the endpoint in the upstream's record, and pieces the one in a side's announcement; both are replaced in place.

Evidence: the new case of net_test fails on the code before: a call to an address at which nothing listens gets the old server's answer.

Why it works: the call keeps a copy of the endpoint from before its first wait.

--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -218,10 +218,12 @@
     aReason.Set(ErrorKind::ConnectFailed, "cancelled");
     return nullptr;
   }
-  auto message = MakeMessage(aPeer, aRequest);
+  // The caller's endpoint may change while the call waits.
+  const Endpoint peer{ aPeer.address, aPeer.port };
+  auto message = MakeMessage(peer, aRequest);
   bool mayRetry = aOptions.retryGet && aRequest.method == "GET";
   auto streamImpl =
-    impl_->Send(aPeer, message, aTimeouts, aOptions, mayRetry, aReason);
+    impl_->Send(peer, message, aTimeouts, aOptions, mayRetry, aReason);
   if (canceller != nullptr) {
     canceller->cancelRunning_ = nullptr;
   }
--- a/libs/net/tests/HttpTest.cpp
+++ b/libs/net/tests/HttpTest.cpp
@@ -249,3 +249,32 @@
     CHECK(status() == 405);
   });
 }
+
+// Guards against a connection that is kept for another peer than its own, and
+// then serves that peer's requests for good: an upstream's record may be
+// replaced while a request connects to it.
+TEST_CASE("a kept connection belongs to the peer that it was made to, although "
+          "the caller's endpoint changes during the connect")
+{
+  auto handler = [](const HttpRequest&, ResponseWriter& aWriter) {
+    aWriter.Send(MakeJsonResponse(200, "old"));
+  };
+  WithServer(handler, [](HttpClient& aClient, const Endpoint& aOldPeer) {
+    utils::Error reason;
+    auto peer = aOldPeer;
+    bool done = false;
+    Runtime::SpawnHere([&] {
+      auto response = aClient.Call(peer, MakePost("x"), {}, reason);
+      CHECK((response && response->body == "old"));
+      done = true;
+    });
+    // The call runs up to its connect.
+    Runtime::Sleep(utils::Millis(0));
+    ++peer.port;
+    while (!done) {
+      Runtime::Sleep(utils::Millis(1));
+    }
+    // Nothing listens there.
+    CHECK_FALSE(aClient.Call(peer, MakePost("x"), {}, reason));
+  });
+}
