Fleet: a time out of range in a peer's record counts as old, not as future

What an entry saw: a configuration confirmed in the future, and so for good, and versions named in the future, after a peer's record with an age of 2^63 or more: the age was cast to a negative number, or its sum overflowed. Records of quarantined parts and peers' notices of them had the same cast.

Cause: times of other processes were cast, not bounded. BoundMillis cuts them at some hundred years, so that they are never negative and sums fit.

Evidence: found by the fuzz target of operator's records at once, with the undefined-behaviour sanitizer (signed overflow in Millis).

--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -491,8 +491,7 @@
                    : ApplyConfig(aRecord.config(), aRecord.offset());
   // The peer's record doesn't confirm a newer configuration, which was read
   // after the record was made, nor an older one.
-  auto confirmedAt =
-    aRequestedAt - Millis(static_cast<std::int64_t>(aRecord.age_ms()));
+  auto confirmedAt = aRequestedAt - utils::BoundMillis(aRecord.age_ms());
   if (aRecord.epoch() == epoch_) {
     appliedAt_ = std::max(appliedAt_, { confirmedAt });
   }
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -478,11 +478,9 @@
   }
   for (const auto& part : aNotice.quarantined()) {
     bool isNew = !crashes.GetQuarantine().IsQuarantined(part.part(), now);
-    dispatch::QuarantinedPart applied{
-      part.part(),
-      now + Millis(static_cast<std::int64_t>(part.left_ms())),
-      Millis(static_cast<std::int64_t>(part.duration_ms()))
-    };
+    dispatch::QuarantinedPart applied{ part.part(),
+                                       now + utils::BoundMillis(part.left_ms()),
+                                       utils::BoundMillis(part.duration_ms()) };
     crashes.GetQuarantine().Apply(applied);
     if (isNew && crashes.GetQuarantine().IsQuarantined(part.part(), now)) {
       quarantineLog.LogPart("quarantined by another entry", applied);
--- a/libs/fleet/src/NamedVersions.cpp
+++ b/libs/fleet/src/NamedVersions.cpp
@@ -135,14 +135,11 @@
                  Millis aDelay,
                  Millis aNow)
 {
-  auto toMillis = [](std::uint64_t aAge) {
-    return Millis(static_cast<std::int64_t>(aAge));
-  };
   NamedVersion named;
   named.version = aRow.version();
-  named.observedAt = aNow - toMillis(aRow.observed_age_ms());
+  named.observedAt = aNow - utils::BoundMillis(aRow.observed_age_ms());
   if (aRow.learnt_live()) {
-    named.absentAt = aNow - aDelay - toMillis(aRow.age_ms());
+    named.absentAt = aNow - aDelay - utils::BoundMillis(aRow.age_ms());
   }
   return named;
 }
--- a/libs/fleet/src/QuarantineLog.cpp
+++ b/libs/fleet/src/QuarantineLog.cpp
@@ -22,12 +22,6 @@
 // After a restore all entries write again, spread over this time.
 constexpr Millis kRestoreSpread(2000);
 
-Millis
-ToMillis(std::uint64_t aMs)
-{
-  return Millis(static_cast<std::int64_t>(aMs));
-}
-
 } // namespace
 
 QuarantineLog::QuarantineLog(net::Runtime& aRuntime,
@@ -71,8 +65,8 @@
   if (aRecord.dropped || !schema::FromJson(aRecord.value, record, reason)) {
     return;
   }
-  auto duration = ToMillis(record.duration_ms());
-  auto left = ToMillis(record.until_ms()) - utils::GetWallTime();
+  auto duration = utils::BoundMillis(record.duration_ms());
+  auto left = utils::BoundMillis(record.until_ms()) - utils::GetWallTime();
   left = std::min(left, duration);
   if (left <= Millis(0)) {
     return;
@@ -138,7 +132,7 @@
   auto delay = utils::StableHash(vm_, storedEpoch_) %
                static_cast<std::uint64_t>(kRestoreSpread.value);
   runtime_.Spawn([this, delay] {
-    net::Runtime::Sleep(ToMillis(delay));
+    net::Runtime::Sleep(utils::BoundMillis(delay));
     for (const auto& [hash, part] : std::exchange(stored_, {})) {
       Store(part);
     }
--- a/libs/utils/include/utils/Time.h
+++ b/libs/utils/include/utils/Time.h
@@ -51,6 +51,17 @@
   }
 };
 
+/**
+ * A time that another process states; cut at some hundred years, so that it is
+ * never negative and sums with it don't overflow.
+ */
+constexpr Millis
+BoundMillis(std::uint64_t aValue)
+{
+  constexpr std::uint64_t kMost = std::uint64_t{ 1 } << 43;
+  return Millis(static_cast<std::int64_t>(aValue < kMost ? aValue : kMost));
+}
+
 /**
  * A monotonic source of milliseconds; copies share the source.
  *
