Requests: a repeated answer is not delivered as the next attempt's

What callers saw: nothing reported on this path. A caller of a profile could get the answer to another caller's request.

Cause: a side sends attempts on kept connections, and its upstream's answers name no attempt. An upstream that writes an answer once more after the next request was sent thus answers that one.

The fix: each attempt has a connection of its own, which is not kept. Control calls still share connections.

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -118,6 +118,8 @@
   std::string requestId;
   /** Whether a GET is retried once if a kept connection was closed. */
   bool retryGet = true;
+  /** False for a request whose response can't be told from an earlier one. */
+  bool reuseConnection = true;
   /** False for a peer that accepts few connections and that many processes
    * call rarely. */
   bool keepConnection = true;
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -155,7 +155,10 @@
       canceller->cancelRunning_ = [&aStream] { aStream.cancel(); };
     }
   };
-  auto connection = TakeIdle(aPeer, utils::Clock().Now(), aOptions.requestId);
+  std::unique_ptr<ClientConnection> connection;
+  if (aOptions.reuseConnection) {
+    connection = TakeIdle(aPeer, utils::Clock().Now(), aOptions.requestId);
+  }
   bool reused = connection != nullptr;
   if (reused) {
     setCancelHandler(connection->stream);
--- a/libs/requests/src/UpstreamClient.cpp
+++ b/libs/requests/src/UpstreamClient.cpp
@@ -115,8 +115,13 @@
                               remaining,
                               remaining };
   auto incarnation = GetIncarnation();
-  auto stream =
-    client_.Open(upstream_.endpoint, MakeRequest(aRequest), timeouts, aReason);
+  // The upstream's answers name no attempt, so on a connection of its own only
+  // can none repeat an earlier one.
+  net::CallOptions options;
+  options.reuseConnection = false;
+  options.keepConnection = false;
+  auto stream = client_.Open(
+    upstream_.endpoint, MakeRequest(aRequest), timeouts, aReason, options);
   // A server error of an engine is a failed attempt, not an answer. One of a
   // plain service is part of its interface and is passed on to the caller.
   if (stream && upstream_.isEngine && stream->GetStatus() >= kServerError) {
--- a/libs/requests/tests/UpstreamClientTest.cpp
+++ b/libs/requests/tests/UpstreamClientTest.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <string>
 
 #include <unistd.h>
@@ -83,3 +84,42 @@
     return 0;
   });
 }
+
+// Guards against an answer that an upstream repeats on a kept connection and
+// that is delivered as the answer to the connection's next attempt.
+TEST_CASE("a repeated answer is not the next attempt's")
+{
+  constexpr Millis kTimeout(10000);
+  auto endpoint = MakeEndpoint();
+  std::atomic<int> attempts = 0;
+  auto script = [&](net::RawServer::Peer& aPeer) {
+    std::string repeat;
+    while (aPeer.ReadRequest()) {
+      aPeer.Send(repeat);
+      usleep(20000);
+      auto body = std::to_string(++attempts);
+      repeat = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+      aPeer.Send(repeat);
+    }
+  };
+  net::RawServer server(endpoint, script);
+  REQUIRE(server.IsListening());
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    net::HttpClient client;
+    Upstream upstream{ endpoint, false };
+    UpstreamClient upstreamClient(client, upstream);
+    for (int i = 1; i <= 3; ++i) {
+      schema::AttemptRequest request;
+      request.set_method("POST");
+      request.set_path("/a");
+      Answer answer;
+      utils::Error reason;
+      utils::Clock clock;
+      CHECK(upstreamClient.Run(
+        request, "", clock.Now() + kTimeout, answer, reason));
+      CHECK(answer.Wait(true, 0, Millis(0)).data == std::to_string(i));
+    }
+    return 0;
+  });
+}
