Requests: a test that no error becomes part of a stream

On the product's own path a retried stream is compared with what was sent, and an answer that is no stream, or ends before that, is not complete. This test passed without a change; it shows that the case can't happen there.

--- a/libs/requests/tests/StreamTest.cpp
+++ b/libs/requests/tests/StreamTest.cpp
@@ -246,3 +246,34 @@
   CHECK(sink.HasDiverged());
   CHECK(writer.text == "data: {\"choices\":[1]}\n\n");
 }
+
+// Guards against an error of the next upstream that becomes part of a stream
+// which has begun, or ends it as if it were complete.
+TEST_CASE("a stream is not resumed by an answer that is not its rest")
+{
+  const std::string event = "data: {\"choices\":[1]}\n\n";
+  schema::AnswerHead text;
+  text.set_status(200);
+  schema::AnswerHead missing;
+  missing.set_status(404);
+  for (const auto& head : { text, missing, MakeStreamHead() }) {
+    for (const auto* body : { "",
+                              "wrong",
+                              "wrong\n\n",
+                              "HTTP/1.1 500 Error\r\n\r\n",
+                              ": wrong\n" }) {
+      CAPTURE(head.status());
+      CAPTURE(body);
+      RecordingWriter writer;
+      CallerSink sink(writer, true);
+      sink.OnHead(MakeStreamHead());
+      sink.OnData(event + "data: {");
+      sink.Reset();
+      sink.OnHead(head);
+      sink.OnData(body);
+      CHECK_FALSE((sink.IsComplete() && !sink.HasDiverged()));
+      CHECK(writer.text == event);
+      CHECK_FALSE(writer.finished);
+    }
+  }
+}
