Net: a disconnect hook does not outlive its handler

A handler that throws before it answers leaves its hook set while the server waits for the write of its own response: a caller that disconnects then would call into a destroyed object. Found by reading; no run has shown it. The watch now ends before that write.

--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -513,12 +513,13 @@
   };
   StreamWriter writer(aStream, options.writeTimeout, mayKeep);
   CallHandler(aRequest, writer);
+  // The hook belongs to the handler, which has ended.
+  writer.EndWatch();
   if (!writer.IsStarted()) {
     utils::Error error;
     error.Set(utils::ErrorKind::Internal, "the handler sent no response");
     writer.Send(MakeErrorResponse(error));
   }
-  writer.EndWatch();
   if (!writer.IsComplete()) {
     auto end = writer.IsPeerDisconnected() && !writer.HasTimedOut()
                  ? ConnectionEnd::PeerClosed
