Entries: what can't end before a stop is refused instead of cut off

Callers saw requests that ended with neither an answer nor a refusal: a stopping entry passed on what became complete late in its grace period, and cut it off when it exited.

Cause: Entry::Drain exits at 0.9 of the grace period whatever still runs, and nothing told a request that it arrived too late to end by then.

Change: from half of the grace period before the exit on, and not before the balancer has had time to remove the entry, a request is refused as it arrives. A refusal is true, as nothing was sent, and callers go on at other entries.

--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -53,6 +53,9 @@
 constexpr Millis kUnreadyDelay(2200);
 // Share of the grace period in which running requests may finish.
 constexpr double kGraceShare = 0.9;
+// Share of the grace period for a request that is accepted last. Later ones are
+// refused, as they would be cut off.
+constexpr double kLastRequestShare = 0.5;
 constexpr Millis kDrainPoll(20);
 // Before the first check for running requests: the server accepts and begins to
 // read what callers have sent until its close.
@@ -250,7 +253,10 @@
   auto& impl = *impl_;
   impl.draining = true;
   utils::Clock clock;
-  auto end = clock.Now() + Scale(impl.settings.bounds.grace, kGraceShare);
+  auto grace = impl.settings.bounds.grace;
+  auto end = clock.Now() + Scale(grace, kGraceShare);
+  impl.services.SetAcceptEnd(std::max(end - Scale(grace, kLastRequestShare),
+                                      clock.Now() + kUnreadyDelay));
   net::Runtime::Sleep(kUnreadyDelay);
   impl.callerServer->Close();
   net::Runtime::Sleep(kCloseDelay);
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -117,6 +117,10 @@
   /** What the configuration may be used for at its present age. */
   dispatch::Trust GetTrust() const;
 
+  /** Requests that arrive later are refused, as this entry is stopping. */
+  void SetAcceptEnd(utils::Millis aEnd) { acceptEnd_ = aEnd; }
+  bool IsAccepting() const { return !acceptEnd_ || Now() < *acceptEnd_; }
+
   /** Sets how many entries share the fleet's retry slack. */
   void SetEntryCount(std::size_t aCount) { entryCount_ = aCount; }
 
@@ -171,6 +175,7 @@
   /** By service; built from the configuration of enginesVersion_. */
   std::map<std::string, std::shared_ptr<const dispatch::EngineModel>> engines_;
   std::uint64_t enginesVersion_ = 0;
+  std::optional<utils::Millis> acceptEnd_;
   std::size_t entryCount_ = 1;
   bool useChanged_ = false;
   utils::Millis queuesServedAt_;
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -52,8 +52,10 @@
 Exchange::Run()
 {
   services_.GetMetrics().requests.Add();
-  if (ResolveRoute() && CheckKey() && CheckConfigFreshness() &&
-      CheckQuarantine()) {
+  if (!services_.IsAccepting()) {
+    Refuse(ErrorKind::Leaving, "this entry is stopping");
+  } else if (ResolveRoute() && CheckKey() && CheckConfigFreshness() &&
+             CheckQuarantine()) {
     writer_.SetDisconnectHook([this] { HandleCallerDisconnect(); });
     services_.GetService(query_.service)
       .retryBudget.RecordFirstSend(services_.Now());
