Dispatch: an upstream that stays silent is ejected

Found by review: Eject returned at once while a silence excluded the upstream, so that 2.5 s of silence never led to an ejection and each 0.3 s new work went there. The test checked the failed share only; it now checks the ejection too and fails on the code before. A silence that was last reported 2.5 s ago counts anew.

--- a/libs/dispatch/include/dispatch/UpstreamHealth.h
+++ b/libs/dispatch/include/dispatch/UpstreamHealth.h
@@ -69,6 +69,7 @@
   utils::Millis activeAt_;
   /** Since when it has been silent; empty if it was active after that. */
   std::optional<utils::Millis> silentSince_;
+  utils::Millis silenceRecordedAt_;
   /** Excluded for its silence until then, or until it is active. */
   utils::Millis silentUntil_;
 };
--- a/libs/dispatch/src/UpstreamHealth.cpp
+++ b/libs/dispatch/src/UpstreamHealth.cpp
@@ -46,7 +46,7 @@
 void
 UpstreamHealth::Eject(Millis aNow)
 {
-  if (!IsUsable(aNow)) {
+  if (aNow < usableFrom_) {
     return;
   }
   auto factor = std::int64_t{ 1 } << std::min(ejections_, kMaxDoublings);
@@ -77,7 +77,9 @@
   if (HasBeenActiveSince(aSince)) {
     return;
   }
-  silentSince_ = silentSince_.value_or(aSince);
+  bool isNew = aNow - silenceRecordedAt_ > kMaxSilence;
+  silenceRecordedAt_ = aNow;
+  silentSince_ = isNew ? aSince : silentSince_.value_or(aSince);
   silentUntil_ = aNow + kSilenceAvoidTime;
   if (aNow - *silentSince_ >= kMaxSilence) {
     silentSince_ = aNow;
--- a/libs/dispatch/tests/UpstreamHealthTest.cpp
+++ b/libs/dispatch/tests/UpstreamHealthTest.cpp
@@ -40,9 +40,13 @@
 // Guards against an upstream that stays silent and keeps getting work.
 TEST_CASE("silence: an upstream that stays silent counts as unreachable")
 {
+  // Within the first ejection, after the time for which a silence excludes.
+  constexpr Millis kEndOfSilence(2600);
+  constexpr Millis kAfterReports(320);
   UpstreamHealth health;
-  StaySilent(health, kLongSilence);
+  auto now = StaySilent(health, kEndOfSilence);
   CHECK(health.GetFailedShare() > 0);
+  CHECK_FALSE(health.IsUsable(now + kAfterReports));
 }
 
 // Guards against a request that hangs alone and excludes a sound upstream.
