Entries: a stop answers what has no response yet; hedges as reviewed

Callers saw a request that an upstream still held at the exit end without an answer. Cause: Entry::Drain exits at 0.9 of the grace period whatever runs. Now requests without a response get 504, or 503 if nothing was sent, shortly before. Requests are accepted for 3 s of a stop at most.

--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -56,6 +56,9 @@
 // Share of the grace period for a request that is accepted last. Later ones are
 // refused, as they would be cut off.
 constexpr double kLastRequestShare = 0.5;
+constexpr Millis kMaxAcceptTime(3000);
+// Before the exit: requests without a response get one of the entry's own.
+constexpr Millis kStopMargin(250);
 constexpr Millis kDrainPoll(20);
 // Before the first check for running requests: the server accepts and begins to
 // read what callers have sent until its close.
@@ -255,12 +258,19 @@
   utils::Clock clock;
   auto grace = impl.settings.bounds.grace;
   auto end = clock.Now() + Scale(grace, kGraceShare);
-  impl.services.SetAcceptEnd(std::max(end - Scale(grace, kLastRequestShare),
-                                      clock.Now() + kUnreadyDelay));
+  auto acceptTime = Scale(grace, kGraceShare - kLastRequestShare);
+  impl.services.SetAcceptEnd(
+    clock.Now() + std::clamp(acceptTime, kUnreadyDelay, kMaxAcceptTime));
   net::Runtime::Sleep(kUnreadyDelay);
   impl.callerServer->Close();
   net::Runtime::Sleep(kCloseDelay);
-  while (impl.callerServer->GetActiveCount() > 0 && clock.Now() < end) {
+  auto isBusy = [&] { return impl.callerServer->GetActiveCount() > 0; };
+  while (isBusy() && clock.Now() < end - kStopMargin) {
+    net::Runtime::Sleep(kDrainPoll);
+  }
+  std::ranges::for_each(impl.services.GetExchanges(),
+                        [](Exchange* aExchange) { aExchange->Stop(); });
+  while (isBusy() && clock.Now() < end) {
     net::Runtime::Sleep(kDrainPoll);
   }
 }
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -25,6 +25,8 @@
 
 namespace waxwingyoke::fleet {
 
+class Exchange;
+
 /** The digest of a request, or the hash of a part, as log lines state it. */
 std::string
 FormatDigest(std::uint64_t aDigest);
@@ -117,6 +119,11 @@
   /** What the configuration may be used for at its present age. */
   dispatch::Trust GetTrust() const;
 
+  /** Requests that are being handled; each removes itself before its end. */
+  void AddExchange(Exchange& aExchange) { exchanges_.insert(&aExchange); }
+  void RemoveExchange(Exchange& aExchange) { exchanges_.erase(&aExchange); }
+  const std::set<Exchange*>& GetExchanges() const { return exchanges_; }
+
   /** Requests that arrive later are refused, as this entry is stopping. */
   void SetAcceptEnd(utils::Millis aEnd) { acceptEnd_ = aEnd; }
   bool IsAccepting() const { return !acceptEnd_ || Now() < *acceptEnd_; }
@@ -175,6 +182,7 @@
   /** By service; built from the configuration of enginesVersion_. */
   std::map<std::string, std::shared_ptr<const dispatch::EngineModel>> engines_;
   std::uint64_t enginesVersion_ = 0;
+  std::set<Exchange*> exchanges_;
   std::optional<utils::Millis> acceptEnd_;
   std::size_t entryCount_ = 1;
   bool useChanged_ = false;
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -52,6 +52,7 @@
 Exchange::Run()
 {
   services_.GetMetrics().requests.Add();
+  services_.AddExchange(*this);
   if (!services_.IsAccepting()) {
     Refuse(ErrorKind::Leaving, "this entry is stopping");
   } else if (ResolveRoute() && CheckKey() && CheckConfigFreshness() &&
@@ -65,14 +66,30 @@
   }
   DiscardHedge();
   lease_.reset();
+  services_.RemoveExchange(*this);
   LogEnd();
 }
 
-// Ends whatever the request waits for, so that no upstream works for it on.
 void
 Exchange::HandleCallerDisconnect()
 {
   callerDisconnected_ = true;
+  CancelWaits();
+}
+
+void
+Exchange::Stop()
+{
+  if (!writer_.IsStarted()) {
+    isStopped_ = true;
+    CancelWaits();
+  }
+}
+
+// Ends whatever the request waits for, so that no upstream works for it on.
+void
+Exchange::CancelWaits()
+{
   if (sendCanceller_) {
     sendCanceller_->Cancel();
   }
@@ -93,7 +110,7 @@
 Millis
 Exchange::GetTimeLeft() const
 {
-  return deadline_ - services_.Now();
+  return isStopped_ ? Millis(0) : deadline_ - services_.Now();
 }
 
 bool
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -35,6 +35,12 @@
   /** Returns once the response has ended or the caller has disconnected. */
   void Run();
 
+  /**
+   * Ends a request whose response has not begun with a response of the entry's
+   * own, as the process is about to exit.
+   */
+  void Stop();
+
 private:
   /** With less time left no upstream can answer, so nothing is sent. */
   static constexpr utils::Millis kMinTimeLeft{ 30 };
@@ -76,7 +82,10 @@
   SendParameters MakeSendParameters(UpstreamLease& aLease,
                                     std::uint64_t aVersion);
   void RecordSend();
-  void RecordNotSent();
+  void RecordFailedSend(const UpstreamAnswer& aAnswer,
+                        UpstreamLease& aLease,
+                        std::uint64_t aVersion);
+  void Exclude(const std::string& aUpstream);
   bool PrepareNextSend(bool aMayHaveRun);
   bool DeliverResponse();
   bool ReadBody(std::string& aBody);
@@ -119,7 +128,9 @@
               std::optional<utils::Millis> aRetryAfter);
   void LogEnd();
 
+  /** 0 once stopped. */
   utils::Millis GetTimeLeft() const;
+  void CancelWaits();
   utils::Millis GetElapsed() const;
   bool IsRetry() const { return elapsedBefore_ > utils::Millis(0); }
   bool IsCallerDisconnected() const { return callerDisconnected_; }
@@ -149,6 +160,7 @@
   std::vector<std::uint64_t> parts_;
 
   bool callerDisconnected_ = false;
+  bool isStopped_ = false;
   /** Cancels the present send; made anew for each. */
   std::optional<net::CallCanceller> sendCanceller_;
   std::unique_ptr<UpstreamLease> lease_;
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -15,7 +15,7 @@
 using utils::Millis;
 
 constexpr int kOk = 200;
-constexpr int kServerError = 500;
+constexpr int kMultipleChoices = 300;
 
 } // namespace
 
@@ -42,11 +42,14 @@
   auto now = services_.Now();
   auto& upstream = lease_->GetUpstream();
   upstream.health.RecordSilence(sentAt_, now);
+  if (hedge_ && hedge_->HasEnded() && !IsHedgeUsable()) {
+    DiscardHedge();
+  }
   if (!MayHedge()) {
     return;
   }
   UpdateQuery(true);
-  query_.excluded.push_back(upstream.record.id);
+  Exclude(upstream.record.id);
   auto placement = services_.GetUpstreams().FindPlacement(query_, now);
   if (placement) {
     StartHedge(*placement);
@@ -63,7 +66,7 @@
     return;
   }
   UpdateQuery(true);
-  query_.excluded.push_back(upstream.record.id);
+  Exclude(upstream.record.id);
   query_.preferredVersion = leaseVersion_;
   auto placement = services_.GetUpstreams().FindFallbackPlacement(query_, now);
   if (placement) {
@@ -108,7 +111,7 @@
     return answer.head.status == kOk &&
            (!streaming_ || answer.head.isEventStream);
   }
-  return answer.head.status < kServerError;
+  return answer.head.status >= kOk && answer.head.status < kMultipleChoices;
 }
 
 void
@@ -140,7 +143,7 @@
     RecordHang(sentAt_);
   }
   mayHaveRun_ = mayHaveRun_ || answer_.result == SendResult::Lost;
-  query_.excluded.push_back(lease_->GetUpstream().record.id);
+  Exclude(lease_->GetUpstream().record.id);
   AdoptHedge();
 }
 
@@ -168,13 +171,21 @@
   if (!hedge_) {
     return;
   }
+  bool endedItself = hedge_->HasEnded();
   hedge_->Cancel();
   hedge_->Wait();
   auto hedge = std::move(hedge_);
-  query_.excluded.push_back(hedge->GetLease().GetUpstream().record.id);
   auto result = hedge->GetAnswer().result;
+  if (endedItself) {
+    RecordFailedSend(hedge->GetAnswer(),
+                     hedge->GetLease(),
+                     hedge->GetParameters().metadata.version);
+  }
+  if (endedItself || result != SendResult::NotSent) {
+    Exclude(hedge->GetLease().GetUpstream().record.id);
+  }
   if (result == SendResult::NotSent) {
-    RecordNotSent();
+    --sends_;
   }
   mayHaveRun_ =
     mayHaveRun_ || result == SendResult::Lost || result == SendResult::Answered;
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -71,7 +71,7 @@
     }
     bool mayHaveRun = answer_.result == SendResult::Lost;
     mayHaveRun_ = mayHaveRun_ || mayHaveRun;
-    query_.excluded.push_back(lease_->GetUpstream().record.id);
+    Exclude(lease_->GetUpstream().record.id);
     answer_.stream.reset();
     if (!PrepareNextSend(mayHaveRun)) {
       return;
@@ -141,24 +141,44 @@
     framing_ = answer_.stream->GetFraming();
   }
   if (answer_.result == SendResult::NotSent) {
-    RecordNotSent();
+    --sends_;
+    ++connectFailures_;
   }
-  bool wasCancelled = sendCanceller_ && sendCanceller_->IsCancelled();
-  if (answer_.result == SendResult::Lost && !wasCancelled) {
-    RecordLostConnection();
+  bool wasCancelled =
+    IsCallerDisconnected() || (sendCanceller_ && sendCanceller_->IsCancelled());
+  if (!wasCancelled) {
+    RecordFailedSend(answer_, *lease_, leaseVersion_);
   }
-  if (answer_.result == SendResult::NotRun && answer_.head.misdirected &&
+}
+
+// Applies a send that ended before its answer to what is held of the upstream.
+void
+Exchange::RecordFailedSend(const UpstreamAnswer& aAnswer,
+                           UpstreamLease& aLease,
+                           std::uint64_t aVersion)
+{
+  if (aAnswer.result == SendResult::Lost &&
+      aAnswer.reason.kind == ErrorKind::ConnectionLost) {
+    BrokenRequest request;
+    request.attemptId = caller_.attemptId;
+    request.digest = digest_;
+    request.sharedParts = caller_.sharedParts;
+    services_.RecordBrokenConnection(aLease.GetPointer(), std::move(request));
+  }
+  if (aAnswer.result == SendResult::NotRun && aAnswer.head.misdirected &&
       query_.engine != nullptr) {
     services_.GetUpstreams().MarkStale(
-      lease_->GetUpstream(), query_, leaseVersion_, services_.Now());
+      aLease.GetUpstream(), query_, aVersion, services_.Now());
   }
 }
 
 void
-Exchange::RecordNotSent()
+Exchange::Exclude(const std::string& aUpstream)
 {
-  --sends_;
-  ++connectFailures_;
+  auto& excluded = query_.excluded;
+  if (std::ranges::find(excluded, aUpstream) == excluded.end()) {
+    excluded.push_back(aUpstream);
+  }
 }
 
 void
@@ -228,7 +248,7 @@
 {
   std::string part;
   int lateReads = 0;
-  while (true) {
+  while (!IsCallerDisconnected()) {
     auto left = GetTimeLeft();
     lateReads += left <= Millis(0) ? 1 : 0;
     left = std::max(left, kMinTimeLeft);
@@ -248,6 +268,7 @@
         return false;
     }
   }
+  return false;
 }
 
 // Whether to repeat a safe request elsewhere after a server error.
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -225,7 +225,7 @@
 {
   mayHaveRun_ = true;
   relay_.DiscardPartialEvent();
-  query_.excluded.push_back(lease_->GetUpstream().record.id);
+  Exclude(lease_->GetUpstream().record.id);
   query_.preferredVersion = leaseVersion_;
   if (hedge_) {
     hedge_->Wait();
@@ -252,7 +252,7 @@
       services_.GetMetrics().resumed.Add();
       return true;
     }
-    query_.excluded.push_back(lease_->GetUpstream().record.id);
+    Exclude(lease_->GetUpstream().record.id);
   }
 }
 
