Net: a cancellation between two operations of a call is noticed

Found by review: a cancellation that came between the end of the write and the read of the head found nothing to cancel, so that a cancelled call waited to its timeout. It is checked before each read. An exception on a hedge's fiber ends that send instead of the process.

--- a/libs/fleet/src/HedgedSend.cpp
+++ b/libs/fleet/src/HedgedSend.cpp
@@ -1,5 +1,6 @@
 #include "HedgedSend.h"
 
+#include <exception>
 #include <utility>
 
 #include <net/Runtime.h>
@@ -28,7 +29,14 @@
 void
 HedgedSend::Run()
 {
-  answer_ = SendToUpstream(services_, *lease_, parameters_);
+  // An exception that left the fiber would end the process.
+  try {
+    answer_ = SendToUpstream(services_, *lease_, parameters_);
+  } catch (const std::exception& failure) {
+    answer_ = {};
+    answer_.result = SendResult::Lost;
+    answer_.reason.Set(utils::ErrorKind::Internal, failure.what());
+  }
   ended_ = true;
   onEnd_();
   endCondition_.notify_all();
--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -139,11 +139,12 @@
   /** A Call whose response's body is larger fails with TooLarge. */
   std::size_t maxBodyBytes = kMaxBodyBytes;
   /**
-   * If set, called once if the response's header takes longer than
-   * silenceTimeout; the call goes on. Must not suspend.
+   * If set, called if the response's header takes longer than silenceTimeout,
+   * then in each silenceInterval; the call goes on. Must not suspend.
    */
   std::function<void()> onSilence;
   utils::Millis silenceTimeout;
+  utils::Millis silenceInterval{ 100 };
 };
 
 /** The timeouts of a call. */
--- a/libs/net/src/HookTimer.h
+++ b/libs/net/src/HookTimer.h
@@ -13,35 +13,33 @@
 namespace waxwingyoke::net {
 
 /**
- * Calls a hook once after a time, unless it is destroyed before. The hook runs
- * on the loop's thread and must not suspend.
+ * Calls a hook after a time, and again in each interval, until it is destroyed.
+ * The hook runs on the loop's thread and must not suspend.
  */
 class HookTimer
 {
 public:
-  /** An empty hook starts nothing. */
+  /** An empty hook starts nothing; with an interval of 0 it is called once. */
   HookTimer(boost::asio::io_context& aIo,
             utils::Millis aTime,
-            std::function<void()> aHook)
+            std::function<void()> aHook,
+            utils::Millis aInterval = utils::Millis(0))
   {
     if (!aHook) {
       return;
     }
-    hook_ = std::make_shared<std::function<void()>>(std::move(aHook));
-    timer_ = std::make_unique<boost::asio::steady_timer>(aIo);
-    timer_->expires_after(aTime.ToChrono());
-    timer_->async_wait([hook = hook_](const auto& aError) {
-      if (!aError && *hook) {
-        (*hook)();
-      }
-    });
+    state_ = std::make_shared<State>(aIo);
+    state_->hook = std::move(aHook);
+    state_->interval = aInterval;
+    Wait(state_, aTime);
   }
 
-  // The wait may have ended, with its handler still to run.
+  // A wait may have ended, with its handler still to run.
   ~HookTimer()
   {
-    if (hook_) {
-      *hook_ = nullptr;
+    if (state_) {
+      state_->hook = nullptr;
+      state_->timer.cancel();
     }
   }
 
@@ -49,8 +47,32 @@
   HookTimer& operator=(const HookTimer&) = delete;
 
 private:
-  std::shared_ptr<std::function<void()>> hook_;
-  std::unique_ptr<boost::asio::steady_timer> timer_;
+  struct State
+  {
+    explicit State(boost::asio::io_context& aIo)
+      : timer(aIo)
+    {
+    }
+    boost::asio::steady_timer timer;
+    std::function<void()> hook;
+    utils::Millis interval;
+  };
+
+  static void Wait(const std::shared_ptr<State>& aState, utils::Millis aTime)
+  {
+    aState->timer.expires_after(aTime.ToChrono());
+    aState->timer.async_wait([state = aState](const auto& aError) {
+      if (aError || !state->hook) {
+        return;
+      }
+      state->hook();
+      if (state->hook && state->interval > utils::Millis(0)) {
+        Wait(state, state->interval);
+      }
+    });
+  }
+
+  std::shared_ptr<State> state_;
 };
 
 } // namespace waxwingyoke::net
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -112,7 +112,17 @@
     http::async_write(connection.stream, aMessage, std::move(aHandler));
   });
   Traffic::Get().sent.Add(result.bytes);
-  HookTimer silence(GetThreadIo(), aOptions.silenceTimeout, aOptions.onSilence);
+  HookTimer silence(GetThreadIo(),
+                    aOptions.silenceTimeout,
+                    aOptions.onSilence,
+                    aOptions.silenceInterval);
+  // Between two operations a cancellation finds nothing to cancel.
+  auto checkCancelled = [&] {
+    if (aOptions.canceller != nullptr && aOptions.canceller->IsCancelled()) {
+      result.error = asio::error::operation_aborted;
+    }
+  };
+  checkCancelled();
   if (!result.error) {
     result = streamImpl->ReadHead();
   }
@@ -124,6 +134,7 @@
       break;
     }
     result = streamImpl->SkipBody();
+    checkCancelled();
     if (!result.error) {
       result = streamImpl->ReadHead();
     }
