--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -98,6 +98,7 @@
            metrics.GetCounter("fleet_quarantine_refusals_total"),
            metrics.GetCounter("fleet_hedges_total"),
            metrics.GetCounter("fleet_hedges_used_total"),
+           metrics.GetCounter("fleet_hedges_failed_total"),
            metrics.GetCounter("fleet_rate_limits_named_total"),
            metrics.GetCounter("fleet_rate_limited_sends_total"),
            metrics.GetDistribution("fleet_first_part_ms"),
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -75,6 +75,7 @@
   telemetry::Counter& quarantineRefusals;
   telemetry::Counter& hedges;
   telemetry::Counter& hedgesUsed;
+  telemetry::Counter& hedgesFailed;
   telemetry::Counter& rateLimitsNamed;
   telemetry::Counter& rateLimitedSends;
   telemetry::Distribution& firstPartMs;
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -111,6 +111,7 @@
   void SettleHeadHedge();
   void AdoptHedge();
   void DiscardHedge();
+  void LogHedgeEnd(std::string_view aOutcome) const;
   void RecordHang(utils::Millis aQuietSince);
   BrokenRequest MakeBrokenRequest() const;
   void RecordLostConnection();
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -151,9 +151,10 @@
 void
 Exchange::AdoptHedge()
 {
-  if (hedge_->GetAnswer().result == SendResult::Answered) {
-    services_.GetMetrics().hedgesUsed.Add();
-  }
+  bool isAnswered = hedge_->GetAnswer().result == SendResult::Answered;
+  LogHedgeEnd(isAnswered ? "delivered" : "failed");
+  auto& metrics = services_.GetMetrics();
+  (isAnswered ? metrics.hedgesUsed : metrics.hedgesFailed).Add();
   lease_ = hedge_->TakeLease();
   predictedMs_ = hedgePredictedMs_;
   placedAt_ = hedgedAt_;
@@ -172,6 +173,11 @@
     return;
   }
   bool endedItself = hedge_->HasEnded();
+  bool hasFailed = endedItself && !IsHedgeUsable();
+  LogHedgeEnd(hasFailed ? "failed" : "not needed");
+  if (hasFailed) {
+    services_.GetMetrics().hedgesFailed.Add();
+  }
   hedge_->Cancel();
   hedge_->Wait();
   auto hedge = std::move(hedge_);
@@ -191,6 +197,20 @@
     mayHaveRun_ || result == SendResult::Lost || result == SendResult::Answered;
 }
 
+void
+Exchange::LogHedgeEnd(std::string_view aOutcome) const
+{
+  services_.GetLogger().Info(
+    "a second send has ended",
+    { { "request", caller_.attemptId },
+      { "upstream", lease_->GetUpstream().record.id },
+      { "second", hedge_->GetParameters().metadata.upstreamId },
+      { "outcome", std::string(aOutcome) },
+      { "events", std::to_string(relay_.GetEventCount()) },
+      { "after_ms", std::to_string((services_.Now() - hedgedAt_).value) },
+      { "why", hedge_->GetAnswer().reason.detail } });
+}
+
 // A request that received nothing while others at the same upstream did hangs
 // there; the upstream was not only silent.
 void
