Fleet: a second send takes no sound stream with it

Cause: while an upstream is silent, an idempotent request is sent to a second one, and the first was given up at the second one's head. If the second then broke off, sent what does not continue the stream or lost its body, the route's two upstreams were used up and the request was lost, though the first would have gone on.

The second answer is now read ahead and held back while the first may go on; see docs/design/platform.md for when it is chosen. Ruled out: going back to the first after the second has broken off, as events of two runs must not be joined in turns. Not changed: a failed second send counts as one of the route's upstreams, since it was sent to one (unless nothing was sent); a first upstream that answers an error ends its hedge as before.

--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -44,6 +44,8 @@
 private:
   /** With less time left no upstream can answer, so nothing is sent. */
   static constexpr utils::Millis kMinTimeLeft{ 30 };
+  /** Interval in which a silent upstream and its hedge are compared. */
+  static constexpr utils::Millis kHedgeInterval{ 100 };
   /**
    * Reads after the deadline, or after the time without an event, for what had
    * arrived before: this process itself may have been suspended.
@@ -78,6 +80,7 @@
   bool AcquirePlacement(bool aMustMeetObjective);
 
   void Serve();
+  bool DeliverAnswer();
   bool SendOnce();
   SendParameters MakeSendParameters(UpstreamLease& aLease,
                                     std::uint64_t aVersion);
@@ -106,9 +109,10 @@
   void HedgeHead();
   void HedgeStream(utils::Millis aQuietSince);
   void StartHedge(const dispatch::Placement& aPlacement);
-  void HandleHedgeEnd();
-  bool IsHedgeUsable() const;
+  void HandleHedgeProgress();
+  bool ShouldAdoptHedge(utils::Millis aQuietSince) const;
   void SettleHeadHedge();
+  bool AdoptUsableHedge();
   void AdoptHedge();
   void DiscardHedge();
   void LogHedgeEnd(std::string_view aOutcome) const;
@@ -171,7 +175,7 @@
   /** SendParameters::startTimeout of the last send. */
   std::optional<utils::Millis> startTimeout_;
   UpstreamAnswer answer_;
-  /** Runs while the upstream of answer_ is silent. */
+  /** Runs beside the send of answer_ until one of both has gone on. */
   std::unique_ptr<HedgedSend> hedge_;
   double hedgePredictedMs_ = 0;
   utils::Millis hedgedAt_;
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -4,8 +4,9 @@
 #include "Exchange.h"
 
 // Sends an idempotent request to a second upstream while the first one is
-// silent. The first one is given up only once the second has answered: a sound
-// upstream may be silent for a moment and go on.
+// silent: a sound upstream may be silent for a moment and go on. Neither of
+// them is given up before the other has gone further than its head, as a
+// request may be sent to no third one in place of an answer that breaks off.
 
 namespace waxwingyoke::fleet {
 
@@ -14,8 +15,13 @@
 using dispatch::Outcome;
 using utils::Millis;
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
+// Events of the second upstream are held back for this time, in which it may
+// break off and the first may go on. Once one of them is delivered the first is
+// of no use: its later events need not continue those of the second.
+constexpr Millis kHoldTime(500);
+// They are delivered earlier if the first has been silent for longer than this,
+// as callers abandon a stream after two seconds without an event.
+constexpr Millis kMaxSilence(1700);
 
 } // namespace
 
@@ -42,9 +48,12 @@
   auto now = services_.Now();
   auto& upstream = lease_->GetUpstream();
   upstream.health.RecordSilence(sentAt_, now);
-  if (hedge_ && hedge_->HasEnded() && !IsHedgeUsable()) {
+  if (hedge_ && hedge_->HasFailed()) {
     DiscardHedge();
   }
+  if (ShouldAdoptHedge(sentAt_) && sendCanceller_) {
+    sendCanceller_->Cancel();
+  }
   if (!MayHedge()) {
     return;
   }
@@ -94,73 +103,99 @@
       { "upstream", lease_->GetUpstream().record.id },
       { "second", parameters.metadata.upstreamId },
       { "events", std::to_string(relay_.GetEventCount()) } });
+  HedgeOptions options{ route_->kind == platform::RequestKind::Stream,
+                        streaming_,
+                        relay_ };
   hedge_ = std::make_unique<HedgedSend>(services_,
                                         std::move(lease),
                                         std::move(parameters),
-                                        [this] { HandleHedgeEnd(); });
+                                        std::move(options),
+                                        [this] { HandleHedgeProgress(); });
 }
 
+// Whether the second upstream's answer replaces the first one's, which has
+// brought nothing since aQuietSince.
 bool
-Exchange::IsHedgeUsable() const
+Exchange::ShouldAdoptHedge(Millis aQuietSince) const
 {
-  const auto& answer = hedge_->GetAnswer();
-  if (answer.result != SendResult::Answered) {
+  if (!hedge_ || !hedge_->IsUsable()) {
     return false;
   }
-  if (route_->kind == platform::RequestKind::Stream) {
-    return answer.head.status == kOk &&
-           (!streaming_ || answer.head.isEventStream);
+  if (hedge_->IsComplete()) {
+    return true;
+  }
+  auto firstEventAt = hedge_->GetFirstEventAt();
+  if (!firstEventAt) {
+    return false;
   }
-  return answer.head.status >= kOk && answer.head.status < kMultipleChoices;
+  auto now = services_.Now();
+  return now - std::max(*firstEventAt, aQuietSince) >= kHoldTime ||
+         now - aQuietSince >= kMaxSilence;
 }
 
 void
-Exchange::HandleHedgeEnd()
+Exchange::HandleHedgeProgress()
 {
   if (!hedge_) {
     return;
   }
   if (answer_.stream) {
     answer_.stream->StopWaiting();
-  } else if (IsHedgeUsable() && sendCanceller_) {
+  } else if (ShouldAdoptHedge(sentAt_) && sendCanceller_) {
     sendCanceller_->Cancel();
   }
 }
 
-// Decides between the first send, which has ended, and its hedge.
+// Replaces the first send by its hedge if that one has ended without a head.
+// One that has a head may still break off, so its hedge goes on.
 void
 Exchange::SettleHeadHedge()
 {
-  if (!hedge_) {
+  if (!hedge_ || answer_.result == SendResult::Answered) {
     return;
   }
-  if (answer_.result == SendResult::Answered || IsCallerDisconnected()) {
+  if (IsCallerDisconnected()) {
     DiscardHedge();
     return;
   }
-  hedge_->Wait();
   if (sendCanceller_->IsCancelled()) {
     RecordHang(sentAt_);
   }
   mayHaveRun_ = mayHaveRun_ || answer_.result == SendResult::Lost;
   Exclude(lease_->GetUpstream().record.id);
+  hedge_->WaitForAnswer();
   AdoptHedge();
 }
 
+// Replaces an answer that broke off by the hedge's; false if there is none.
+bool
+Exchange::AdoptUsableHedge()
+{
+  if (!hedge_) {
+    return false;
+  }
+  hedge_->WaitForAnswer();
+  if (!hedge_->IsUsable()) {
+    DiscardHedge();
+    return false;
+  }
+  AdoptHedge();
+  return true;
+}
+
 // Replaces the send and its answer by those of the hedge.
 void
 Exchange::AdoptHedge()
 {
-  bool isAnswered = hedge_->GetAnswer().result == SendResult::Answered;
-  LogHedgeEnd(isAnswered ? "delivered" : "failed");
+  LogHedgeEnd(hedge_->IsUsable() ? "delivered" : "failed");
   auto& metrics = services_.GetMetrics();
-  (isAnswered ? metrics.hedgesUsed : metrics.hedgesFailed).Add();
+  (hedge_->IsUsable() ? metrics.hedgesUsed : metrics.hedgesFailed).Add();
+  answer_ = hedge_->TakeAnswer();
   lease_ = hedge_->TakeLease();
   predictedMs_ = hedgePredictedMs_;
   placedAt_ = hedgedAt_;
   leaseVersion_ = hedge_->GetParameters().metadata.version;
   startTimeout_ = hedge_->GetParameters().startTimeout;
-  answer_ = hedge_->TakeAnswer();
   sendCanceller_.reset();
   hedge_.reset();
   RecordSend();
@@ -173,15 +208,14 @@
     return;
   }
   bool endedItself = hedge_->HasEnded();
-  bool hasFailed = endedItself && !IsHedgeUsable();
-  LogHedgeEnd(hasFailed ? "failed" : "not needed");
-  if (hasFailed) {
-    services_.GetMetrics().hedgesFailed.Add();
-  }
+  LogHedgeEnd(hedge_->HasFailed() ? "failed" : "not needed");
   hedge_->Cancel();
   hedge_->Wait();
   auto hedge = std::move(hedge_);
   auto result = hedge->GetAnswer().result;
+  if (hedge->HasFailed() && endedItself) {
+    services_.GetMetrics().hedgesFailed.Add();
+  }
   if (endedItself) {
     RecordFailedSend(hedge->GetAnswer(),
                      hedge->GetLease(),
@@ -200,6 +234,8 @@
 void
 Exchange::LogHedgeEnd(std::string_view aOutcome) const
 {
+  auto now = services_.Now();
+  auto firstEventAt = hedge_->GetFirstEventAt();
   services_.GetLogger().Info(
     "a second send has ended",
     { { "request", caller_.attemptId },
@@ -207,7 +243,9 @@
       { "second", hedge_->GetParameters().metadata.upstreamId },
       { "outcome", std::string(aOutcome) },
       { "events", std::to_string(relay_.GetEventCount()) },
-      { "after_ms", std::to_string((services_.Now() - hedgedAt_).value) },
+      { "after_ms", std::to_string((now - hedgedAt_).value) },
+      { "held_ms",
+        firstEventAt ? std::to_string((now - *firstEventAt).value) : "" },
       { "why", hedge_->GetAnswer().reason.detail } });
 }
 
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "Exchange.h"
 
@@ -27,9 +28,6 @@
 // arrives within this many objectives.
 constexpr int kHeadTimeoutObjectives = 3;
 constexpr Millis kMinHeadTimeout(700);
-// Largest body of an answer that is not a stream. It is read completely before
-// it is delivered.
-constexpr std::size_t kMaxAnswerBytes = 4 << 20;
 
 bool
 ImpliesNotExecuted(int aStatus)
@@ -54,31 +52,42 @@
     if (!SendOnce()) {
       return;
     }
-    if (answer_.result == SendResult::Answered) {
-      bool isStream =
-        route_->kind == RequestKind::Stream && answer_.head.status == kOk;
-      if (isStream) {
-        RelayStream();
+    bool mayHaveRun = false;
+    do {
+      if (DeliverAnswer()) {
         return;
       }
-      if (DeliverResponse()) {
+      if (IsCallerDisconnected()) {
+        end_ = End::CallerDisconnected;
         return;
       }
-    }
-    if (IsCallerDisconnected()) {
-      end_ = End::CallerDisconnected;
-      return;
-    }
-    bool mayHaveRun = answer_.result == SendResult::Lost;
-    mayHaveRun_ = mayHaveRun_ || mayHaveRun;
-    Exclude(lease_->GetUpstream().record.id);
-    answer_.stream.reset();
+      mayHaveRun = answer_.result == SendResult::Lost;
+      mayHaveRun_ = mayHaveRun_ || mayHaveRun;
+      Exclude(lease_->GetUpstream().record.id);
+      answer_.stream.reset();
+    } while (AdoptUsableHedge());
     if (!PrepareNextSend(mayHaveRun)) {
       return;
     }
   }
 }
 
+// False if there is no answer that can be delivered.
+bool
+Exchange::DeliverAnswer()
+{
+  if (answer_.result != SendResult::Answered) {
+    return false;
+  }
+  bool isStream =
+    route_->kind == RequestKind::Stream && answer_.head.status == kOk;
+  if (isStream) {
+    RelayStream();
+    return true;
+  }
+  return DeliverResponse();
+}
+
 SendParameters
 Exchange::MakeSendParameters(UpstreamLease& aLease, std::uint64_t aVersion)
 {
@@ -163,6 +172,8 @@
     request.attemptId = caller_.attemptId;
     request.digest = digest_;
     request.sharedParts = caller_.sharedParts;
+    request.hasBegun = aAnswer.stream != nullptr;
+    request.writingTime = aAnswer.writingTime;
     services_.RecordBrokenConnection(aLease.GetPointer(), std::move(request));
   }
   if (aAnswer.result == SendResult::NotRun && aAnswer.head.misdirected &&
@@ -248,24 +259,37 @@
 {
   std::string part;
   int lateReads = 0;
+  aBody = std::exchange(answer_.readAhead, {});
   while (!IsCallerDisconnected()) {
     auto left = GetTimeLeft();
-    lateReads += left <= Millis(0) ? 1 : 0;
+    bool isLate = left <= Millis(0);
+    lateReads += isLate ? 1 : 0;
     left = std::max(left, kMinTimeLeft);
+    auto wait = hedge_ ? std::min(left, kHedgeInterval) : left;
     if (lateReads > kMaxLateReads || aBody.size() > kMaxAnswerBytes) {
       answer_.reason.Set(ErrorKind::AnswerBroken,
                          "the answer's body does not end");
       return false;
     }
-    switch (answer_.stream->Read(part, left, answer_.reason)) {
+    switch (answer_.stream->TryRead(part, wait, answer_.reason)) {
       case net::ReadResult::Data:
         aBody += part;
         break;
       case net::ReadResult::End:
         return true;
-      case net::ReadResult::Nothing:
       case net::ReadResult::Failed:
         return false;
+      case net::ReadResult::Nothing:
+        if (hedge_ && hedge_->IsComplete()) {
+          answer_.reason.Set(ErrorKind::TimedOut,
+                             "another upstream answered first");
+          return false;
+        }
+        if (isLate) {
+          answer_.reason.Set(ErrorKind::TimedOut, "the body is too late");
+          return false;
+        }
+        break;
     }
   }
   return false;
@@ -287,12 +311,14 @@
   auto& health = lease_->GetUpstream().health;
   if (!ReadBody(response.body)) {
     answer_.result = SendResult::Lost;
-    if (!IsCallerDisconnected()) {
+    bool isOnlySlow = hedge_ && hedge_->IsComplete();
+    if (!IsCallerDisconnected() && !isOnlySlow) {
       health.RecordOutcome(Outcome::Failed, services_.Now());
       RecordLostConnection();
     }
     return false;
   }
+  DiscardHedge();
   response.status = answer_.head.status;
   bool upstreamFailed = response.status >= kServerError;
   health.RecordOutcome(upstreamFailed ? Outcome::Failed : Outcome::Served,
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "Exchange.h"
 
@@ -18,8 +19,6 @@
 // many of the longest pauses that the route allows.
 constexpr int kStreamTimeoutPauses = 3;
 constexpr Millis kMinStreamTimeout(1200);
-// Interval in which a silent stream looks for another upstream.
-constexpr Millis kHedgeInterval(100);
 } // namespace
 
 void
@@ -78,13 +77,18 @@
 net::ReadResult
 Exchange::ReadPart(std::string& aPart, Millis aQuietSince)
 {
+  if (!answer_.readAhead.empty()) {
+    aPart = std::exchange(answer_.readAhead, {});
+    return net::ReadResult::Data;
+  }
   auto left = GetTimeLeft();
   if (left <= Millis(0)) {
     answer_.reason.Set(ErrorKind::DeadlineExceeded, "the deadline has passed");
     return net::ReadResult::Failed;
   }
   auto untilSilent = aQuietSince + GetSilenceTimeout() - services_.Now();
-  auto wait = std::min(std::max(untilSilent, kHedgeInterval), left);
+  auto interval = hedge_ ? kHedgeInterval : untilSilent;
+  auto wait = std::min(std::max(interval, kHedgeInterval), left);
   auto result = answer_.stream->TryRead(aPart, wait, answer_.reason);
   if (result == net::ReadResult::End && IsTruncated()) {
     services_.GetMetrics().truncatedStreams.Add();
@@ -140,6 +144,7 @@
 {
   lease_->GetUpstream().health.RecordOutcome(Outcome::Served, services_.Now());
   RecordSurvival();
+  DiscardHedge();
   lease_.reset();
   auto remainder = relay_.TakeRemainder();
   bool sent =
@@ -185,13 +190,13 @@
   auto quietSince = services_.Now();
   int lateReads = 0;
   while (!IsCallerDisconnected()) {
-    if (hedge_ && hedge_->HasEnded()) {
-      if (IsHedgeUsable()) {
-        RecordHang(quietSince);
-        return false;
-      }
+    if (hedge_ && hedge_->HasFailed()) {
       DiscardHedge();
     }
+    if (ShouldAdoptHedge(quietSince)) {
+      RecordHang(quietSince);
+      return false;
+    }
     auto result = ReadPart(part, quietSince);
     if (result == net::ReadResult::Failed) {
       RecordBrokenStream(quietSince);
@@ -227,14 +232,9 @@
   relay_.DiscardPartialEvent();
   Exclude(lease_->GetUpstream().record.id);
   query_.preferredVersion = leaseVersion_;
-  if (hedge_) {
-    hedge_->Wait();
-    if (IsHedgeUsable()) {
-      AdoptHedge();
-      services_.GetMetrics().resumed.Add();
-      return true;
-    }
-    DiscardHedge();
+  if (AdoptUsableHedge()) {
+    services_.GetMetrics().resumed.Add();
+    return true;
   }
   while (true) {
     answer_.stream.reset();
--- a/libs/fleet/src/HedgedSend.h
+++ b/libs/fleet/src/HedgedSend.h
@@ -4,58 +4,109 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
+#include "EventRelay.h"
 #include "UpstreamLease.h"
 #include "UpstreamSend.h"
 
 namespace waxwingyoke::fleet {
 
+/** What a second send expects of its answer. */
+struct HedgeOptions
+{
+  bool isStream = false;
+  /** The head has gone to the caller: only an event stream can go on. */
+  bool isResumed = false;
+  /** State of the stream at the last event that the caller has. */
+  EventRelay relay;
+};
+
 /**
  * A second send of a request, on a fiber of its own, while the first upstream
- * is silent. Destroying it cancels the send and waits for the fiber's end.
+ * is silent. Reads the answer ahead and holds it back, so that its owner can
+ * still choose the first upstream. Destroying it cancels the send and waits for
+ * the fiber's end.
  */
 class HedgedSend
 {
 public:
-  /** aOnEnd is called on the send's fiber and must not suspend. */
+  /**
+   * aOnProgress is called on the send's fiber when the first event has arrived
+   * and when the send has ended. It must not suspend.
+   */
   HedgedSend(EntryServices& aServices,
              std::unique_ptr<UpstreamLease> aLease,
              SendParameters aParameters,
-             std::function<void()> aOnEnd);
+             HedgeOptions aOptions,
+             std::function<void()> aOnProgress);
   ~HedgedSend();
 
   HedgedSend(const HedgedSend&) = delete;
   HedgedSend& operator=(const HedgedSend&) = delete;
 
-  void Cancel() { canceller_.Cancel(); }
+  void Cancel();
   /** Suspends the calling fiber until the send has ended. */
   void Wait();
+  /**
+   * Suspends the calling fiber until the answer can be delivered: from its head
+   * on if it is a stream, otherwise once it is complete. Also returns if the
+   * send has failed.
+   */
+  void WaitForAnswer();
+
+  /** The send failed, or its answer broke off. */
+  bool HasFailed() const { return ended_ && !IsUsable(); }
   bool HasEnded() const { return ended_; }
+  /** The answer has begun as expected and has not broken off. */
+  bool IsUsable() const { return hasHead_ && !brokeOff_; }
+  bool IsComplete() const { return isComplete_; }
+  /** When the first event arrived; empty until then. */
+  std::optional<utils::Millis> GetFirstEventAt() const { return firstEventAt_; }
 
   /** The version that the send asked for, and its time limit for the start. */
   const SendParameters& GetParameters() const { return parameters_; }
 
-  /** The next two may be taken once the send has ended. */
   std::unique_ptr<UpstreamLease> TakeLease() { return std::move(lease_); }
-  UpstreamAnswer TakeAnswer() { return std::move(answer_); }
+  /**
+   * Ends the reading ahead and returns the answer with what was read. To be
+   * called once WaitForAnswer has returned.
+   */
+  UpstreamAnswer TakeAnswer();
+  /** May be read once the send has ended. */
   const UpstreamAnswer& GetAnswer() const { return answer_; }
   UpstreamLease& GetLease() { return *lease_; }
 
 private:
   void Run();
+  bool HasExpectedHead() const;
+  void ReadAhead();
+  bool Add(const std::string& aPart);
+  bool IsTruncated() const;
+  void RecordBreak();
+  void Notify();
 
   EntryServices& services_;
   std::unique_ptr<UpstreamLease> lease_;
   net::CallCanceller canceller_;
   SendParameters parameters_;
-  std::function<void()> onEnd_;
+  HedgeOptions options_;
+  std::function<void()> onProgress_;
+  utils::Millis deadline_;
   UpstreamAnswer answer_;
+  std::uint64_t eventsBefore_;
+  std::optional<utils::Millis> firstEventAt_;
+  bool hasHead_ = false;
+  bool isComplete_ = false;
+  bool brokeOff_ = false;
+  bool isStopping_ = false;
   bool ended_ = false;
   boost::fibers::mutex mutex_;
-  boost::fibers::condition_variable endCondition_;
+  boost::fibers::condition_variable progressCondition_;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/UpstreamSend.h
+++ b/libs/fleet/src/UpstreamSend.h
@@ -1,6 +1,7 @@
 #ifndef waxwingyoke_fleet_UpstreamSend_h
 #define waxwingyoke_fleet_UpstreamSend_h
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -14,6 +15,12 @@
 
 namespace waxwingyoke::fleet {
 
+/**
+ * Largest body of an answer that is not a stream. It is read completely before
+ * it is delivered.
+ */
+inline constexpr std::size_t kMaxAnswerBytes = 4 << 20;
+
 /** Result of sending a request to one upstream. */
 enum class SendResult
 {
@@ -36,6 +43,10 @@
   platform::UpstreamHead head;
   net::HttpFields fields;
   std::unique_ptr<net::ResponseStream> stream;
+  /** Begin of the body, if it was read before; the stream has the rest. */
+  std::string readAhead;
+  /** From the first to the last event that was read ahead. */
+  std::optional<utils::Millis> writingTime;
   utils::Error reason;
 };
 
