Fleet: a longer time limit holds for requests under way

Cause: Exchange took the limit once, at the request's arrival. The limits of a caller's connection follow a longer one already.

Now a request takes over a longer limit as soon as it is in force; its upstream still stops at the time that the send stated, so the stream is resumed at another one, and that stop is no failure of the upstream. A shorter limit holds for later requests, as before: these were accepted under the longer one (docs/CALLERS.md).

Evidence: fleet_config_test, "a longer time limit holds", with an engine that takes 1.8 s under a limit of 1 s that becomes 6 s after half of it: 6 of 22 checks failed before, all three streams cut; 22 of 22 pass after. Lines of a request's end state time_limit_ms and caller_limit_ms. The fake engine stops at its deadline as a real one.

--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -108,11 +108,39 @@
 }
 
 Millis
-Exchange::GetTimeLeft() const
+Exchange::GetTimeLeft()
 {
+  FollowTimeLimit();
   return isStopped_ ? Millis(0) : deadline_ - services_.Now();
 }
 
+// A longer limit that comes into force holds for requests under way, too. Under
+// a shorter one they keep the limit that they were accepted under.
+void
+Exchange::FollowTimeLimit()
+{
+  auto config = services_.GetConfig().GetConfig();
+  if (!config || config == limitConfig_) {
+    return;
+  }
+  const auto* route = config->FindRoute(caller_.host, caller_.path);
+  limitConfig_ = std::move(config);
+  if (route != nullptr && route->timeout > timeLimit_) {
+    timeLimit_ = route->timeout;
+    deadline_ =
+      arrivedAt_ +
+      std::min(caller_.callerTimeout.value_or(timeLimit_), timeLimit_);
+  }
+}
+
+// An upstream stops at the time that its send stated, although the request has
+// more time since: that is no failure.
+bool
+Exchange::HasUpstreamRunOutOfTime() const
+{
+  return upstreamDeadline_ < deadline_ && services_.Now() >= upstreamDeadline_;
+}
+
 bool
 Exchange::ResolveRoute()
 {
@@ -131,8 +159,7 @@
     }
     return false;
   }
-  auto callerTimeout = caller_.callerTimeout.value_or(route_->timeout);
-  deadline_ = arrivedAt_ + std::min(callerTimeout, route_->timeout);
+  FollowTimeLimit();
   digest_ = MakeDigest();
   auto firstAttemptAt = services_.GetRefusals().Find(digest_);
   elapsedBefore_ = firstAttemptAt ? arrivedAt_ - *firstAttemptAt : Millis(0);
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -105,7 +105,7 @@
   bool ResumeElsewhere();
   utils::Millis GetSilenceTimeout() const;
 
-  bool MayHedge() const;
+  bool MayHedge();
   void HedgeHead();
   void HedgeStream(utils::Millis aQuietSince);
   void StartHedge(const dispatch::Placement& aPlacement);
@@ -133,8 +133,10 @@
               std::optional<utils::Millis> aRetryAfter);
   void LogEnd();
 
+  void FollowTimeLimit();
   /** 0 once stopped. */
-  utils::Millis GetTimeLeft() const;
+  utils::Millis GetTimeLeft();
+  bool HasUpstreamRunOutOfTime() const;
   void CancelWaits();
   utils::Millis GetElapsed() const;
   bool IsRetry() const { return elapsedBefore_ > utils::Millis(0); }
@@ -147,6 +149,10 @@
   platform::CallerRequest caller_;
   utils::Millis arrivedAt_;
   utils::Millis deadline_;
+  /** The route's time limit that deadline_ respects. */
+  utils::Millis timeLimit_;
+  /** The configuration that timeLimit_ was last compared with. */
+  std::shared_ptr<const platform::FleetConfig> limitConfig_;
   /**
    * Time since the caller's first attempt; above zero if this is a retry of a
    * refused request.
@@ -181,6 +187,8 @@
   utils::Millis hedgedAt_;
   /** When the present send began. */
   utils::Millis sentAt_;
+  /** When the upstream of answer_ stops work, as its send stated. */
+  utils::Millis upstreamDeadline_;
   int sends_ = 0;
   int connectFailures_ = 0;
   bool mayHaveRun_ = false;
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -171,6 +171,10 @@
       { "first_ms", text(first.value) },
       { "pause_ms", text(longestPause_.value) },
       { "took_ms", text(took.value) },
+      { "time_limit_ms", text(timeLimit_.value) },
+      { "caller_limit_ms",
+        caller_.callerTimeout ? text(caller_.callerTimeout->value)
+                              : std::string() },
       { "elapsed_before_ms", text(elapsedBefore_.value) },
       { "sends", text(sends_) },
       { "status", text(status_) },
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -27,7 +27,7 @@
 
 // The same conditions as for a repeat, but without an answer to the caller.
 bool
-Exchange::MayHedge() const
+Exchange::MayHedge()
 {
   bool keyHolds = organisation_ == nullptr ||
                   services_.GetTrust() != dispatch::Trust::KeylessOnly;
@@ -194,6 +194,7 @@
   lease_ = hedge_->TakeLease();
   predictedMs_ = hedgePredictedMs_;
   placedAt_ = hedgedAt_;
+  upstreamDeadline_ = hedgedAt_ + hedge_->GetParameters().metadata.timeLeft;
   leaseVersion_ = hedge_->GetParameters().metadata.version;
   startTimeout_ = hedge_->GetParameters().startTimeout;
   sendCanceller_.reset();
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -134,6 +134,7 @@
   }
   ++sends_;
   sentAt_ = services_.Now();
+  upstreamDeadline_ = sentAt_ + parameters.metadata.timeLeft;
   answer_ = SendToUpstream(services_, *lease_, parameters);
   RecordSend();
   SettleHeadHedge();
@@ -312,7 +313,7 @@
   if (!ReadBody(response.body)) {
     answer_.result = SendResult::Lost;
     bool isOnlySlow = hedge_ && hedge_->IsComplete();
-    if (!IsCallerDisconnected() && !isOnlySlow) {
+    if (!IsCallerDisconnected() && !isOnlySlow && !HasUpstreamRunOutOfTime()) {
       health.RecordOutcome(Outcome::Failed, services_.Now());
       RecordLostConnection();
     }
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -122,11 +122,11 @@
                    services_.Now() - aQuietSince >= GetSilenceTimeout();
   if (wasSilent) {
     RecordHang(aQuietSince);
-  } else {
+  } else if (!HasUpstreamRunOutOfTime()) {
     lease_->GetUpstream().health.RecordOutcome(Outcome::Failed,
                                                services_.Now());
+    RecordLostConnection();
   }
-  RecordLostConnection();
   services_.GetMetrics().brokenStreams.Add();
   services_.GetLogger().Info(
     "a stream broke off",
