Dispatch: streams that fall silent together do not count as hanging

What callers saw: after a silence of a sound upstream, it gets no work for half a second or more, as after failures, while others are full.

Cause: a request for which another upstream was chosen counted as hanging, one failure of its upstream, if others there had received anything since its own last event. The last events before a silence arrive some milliseconds apart, so all but the last of the streams of a silent upstream counted.

Now others must have received something after the time that counts as a silence. Evidence: dispatch_test, "requests that fall silent together do not hang": with the comparison of before the upstream is ejected after eight of them. The time for which the second answer is held back also no longer counts in the prediction of its first event.

--- a/libs/dispatch/include/dispatch/UpstreamHealth.h
+++ b/libs/dispatch/include/dispatch/UpstreamHealth.h
@@ -52,6 +52,16 @@
     return activeAt_ > aTime;
   }
 
+  /**
+   * Records that another upstream was chosen for a request that has received
+   * nothing since aSince. Counts as Failed if others have received something
+   * after aSilenceTimeout of that: then the request hangs there, otherwise the
+   * upstream is silent to all.
+   */
+  void RecordHang(utils::Millis aSince,
+                  utils::Millis aSilenceTimeout,
+                  utils::Millis aNow);
+
   /** Whether requests may be sent there; false while ejected. */
   bool IsUsable(utils::Millis aNow) const;
 
--- a/libs/dispatch/src/UpstreamHealth.cpp
+++ b/libs/dispatch/src/UpstreamHealth.cpp
@@ -87,6 +87,16 @@
   }
 }
 
+// Requests that fall silent together have received their last events at
+// slightly different times.
+void
+UpstreamHealth::RecordHang(Millis aSince, Millis aSilenceTimeout, Millis aNow)
+{
+  if (HasBeenActiveSince(aSince + aSilenceTimeout)) {
+    RecordOutcome(Outcome::Failed, aNow);
+  }
+}
+
 bool
 UpstreamHealth::IsUsable(Millis aNow) const
 {
--- a/libs/dispatch/tests/UpstreamHealthTest.cpp
+++ b/libs/dispatch/tests/UpstreamHealthTest.cpp
@@ -59,3 +59,25 @@
   CHECK(health.IsUsable(now));
   CHECK(health.HasBeenActiveSince(kStart));
 }
+
+// Guards against an upstream that is ejected for a silence: streams that fell
+// silent a moment before the others there counted as hanging.
+TEST_CASE("requests that fall silent together do not hang, one alone does")
+{
+  constexpr Millis kSilenceTimeout(1200);
+  constexpr int kRequests = 8;
+  UpstreamHealth together;
+  UpstreamHealth alone;
+  for (int i = 0; i < kRequests; ++i) {
+    Millis lastEvent(5000 * (i + 1));
+    auto chosen = lastEvent + Millis(1700);
+    together.RecordActivity(lastEvent + Millis(40));
+    together.RecordHang(lastEvent, kSilenceTimeout, chosen);
+    alone.RecordActivity(chosen - Millis(40));
+    alone.RecordHang(lastEvent, kSilenceTimeout, chosen);
+  }
+  CHECK(together.GetFailedShare() == 0);
+  CHECK(together.IsUsable(Millis(5000 * kRequests + 1701)));
+  CHECK(alone.GetFailedShare() > 0);
+  CHECK_FALSE(alone.IsUsable(Millis(5000 * kRequests + 1701)));
+}
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -103,6 +103,7 @@
   bool IsTruncated() const;
   void RecordEvents();
   bool ResumeElsewhere();
+  utils::Millis GetHeadTimeout() const;
   utils::Millis GetSilenceTimeout() const;
 
   bool MayHedge();
@@ -116,7 +117,7 @@
   void AdoptHedge();
   void DiscardHedge();
   void LogHedgeEnd(std::string_view aOutcome) const;
-  void RecordHang(utils::Millis aQuietSince);
+  void RecordHang(utils::Millis aQuietSince, utils::Millis aSilenceTimeout);
   BrokenRequest MakeBrokenRequest() const;
   void RecordLostConnection();
   void RecordSurvival();
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-using dispatch::Outcome;
 using utils::Millis;
 
 // Events of the second upstream are held back for this time, in which it may
@@ -159,7 +158,7 @@
     return;
   }
   if (sendCanceller_->IsCancelled()) {
-    RecordHang(sentAt_);
+    RecordHang(sentAt_, GetHeadTimeout());
   }
   mayHaveRun_ = mayHaveRun_ || answer_.result == SendResult::Lost;
   Exclude(lease_->GetUpstream().record.id);
@@ -193,7 +192,11 @@
   answer_ = hedge_->TakeAnswer();
   lease_ = hedge_->TakeLease();
   predictedMs_ = hedgePredictedMs_;
-  placedAt_ = hedgedAt_;
+  // The prediction is compared with the first event's arrival, not its
+  // delivery.
+  auto firstEventAt = hedge_->GetFirstEventAt();
+  auto heldTime = firstEventAt ? services_.Now() - *firstEventAt : Millis(0);
+  placedAt_ = hedgedAt_ + heldTime;
   upstreamDeadline_ = hedgedAt_ + hedge_->GetParameters().metadata.timeLeft;
   leaseVersion_ = hedge_->GetParameters().metadata.version;
   startTimeout_ = hedge_->GetParameters().startTimeout;
@@ -250,15 +253,11 @@
       { "why", hedge_->GetAnswer().reason.detail } });
 }
 
-// A request that received nothing while others at the same upstream did hangs
-// there; the upstream was not only silent.
 void
-Exchange::RecordHang(Millis aQuietSince)
+Exchange::RecordHang(Millis aQuietSince, Millis aSilenceTimeout)
 {
-  auto& health = lease_->GetUpstream().health;
-  if (health.HasBeenActiveSince(aQuietSince)) {
-    health.RecordOutcome(Outcome::Failed, services_.Now());
-  }
+  lease_->GetUpstream().health.RecordHang(
+    aQuietSince, aSilenceTimeout, services_.Now());
 }
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -128,8 +128,7 @@
     sendCanceller_->Cancel();
   }
   if (route_->IsIdempotent()) {
-    parameters.silenceTimeout =
-      std::max(route_->objective * kHeadTimeoutObjectives, kMinHeadTimeout);
+    parameters.silenceTimeout = GetHeadTimeout();
     parameters.onSilence = [this] { HedgeHead(); };
   }
   ++sends_;
@@ -141,6 +140,12 @@
   return true;
 }
 
+Millis
+Exchange::GetHeadTimeout() const
+{
+  return std::max(route_->objective * kHeadTimeoutObjectives, kMinHeadTimeout);
+}
+
 // Applies the result of the send to the lease's upstream.
 void
 Exchange::RecordSend()
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -121,7 +121,7 @@
   bool wasSilent = answer_.reason.kind == ErrorKind::DeadlineExceeded &&
                    services_.Now() - aQuietSince >= GetSilenceTimeout();
   if (wasSilent) {
-    RecordHang(aQuietSince);
+    RecordHang(aQuietSince, GetSilenceTimeout());
   } else if (!HasUpstreamRunOutOfTime()) {
     lease_->GetUpstream().health.RecordOutcome(Outcome::Failed,
                                                services_.Now());
@@ -194,7 +194,7 @@
       DiscardHedge();
     }
     if (ShouldAdoptHedge(quietSince)) {
-      RecordHang(quietSince);
+      RecordHang(quietSince, GetSilenceTimeout());
       return false;
     }
     auto result = ReadPart(part, quietSince);
