Fleet: a second upstream's answer replaces a server error of the first

What callers saw: a 500 for a request that may be repeated, while a second upstream, asked during the first one's silence, was about to answer it.

Cause: any answer of the first ended the second send, also an error after which the request would have been repeated, had it not been sent twice already.

Now the second send is waited for (it ends by itself at the request's time), and the error is delivered if it brings no answer.

--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -113,6 +113,7 @@
   void HandleHedgeProgress();
   bool ShouldAdoptHedge(utils::Millis aQuietSince) const;
   void SettleHeadHedge();
+  bool HasHedgeAnswer();
   bool AdoptUsableHedge();
   void AdoptHedge();
   void DiscardHedge();
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -166,15 +166,21 @@
   AdoptHedge();
 }
 
+// Waits for the hedge, if there is one.
+bool
+Exchange::HasHedgeAnswer()
+{
+  if (hedge_) {
+    hedge_->WaitForAnswer();
+  }
+  return hedge_ && hedge_->IsUsable();
+}
+
 // Replaces an answer that broke off by the hedge's; false if there is none.
 bool
 Exchange::AdoptUsableHedge()
 {
-  if (!hedge_) {
-    return false;
-  }
-  hedge_->WaitForAnswer();
-  if (!hedge_->IsUsable()) {
+  if (!HasHedgeAnswer()) {
     DiscardHedge();
     return false;
   }
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -324,12 +324,15 @@
     }
     return false;
   }
-  DiscardHedge();
   response.status = answer_.head.status;
   bool upstreamFailed = response.status >= kServerError;
   health.RecordOutcome(upstreamFailed ? Outcome::Failed : Outcome::Served,
                        services_.Now());
-  if (ShouldRetryElsewhere(response.status) ||
+  bool isReplaced = upstreamFailed && HasHedgeAnswer();
+  if (!isReplaced) {
+    DiscardHedge();
+  }
+  if (isReplaced || ShouldRetryElsewhere(response.status) ||
       ImpliesNotExecuted(response.status)) {
     answer_.result = SendResult::Lost;
     answer_.reason.Set(ErrorKind::UpstreamFailed,
