Fleet: second sends that are cancelled, empty or begun before the head

Reading ahead now ends by the cancellation itself. - a second send that began before the first one's head brought a text or an error event, which displaced the first and was then refused as foreign.

By reading: the time for which an upstream has written counts from its first event, also if that was held back; a longer limit is that of the same route only.

--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -125,7 +125,8 @@
   }
   const auto* route = config->FindRoute(caller_.host, caller_.path);
   limitConfig_ = std::move(config);
-  if (route != nullptr && route->timeout > timeLimit_) {
+  bool isSame = route != nullptr && route->name == route_->name;
+  if (isSame && route->timeout > timeLimit_) {
     timeLimit_ = route->timeout;
     deadline_ =
       arrivedAt_ +
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -163,7 +163,11 @@
   mayHaveRun_ = mayHaveRun_ || answer_.result == SendResult::Lost;
   Exclude(lease_->GetUpstream().record.id);
   hedge_->WaitForAnswer();
-  AdoptHedge();
+  if (hedge_->IsCancelled()) {
+    DiscardHedge();
+  } else {
+    AdoptHedge();
+  }
 }
 
 // Waits for the hedge, if there is one.
@@ -209,6 +213,7 @@
   sendCanceller_.reset();
   hedge_.reset();
   RecordSend();
+  responseBeganAt_ = firstEventAt;
 }
 
 void
@@ -217,13 +222,14 @@
   if (!hedge_) {
     return;
   }
-  bool endedItself = hedge_->HasEnded();
-  LogHedgeEnd(hedge_->HasFailed() ? "failed" : "not needed");
+  bool endedItself = hedge_->HasEnded() && !hedge_->IsCancelled();
+  bool hasFailed = endedItself && hedge_->HasFailed();
+  LogHedgeEnd(hasFailed ? "failed" : "not needed");
   hedge_->Cancel();
   hedge_->Wait();
   auto hedge = std::move(hedge_);
   auto result = hedge->GetAnswer().result;
-  if (hedge->HasFailed() && endedItself) {
+  if (hasFailed) {
     services_.GetMetrics().hedgesFailed.Add();
   }
   if (endedItself) {
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -27,6 +27,9 @@
   auto fields = services_.GetDialect().MakeCallerFields(answer_.fields);
   status_ = answer_.head.status;
   streaming_ = true;
+  if (hedge_) {
+    hedge_->RequireContinuation();
+  }
   if (!writer_.Start(status_, fields)) {
     end_ = End::CallerDisconnected;
     return;
--- a/libs/fleet/src/HedgedSend.cpp
+++ b/libs/fleet/src/HedgedSend.cpp
@@ -54,6 +54,24 @@
   }
 }
 
+void
+HedgedSend::RequireContinuation()
+{
+  options_.isResumed = true;
+  options_.relay = EventRelay();
+  options_.relay.DiscardPartialEvent();
+  options_.relay.Add(answer_.readAhead);
+  options_.relay.TakeEvents();
+  if (IsUsable() &&
+      (!answer_.head.isEventStream || options_.relay.HasForeignEvent())) {
+    answer_.reason.Set(ErrorKind::AnswerBroken,
+                       "the answer does not continue the stream");
+    isComplete_ = false;
+    RecordBreak();
+    answer_.stream->StopWaiting();
+  }
+}
+
 void
 HedgedSend::Run()
 {
@@ -92,7 +110,8 @@
 HedgedSend::ReadAhead()
 {
   std::string part;
-  while (!isStopping_ && !brokeOff_) {
+  // A cancellation may come while what was read waits for this fiber's turn.
+  while (!isStopping_ && !brokeOff_ && !IsCancelled()) {
     auto left = deadline_ - services_.Now();
     if (left <= Millis(0)) {
       answer_.reason.Set(ErrorKind::DeadlineExceeded,
@@ -110,10 +129,12 @@
         }
         break;
       case net::ReadResult::End:
-        isComplete_ = !IsTruncated();
+        isComplete_ = !IsEndMissing();
         if (!isComplete_) {
-          answer_.reason.Set(ErrorKind::ConnectionLost,
-                             "the stream ended within an event");
+          bool isLost = answer_.stream->GetFraming() == net::BodyFraming::Close;
+          answer_.reason.Set(
+            isLost ? ErrorKind::ConnectionLost : ErrorKind::AnswerBroken,
+            "the stream ended within an event or before the first");
           RecordBreak();
         }
         return;
@@ -162,14 +183,15 @@
   return !isBroken;
 }
 
+// An end without any event says too little while the first upstream may go on.
 bool
-HedgedSend::IsTruncated() const
+HedgedSend::IsEndMissing() const
 {
   if (!options_.isStream) {
     return false;
   }
-  bool isEmpty = options_.relay.GetEventCount() == eventsBefore_ &&
-                 answer_.stream->GetFraming() == net::BodyFraming::Close;
+  bool isEmpty = answer_.head.isEventStream &&
+                 options_.relay.GetEventCount() == eventsBefore_;
   return isEmpty || options_.relay.EndsInsideEvent();
 }
 
@@ -178,8 +200,7 @@
 {
   brokeOff_ = true;
   answer_.result = SendResult::Lost;
-  if (!canceller_.IsCancelled() &&
-      answer_.reason.kind != ErrorKind::DeadlineExceeded) {
+  if (!IsCancelled() && answer_.reason.kind != ErrorKind::DeadlineExceeded) {
     lease_->GetUpstream().health.RecordOutcome(dispatch::Outcome::Failed,
                                                services_.Now());
   }
--- a/libs/fleet/src/HedgedSend.h
+++ b/libs/fleet/src/HedgedSend.h
@@ -50,6 +50,11 @@
   HedgedSend& operator=(const HedgedSend&) = delete;
 
   void Cancel();
+  /**
+   * Called when the first upstream's head goes to the caller after this send
+   * began: from then on only an event stream can go on.
+   */
+  void RequireContinuation();
   /** Suspends the calling fiber until the send has ended. */
   void Wait();
   /**
@@ -59,11 +64,12 @@
    */
   void WaitForAnswer();
 
-  /** The send failed, or its answer broke off. */
+  /** The send failed or was cancelled, or its answer broke off. */
   bool HasFailed() const { return ended_ && !IsUsable(); }
   bool HasEnded() const { return ended_; }
+  bool IsCancelled() const { return canceller_.IsCancelled(); }
   /** The answer has begun as expected and has not broken off. */
-  bool IsUsable() const { return hasHead_ && !brokeOff_; }
+  bool IsUsable() const { return hasHead_ && !brokeOff_ && !IsCancelled(); }
   bool IsComplete() const { return isComplete_; }
   /** When the first event arrived; empty until then. */
   std::optional<utils::Millis> GetFirstEventAt() const { return firstEventAt_; }
@@ -86,7 +92,7 @@
   bool HasExpectedHead() const;
   void ReadAhead();
   bool Add(const std::string& aPart);
-  bool IsTruncated() const;
+  bool IsEndMissing() const;
   void RecordBreak();
   void Notify();
 
