Fleet: a caller's short time limit ejects no upstream

What callers saw: "no upstream has room in time" after some callers had allowed less time than an answer takes.

Cause: a head that does not come within the caller's own limit counted as an upstream that can't be reached, which ejects it at once.

Only a head that takes longer than the route's objective counts now. Weighed: the time of a silence (three objectives); with limits below that an upstream that answers nothing would never be ejected.

An unproven 408, 421, 429 or 503 of the first upstream also waits for a second send, as a server error does.

--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -93,6 +93,7 @@
 {
   auto left = GetTimeLeft();
   SendParameters parameters{ request_, caller_.attemptId, {}, left };
+  parameters.objective = route_->objective;
   if (aVersion > 0) {
     parameters.startTimeout =
       services_.FindStartTimeout(query_.model, aVersion);
@@ -328,7 +329,8 @@
   bool upstreamFailed = response.status >= kServerError;
   health.RecordOutcome(upstreamFailed ? Outcome::Failed : Outcome::Served,
                        services_.Now());
-  bool isReplaced = upstreamFailed && HasHedgeAnswer();
+  bool isError = upstreamFailed || ImpliesNotExecuted(response.status);
+  bool isReplaced = isError && HasHedgeAnswer();
   if (!isReplaced) {
     DiscardHedge();
   }
--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -154,11 +154,15 @@
       aParameters.canceller != nullptr && aParameters.canceller->IsCancelled();
     bool startTimedOut = headTimeout < aParameters.headTimeout &&
                          answer.reason.kind == ErrorKind::TimedOut;
+    // Callers that allow less time than an answer takes prove nothing.
+    bool ranOutOfTime = answer.reason.kind == ErrorKind::TimedOut &&
+                        headTimeout < aParameters.objective;
     if (startTimedOut) {
       RecordStartTimeout(aServices, aLease, aParameters);
     } else if (!cancelled && answer.reason.kind == ErrorKind::AnswerBroken) {
       upstream.health.RecordOutcome(Outcome::Failed, aServices.Now());
-    } else if (!cancelled && answer.reason.kind != ErrorKind::ConnectionLost) {
+    } else if (!cancelled && !ranOutOfTime &&
+               answer.reason.kind != ErrorKind::ConnectionLost) {
       upstream.health.RecordOutcome(Outcome::Unreachable, aServices.Now());
     }
     return answer;
--- a/libs/fleet/src/UpstreamSend.h
+++ b/libs/fleet/src/UpstreamSend.h
@@ -58,6 +58,8 @@
   platform::SendOptions metadata;
   /** Longest wait for the response head. */
   utils::Millis headTimeout;
+  /** A head that takes longer than this is the upstream's failure. */
+  utils::Millis objective{ 0 };
   /**
    * The work must have started, which the head proves, within this time;
    * otherwise the send is cancelled. Empty: no limit; not above 0: nothing is
