Soak: silences of sound upstreams, beside ones that break off

Trials with real processes lost streams whose upstream was only silent, as the second one's head displaced it and then broke off; that the reported case was this is not shown.

The new check: a request without another fault that ran in time at an upstream that broke nothing off has its complete answer, and one that ran nowhere was refused, unless engines held requests back then.

Ruled out: foreign events from a stream's first upstream, tried first, are passed on as its own content, since only resumed streams are compared; the fault is not drawn.

No check that existed compares anything else than it did.

--- a/soak/src/FaultInjector.cpp
+++ b/soak/src/FaultInjector.cpp
@@ -76,6 +76,30 @@
 constexpr std::uint64_t kRateLimitDivisor = 32;
 constexpr std::array<std::uint64_t, 3> kRateLimitRemainders{ 17, 19, 27 };
 
+/** Seeds with silences of upstreams, and the faults beside them. */
+struct SilenceMix
+{
+  std::uint64_t remainder;
+  FaultMix beside;
+};
+
+constexpr std::uint64_t kSilenceDivisor = 32;
+constexpr std::array kSilenceMixes{ SilenceMix{ 4, FaultMix::Usual },
+                                    SilenceMix{ 6, FaultMix::Suspensions },
+                                    SilenceMix{ 8, FaultMix::RateLimits },
+                                    SilenceMix{ 22, FaultMix::OnlySilences },
+                                    SilenceMix{ 23, FaultMix::RateLimits },
+                                    SilenceMix{ 30, FaultMix::Suspensions } };
+
+/** Null if the seed has none. */
+const SilenceMix*
+FindSilenceMix(std::uint64_t aSeed)
+{
+  const auto* found = std::ranges::find(
+    kSilenceMixes, aSeed % kSilenceDivisor, &SilenceMix::remainder);
+  return found == kSilenceMixes.end() ? nullptr : found;
+}
+
 std::int64_t
 Draw(std::mt19937_64& aRandom, std::int64_t aFrom, std::int64_t aTo)
 {
@@ -102,6 +126,7 @@
                 aVersionLimit,
                 injectedCounts_)
   , rateLimits_(aBed, processes_, aChecker, injectedCounts_)
+  , silences_(aBed, aChecker, injectedCounts_)
 {
 }
 
@@ -109,6 +134,9 @@
 FaultInjector::PickMix() const
 {
   auto seed = bed_.options.seed;
+  if (const auto* silences = FindSilenceMix(seed)) {
+    return silences->beside;
+  }
   bool isRateLimits =
     std::ranges::find(kRateLimitRemainders, seed % kRateLimitDivisor) !=
     kRateLimitRemainders.end();
@@ -118,29 +146,38 @@
 void
 FaultInjector::Run(net::Runtime& aRuntime, Millis aEnd)
 {
-  auto mix = PickMix();
-  if (mix == FaultMix::RateLimits) {
-    rateLimits_.Run(aRuntime, aEnd);
-    return;
+  if (FindSilenceMix(bed_.options.seed) != nullptr) {
+    ++running_;
+    aRuntime.Spawn([this, &aRuntime, aEnd] {
+      silences_.Run(aRuntime, aEnd);
+      --running_;
+    });
   }
-  if (mix == FaultMix::CrashParts) {
+  InjectMix(aRuntime, aEnd, PickMix());
+  while (running_ > 0) {
+    net::Runtime::Sleep(kPollInterval);
+  }
+  bed_.SetLink({});
+}
+
+void
+FaultInjector::InjectMix(net::Runtime& aRuntime, Millis aEnd, FaultMix aMix)
+{
+  if (aMix == FaultMix::RateLimits) {
+    rateLimits_.Run(aRuntime, aEnd);
+  } else if (aMix == FaultMix::CrashParts) {
     crashParts_.Run(aRuntime, aEnd);
-    return;
   }
-  if (mix != FaultMix::Usual) {
+  if (aMix == FaultMix::Suspensions || aMix == FaultMix::Both) {
     ++running_;
     aRuntime.Spawn([this, &aRuntime, aEnd] {
       suspensions_.Run(aRuntime, aEnd);
       --running_;
     });
   }
-  if (mix != FaultMix::Suspensions) {
+  if (aMix == FaultMix::Usual || aMix == FaultMix::Both) {
     InjectUsual(aRuntime, aEnd);
   }
-  while (running_ > 0) {
-    net::Runtime::Sleep(kPollInterval);
-  }
-  bed_.SetLink({});
 }
 
 void
@@ -158,7 +195,9 @@
       // A graceful stop must not cut requests, so it is not recorded as a fault
       // that excuses a cut.
       if (fault.kind != FaultKind::Terminate) {
-        checker_.RecordFault({ fault.name, begin, clock_.Now() });
+        bool isOfProcess =
+          fault.kind == FaultKind::Pause || fault.kind == FaultKind::Kill;
+        checker_.RecordFault({ fault.name, begin, clock_.Now(), isOfProcess });
       }
       --running_;
     });
@@ -326,10 +365,12 @@
       break;
   }
   net::Runtime::Sleep(aDuration);
-  // A series of suspensions may hold the engine.
+  // A series of suspensions may hold the engine, and it may be silent.
   adapter::UpstreamFaults kept;
   kept.refuseOrders = faults.refuseOrders;
   kept.queueTime = faults.queueTime;
+  kept.silentAfterEvents = faults.silentAfterEvents;
+  kept.silence = faults.silence;
   faults = kept;
   bed_.SetDraining(index, false);
 }
--- a/soak/src/FaultInjector.h
+++ b/soak/src/FaultInjector.h
@@ -10,6 +10,7 @@
 #include "InvariantChecker.h"
 #include "ProcessFaults.h"
 #include "RateLimitInjector.h"
+#include "SilenceInjector.h"
 #include "SoakBed.h"
 #include "SuspensionInjector.h"
 
@@ -51,7 +52,10 @@
   /** Parts of prompts that crash engines, and faults of processes beside. */
   CrashParts,
   /** Rate limits of upstreams, and faults of processes beside. */
-  RateLimits
+  RateLimits,
+  /** None but silences of upstreams, which are drawn beside other mixes, too.
+   */
+  OnlySilences
 };
 
 /** Draws a random sequence of faults from the seed; several overlap. */
@@ -77,6 +81,7 @@
 
 private:
   FaultMix PickMix() const;
+  void InjectMix(net::Runtime& aRuntime, utils::Millis aEnd, FaultMix aMix);
   void InjectUsual(net::Runtime& aRuntime, utils::Millis aEnd);
   void Inject(FaultKind aKind, std::uint64_t aDraw, utils::Millis aDuration);
   void InjectLinkFault(FaultKind aKind,
@@ -102,6 +107,7 @@
   SuspensionInjector suspensions_;
   CrashPartInjector crashParts_;
   RateLimitInjector rateLimits_;
+  SilenceInjector silences_;
   int running_ = 0;
   int keysMade_ = 0;
   bool isLogCopyInUse_ = false;
--- a/soak/src/InvariantChecker.cpp
+++ b/soak/src/InvariantChecker.cpp
@@ -19,6 +19,9 @@
 constexpr std::array<int, 3> kDenialStatuses{ 401, 403, 404 };
 // Connections are affected for about this long after the end of a fault.
 constexpr Millis kFaultEffectTime(1500);
+// A run that began this long after its request was sent can end within the
+// request's 6 s, the longest silence of 2 s included.
+constexpr Millis kLatestRun(3000);
 
 bool
 Contains(const auto& aList, int aStatus)
@@ -97,6 +100,15 @@
   });
 }
 
+bool
+InvariantChecker::OverlapsCommonFault(Millis aFrom, Millis aTo) const
+{
+  return std::ranges::any_of(faults_, [&](const FaultPeriod& aFault) {
+    return !aFault.isOfProcess && aFault.begin <= aTo &&
+           aFault.end + kFaultEffectTime >= aFrom;
+  });
+}
+
 // A request that was running when its entry received SIGTERM must finish.
 void
 InvariantChecker::CheckGracefulStop(const Attempt& aAttempt)
@@ -181,6 +193,94 @@
   }
 }
 
+bool
+InvariantChecker::IsSoundRun(const UpstreamRun& aRun,
+                             const Attempt& aAttempt) const
+{
+  return aRun.at <= aAttempt.sentAt + kLatestRun &&
+         std::ranges::none_of(breaks_, [&](const UpstreamPeriod& aBreak) {
+           return aBreak.upstream == aRun.upstream &&
+                  aBreak.begin <= aAttempt.endedAt && aBreak.end >= aRun.at;
+         });
+}
+
+bool
+InvariantChecker::MeetsSilence(const UpstreamRun& aRun) const
+{
+  return std::ranges::any_of(silences_, [&](const UpstreamPeriod& aSilence) {
+    return aSilence.upstream == aRun.upstream && aSilence.begin <= aRun.at &&
+           aSilence.end > aRun.at;
+  });
+}
+
+bool
+InvariantChecker::IsExemptFromSilences(
+  const Attempt& aAttempt,
+  const std::vector<UpstreamRun>& aRuns,
+  const VersionLimitCheck& aStability) const
+{
+  if (OverlapsCommonFault(aAttempt.sentAt, aAttempt.endedAt) ||
+      !aStability.IsUndisturbed(
+        aAttempt.entry, aAttempt.sentAt - kFaultEffectTime, aAttempt.endedAt)) {
+    return true;
+  }
+  // An entry can't prove that a request has not run which an upstream kept
+  // waiting until its version's limit.
+  if (aRuns.empty()) {
+    return std::ranges::any_of(holds_, [&](const FaultPeriod& aHold) {
+      return aHold.begin <= aAttempt.endedAt && aHold.end >= aAttempt.sentAt;
+    });
+  }
+  return std::ranges::none_of(
+    aRuns, [&](const UpstreamRun& aRun) { return IsSoundRun(aRun, aAttempt); });
+}
+
+std::string
+InvariantChecker::Describe(const Attempt& aAttempt,
+                           const std::vector<UpstreamRun>& aRuns)
+{
+  auto text = aAttempt.id + " " + GetPath(aAttempt.route) + " " +
+              std::to_string(aAttempt.status) + " after " +
+              std::to_string((aAttempt.endedAt - aAttempt.sentAt).value) +
+              " ms, entry " + std::to_string(aAttempt.entry);
+  for (const auto& run : aRuns) {
+    text += ", ran at " + run.upstream + " after " +
+            std::to_string((run.at - aAttempt.sentAt).value) + " ms";
+  }
+  return text;
+}
+
+int
+InvariantChecker::CheckSilences(const VersionLimitCheck& aStability,
+                                const std::vector<EngineRecords>& aUpstreams)
+{
+  if (silences_.empty()) {
+    return 0;
+  }
+  std::map<std::string, std::vector<UpstreamRun>> runs;
+  for (const auto& upstream : aUpstreams) {
+    for (const auto& start : upstream.starts) {
+      runs[start.attempt].push_back({ upstream.id, start.at });
+    }
+  }
+  int silent = 0;
+  for (const auto& attempt : attempts_) {
+    const auto& own = runs[attempt.id];
+    if (IsExemptFromSilences(attempt, own, aStability)) {
+      continue;
+    }
+    silent += std::ranges::any_of(
+      own, [this](const auto& aRun) { return MeetsSilence(aRun); });
+    // Other checks cover what was refused and what was denied.
+    if (attempt.status != kOk && !Contains(kNotRunStatuses, attempt.status) &&
+        !Contains(kDenialStatuses, attempt.status)) {
+      AddViolation("failed without a fault but silences: " +
+                   Describe(attempt, own));
+    }
+  }
+  return silent;
+}
+
 void
 InvariantChecker::CheckVersionLimit(const VersionLimitCheck& aLimit,
                                     const std::vector<EngineRecords>& aEngines)
--- a/soak/src/InvariantChecker.h
+++ b/soak/src/InvariantChecker.h
@@ -44,6 +44,16 @@
   std::string what;
   utils::Millis begin;
   utils::Millis end;
+  /** Whether it affects the requests of one daemon only. */
+  bool isOfProcess = false;
+};
+
+/** A time in which an upstream was silent in answers, or broke them off. */
+struct UpstreamPeriod
+{
+  std::string upstream;
+  utils::Millis begin;
+  utils::Millis end;
 };
 
 /** A time in which an upstream named a rate limit. */
@@ -85,6 +95,16 @@
   {
     rateLimits_.push_back(aLimit);
   }
+  void RecordSilence(const UpstreamPeriod& aPeriod)
+  {
+    silences_.push_back(aPeriod);
+  }
+  void RecordBreak(const UpstreamPeriod& aPeriod)
+  {
+    breaks_.push_back(aPeriod);
+  }
+  /** Records when an upstream took requests, but kept them waiting. */
+  void RecordHold(const FaultPeriod& aPeriod) { holds_.push_back(aPeriod); }
   void AddViolation(const std::string& aText);
 
   /** Checks all starts of the engines; call once, after the last request. */
@@ -97,6 +117,16 @@
    */
   void CheckRateLimits(const VersionLimitCheck& aStability);
 
+  /**
+   * Checks that no request failed for a silence: one without another fault that
+   * ran at an upstream that broke nothing off has its answer, and one that ran
+   * nowhere was refused, unless an upstream kept it waiting. Returns how many
+   * of the requests checked began to run while their upstream was silent; call
+   * once, after the last request.
+   */
+  int CheckSilences(const VersionLimitCheck& aStability,
+                    const std::vector<EngineRecords>& aUpstreams);
+
   /** Checks all other guarantees; call once, after the last request. */
   void CheckAtEnd();
 
@@ -106,11 +136,28 @@
   std::size_t GetAttempts() const { return attempts_.size(); }
 
 private:
+  struct UpstreamRun
+  {
+    std::string upstream;
+    utils::Millis at;
+  };
+
   void CheckComplete(const Attempt& aAttempt);
   void CheckRevoked(const Attempt& aAttempt);
   void CheckGracefulStop(const Attempt& aAttempt);
   std::map<std::string, std::size_t> MapEntries() const;
   bool OverlapsFault(utils::Millis aFrom, utils::Millis aTo) const;
+  /** The same, of faults that affect requests of all entries. */
+  bool OverlapsCommonFault(utils::Millis aFrom, utils::Millis aTo) const;
+  /** Whether the run could end within the request's time, and nothing broke. */
+  bool IsSoundRun(const UpstreamRun& aRun, const Attempt& aAttempt) const;
+  bool MeetsSilence(const UpstreamRun& aRun) const;
+  /** Whether something else than a silence may have failed the request. */
+  bool IsExemptFromSilences(const Attempt& aAttempt,
+                            const std::vector<UpstreamRun>& aRuns,
+                            const VersionLimitCheck& aStability) const;
+  static std::string Describe(const Attempt& aAttempt,
+                              const std::vector<UpstreamRun>& aRuns);
 
   struct Stop
   {
@@ -123,6 +170,9 @@
   std::map<std::string, utils::Millis> revokedAt_;
   std::vector<FaultPeriod> faults_;
   std::vector<LimitedPeriod> rateLimits_;
+  std::vector<UpstreamPeriod> silences_;
+  std::vector<UpstreamPeriod> breaks_;
+  std::vector<FaultPeriod> holds_;
   std::vector<Stop> stops_;
   std::vector<std::string> violations_;
 };
--- a/soak/src/Main.cpp
+++ b/soak/src/Main.cpp
@@ -87,6 +87,8 @@
     checker_.CheckAtEnd();
     checker_.CheckVersionLimit(versionLimit_, GetEngineRecords());
     checker_.CheckRateLimits(versionLimit_);
+    silentRequests_ =
+      checker_.CheckSilences(versionLimit_, GetRecords(bed_.upstreams.size()));
     PrintResult();
     return checker_.GetViolations().empty() ? 0 : 1;
   }
@@ -190,9 +192,15 @@
   }
 
   std::vector<EngineRecords> GetEngineRecords() const
+  {
+    return GetRecords(bed_.options.sides);
+  }
+
+  /** The records of the first aCount upstreams; engines come first. */
+  std::vector<EngineRecords> GetRecords(std::size_t aCount) const
   {
     std::vector<EngineRecords> records;
-    for (std::size_t i = 0; i < bed_.options.sides; ++i) {
+    for (std::size_t i = 0; i < aCount; ++i) {
       const auto& engine = *bed_.upstreams[i];
       records.push_back(
         { engine.GetId(), engine.GetStarts(), engine.GetLoads() });
@@ -214,7 +222,7 @@
     }
     std::printf(
       R"({"seed":%llu,"requests":%zu,"served":%d,"refused":%d,"failed":%d,)"
-      R"("exposed_namings":%d,)"
+      R"("exposed_namings":%d,"silent_requests":%d,)"
       R"("cut":%d,"violations":%zu,"faults":{%s}})"
       "\n",
       static_cast<unsigned long long>(bed_.options.seed),
@@ -223,6 +231,7 @@
       checker_.Count(503),
       checker_.Count(502) + checker_.Count(504) + checker_.Count(500),
       versionLimit_.CountExposedNamings(GetEngineRecords()),
+      silentRequests_,
       checker_.Count(0),
       checker_.GetViolations().size(),
       faults.str().c_str());
@@ -234,6 +243,8 @@
   const SoakOptions& options_;
   utils::Clock clock_;
   VersionLimitCheck versionLimit_;
+  /** Requests that met a silence and no fault that excuses them. */
+  int silentRequests_ = 0;
   InvariantChecker checker_;
   Callers callers_;
   FaultInjector injector_;
--- a/soak/src/RateLimitInjector.cpp
+++ b/soak/src/RateLimitInjector.cpp
@@ -118,7 +118,7 @@
       processes_.Restart(daemon, kind == 1 ? SIGKILL : SIGTERM, downTime);
     }
     if (kind != 2) {
-      checker_.RecordFault({ "rate_limit", begin, clock_.Now() });
+      checker_.RecordFault({ "rate_limit", begin, clock_.Now(), true });
     }
   });
 }
--- a/soak/src/SuspensionInjector.cpp
+++ b/soak/src/SuspensionInjector.cpp
@@ -125,6 +125,7 @@
   Random random(aSeed);
   auto engines = DrawEngines(random);
   HoldEngines(random, engines);
+  auto begin = clock_.Now();
   SuspendAll(aRuntime, random, DrawDaemons(random));
   DisturbOne(aRuntime, random);
   auto namings = kNamings[random() % kNamings.size()];
@@ -137,6 +138,7 @@
   }
   net::Runtime::Sleep(Millis(adapter::kVersionMs) + kHoldAfterBound);
   ReleaseEngines(engines);
+  checker_.RecordHold({ "hold", begin, clock_.Now() });
 }
 
 std::vector<std::size_t>
@@ -185,7 +187,7 @@
       net::Runtime::Sleep(delay);
       auto begin = clock_.Now();
       processes_.Suspend(daemon, duration);
-      checker_.RecordFault({ "suspend", begin, clock_.Now() });
+      checker_.RecordFault({ "suspend", begin, clock_.Now(), true });
     });
   }
 }
@@ -212,7 +214,7 @@
     processes_.Restart(daemon, signal, downTime);
     // A graceful stop must not cut requests.
     if (signal == SIGKILL) {
-      checker_.RecordFault({ "kill", begin, clock_.Now() });
+      checker_.RecordFault({ "kill", begin, clock_.Now(), true });
     }
   });
 }
--- a/soak/src/VersionLimitCheck.cpp
+++ b/soak/src/VersionLimitCheck.cpp
@@ -63,10 +63,18 @@
 
 bool
 VersionLimitCheck::IsStable(std::size_t aEntry, Millis aTime) const
+{
+  return IsUndisturbed(aEntry, aTime - kStable, aTime);
+}
+
+bool
+VersionLimitCheck::IsUndisturbed(std::size_t aEntry,
+                                 Millis aFrom,
+                                 Millis aTo) const
 {
   return std::ranges::none_of(disturbances_, [&](const auto& aDisturbance) {
-    return aDisturbance.entry == aEntry && aDisturbance.begin <= aTime &&
-           aDisturbance.end + kStable > aTime;
+    return aDisturbance.entry == aEntry && aDisturbance.begin <= aTo &&
+           aDisturbance.end > aFrom;
   });
 }
 
--- a/soak/src/VersionLimitCheck.h
+++ b/soak/src/VersionLimitCheck.h
@@ -50,6 +50,11 @@
   /** Whether the entry ran undisturbed for kStable before aTime. */
   bool IsStable(std::size_t aEntry, utils::Millis aTime) const;
 
+  /** Whether the entry ran undisturbed from aFrom to aTo. */
+  bool IsUndisturbed(std::size_t aEntry,
+                     utils::Millis aFrom,
+                     utils::Millis aTo) const;
+
   /** The violation's text. */
   std::string Describe(const adapter::WorkStart& aStart,
                        std::size_t aEntry,
