Fleet: an entry that stops as planned passes its parts of rate limits on

What callers saw: after a planned stop nobody used the part that the stopped entry had of a limited upstream's rate: for 2 s, and for 30 s where the stop left a single entry, as that one took itself for cut off.

Cause: the other entries learned of a stop only from silence.

Now each notice of an entry that leaves states so, and the others no longer count it from the first one on, also after its notices have ended. The entry announces it once it accepts no callers and none of its requests waits, at the latest before it ends those. From then on it has no share, whatever it had saved up. If no other entry stays, it keeps its part.

Why the limit holds: the entry that leaves has ended its sends before the others divide its part, a new owner starts with nothing, and those that have not received the leave keep their smaller parts.

Ruled out: announcing at the start of the stop, as callers whom the balancer still sends for 2 s would be refused; passing on what was saved up, as two entries that disagree would both send it.

--- a/libs/dispatch/include/dispatch/EntryRoster.h
+++ b/libs/dispatch/include/dispatch/EntryRoster.h
@@ -36,10 +36,19 @@
   /** aRegions: the region of each data centre, by the data centre's name. */
   EntryRoster(CompetingEntry aOwn, std::map<std::string, std::string> aRegions);
 
+  /** aIsLeaving: it has announced that it sends nothing more. */
   void RecordNotice(const std::string& aVm,
                     const std::string& aRegion,
+                    bool aIsLeaving,
                     utils::Millis aNow);
 
+  /**
+   * Gives up this entry's place for good, if another entry counts that can have
+   * it; returns whether it did. The others have to be notified.
+   */
+  bool Leave(utils::Millis aNow);
+  bool HasLeft() const { return hasLeft_; }
+
   using Visitor =
     std::function<void(const std::string& aVm, const CompetingEntry& aEntry)>;
   /** Calls aVisitor with each other entry that counts. */
@@ -57,12 +66,14 @@
   {
     CompetingEntry entry;
     utils::Millis receivedAt;
+    bool isLeaving = false;
   };
 
   CompetingEntry own_;
   std::map<std::string, std::string> regions_;
   /** By the entry's VM. */
   std::map<std::string, Row> others_;
+  bool hasLeft_ = false;
 };
 
 } // namespace waxwingyoke::dispatch
--- a/libs/dispatch/src/EntryRoster.cpp
+++ b/libs/dispatch/src/EntryRoster.cpp
@@ -30,6 +30,7 @@
 void
 EntryRoster::RecordNotice(const std::string& aVm,
                           const std::string& aRegion,
+                          bool aIsLeaving,
                           Millis aNow)
 {
   auto [row, isNew] = others_.try_emplace(aVm);
@@ -41,9 +42,17 @@
     });
   }
   row->second.entry.region = aRegion;
+  row->second.isLeaving = aIsLeaving;
   row->second.receivedAt = aNow;
 }
 
+bool
+EntryRoster::Leave(Millis aNow)
+{
+  VisitOthers(aNow, [this](const auto&, const auto&) { hasLeft_ = true; });
+  return hasLeft_;
+}
+
 void
 EntryRoster::VisitOthers(Millis aNow, const Visitor& aVisitor) const
 {
@@ -53,7 +62,8 @@
   bool isIsolated = std::ranges::none_of(others_, isPresent);
   for (const auto& row : others_) {
     bool isRecent = aNow - row.second.receivedAt < kIsolationTime;
-    if (isPresent(row) || (isIsolated && isRecent)) {
+    bool counts = isPresent(row) || (isIsolated && isRecent);
+    if (counts && !row.second.isLeaving) {
       aVisitor(row.first, row.second.entry);
     }
   }
--- a/libs/dispatch/src/SharedRateLimit.cpp
+++ b/libs/dispatch/src/SharedRateLimit.cpp
@@ -227,7 +227,7 @@
   // Each owner has a part of the burst, one request at least.
   auto burst = GetBurst(aRate);
   auto owners = std::min(burst, share.contenders);
-  if (before < owners) {
+  if (before < owners && !aRoster.HasLeft()) {
     share.own = aRate / static_cast<double>(owners);
     share.burst = static_cast<double>(burst) / static_cast<double>(owners);
   }
@@ -244,7 +244,9 @@
     tokens_ = std::min(tokens_, share_->burst);
   }
   tokensAt_ = aNow;
-  if (!share_ || aNow - share_->computedAt >= kShareLifetime) {
+  // A share that was given up doesn't last even for that time.
+  bool isGivenUp = share_ && share_->own > 0 && aRoster.HasLeft();
+  if (!share_ || isGivenUp || aNow - share_->computedAt >= kShareLifetime) {
     share_ = ComputeShare(aRoster, aRate, aNow);
     tokens_ = std::min(tokens_, share_->burst);
   }
--- a/libs/dispatch/tests/SharedRateLimitTest.cpp
+++ b/libs/dispatch/tests/SharedRateLimitTest.cpp
@@ -22,6 +22,8 @@
 constexpr Millis kStep(5);
 constexpr Millis kWindow(4000);
 constexpr Millis kNamedAt(3000);
+// An entry that was stopped starts again after this time.
+constexpr Millis kDownTime(6000);
 // The platform counts the requests of entries that were told this long before.
 constexpr Millis kToldTime(500);
 
@@ -41,6 +43,8 @@
   Millis quietUntil;
   /** Stops, starts and suspensions of entries a second, in the whole fleet. */
   double faultRate = 0;
+  /** Planned stops a second, in the whole fleet: the entry announces them. */
+  double leaveRate = 0;
   /** Notices between some pairs of entries are lost for seconds. */
   bool cutsPairs = false;
   Millis length{ 25000 };
@@ -56,6 +60,7 @@
     std::uint64_t sequence = 0;
     RateLimitState state;
     RateDemand demand = RateDemand::None;
+    bool isLeaving = false;
   };
   struct Answer
   {
@@ -73,6 +78,9 @@
   Millis completeAt;
   Millis downUntil;
   Millis suspendedUntil;
+  /** When it ends after it has announced so; empty: it goes on. */
+  std::optional<Millis> endsAt;
+  bool hasAnnounced = false;
   double demandShare = 1;
   /** When it was told of the limit; empty: it was not. */
   std::optional<Millis> knownAt;
@@ -108,8 +116,13 @@
   {
     for (now_ = Millis(0); now_ < plan_.length; now_ = now_ + kStep) {
       DisturbOne();
+      StopOne();
       for (std::size_t i = 0; i < entries_.size(); ++i) {
         auto& entry = entries_[i];
+        if (entry.endsAt && now_ >= *entry.endsAt) {
+          StartAnew(i);
+          entry.downUntil = now_ + kDownTime;
+        }
         if (now_ >= entry.downUntil && now_ >= entry.suspendedUntil) {
           Receive(i);
           SendRequests(entry);
@@ -132,6 +145,8 @@
     return most;
   }
 
+  /** Requests that entries sent at the limit after they announced a leave. */
+  int CountSentAfterLeave() const { return sentAfterLeave_; }
   /** Requests that were sent in the last aTime of the run. */
   double CountSent(Millis aTime) const { return CountLast(sends_, aTime); }
   /** The same of those that could have been sent. */
@@ -167,6 +182,7 @@
     entry.limit.SetUpstream(utils::StableHash("u"), "dc0");
     entry.lastSequences.assign(entries_.size(), 0);
     entry.knownAt.reset();
+    entry.endsAt.reset();
     entry.notices.clear();
     entry.answers.clear();
   }
@@ -187,6 +203,19 @@
     }
   }
 
+  // Its callers go on sending until it ends.
+  void StopOne()
+  {
+    if (plan_.leaveRate <= 0 || !IsDrawn(plan_.leaveRate)) {
+      return;
+    }
+    auto& entry = entries_[random_() % entries_.size()];
+    bool isRunning = now_ >= entry.downUntil && !entry.endsAt;
+    if (isRunning && entry.roster.Leave(now_)) {
+      entry.endsAt = now_ + Millis(static_cast<std::int64_t>(Draw() * 2000));
+    }
+  }
+
   void Receive(std::size_t aEntry)
   {
     auto& entry = entries_[aEntry];
@@ -203,7 +232,8 @@
       if (arrived && aNotice.sequence > last) {
         last = aNotice.sequence;
         const auto& vm = vms_[aNotice.from];
-        entry.roster.RecordNotice(vm, GetRegion(aNotice.from), now_);
+        entry.roster.RecordNotice(
+          vm, GetRegion(aNotice.from), aNotice.isLeaving, now_);
         if (aNotice.state.order > 0) {
           entry.limit.SetDemand(vm, aNotice.demand, now_);
           entry.limit.Apply(aNotice.state, now_);
@@ -231,6 +261,8 @@
       if (!aEntry.limit.TakeSend(aEntry.roster, now_)) {
         continue;
       }
+      bool isLimited = aEntry.limit.IsActive(now_);
+      sentAfterLeave_ += aEntry.roster.HasLeft() && isLimited ? 1 : 0;
       if (aEntry.knownAt && now_ - *aEntry.knownAt >= kToldTime) {
         sends_.push_back(now_);
       }
@@ -246,9 +278,11 @@
     bool isComplete = now_ - entry.completeAt >= Millis(500);
     bool isDue = entry.limit.GetReportChangedAt() >= entry.noticedAt &&
                  now_ - entry.noticedAt >= Millis(180);
-    if (!isComplete && !isDue) {
+    bool announcesLeave = entry.roster.HasLeft() && !entry.hasAnnounced;
+    if (!isComplete && !isDue && !announcesLeave) {
       return;
     }
+    entry.hasAnnounced = entry.roster.HasLeft();
     entry.noticedAt = now_;
     entry.completeAt = isComplete ? now_ : entry.completeAt;
     ++sequence_;
@@ -265,7 +299,8 @@
           aEntry,
           sequence_,
           entry.limit.GetState(),
-          entry.limit.GetDemand(now_) });
+          entry.limit.GetDemand(now_),
+          entry.roster.HasLeft() });
     }
   }
 
@@ -276,6 +311,7 @@
   std::vector<std::string> vms_;
   std::vector<Millis> requests_;
   std::vector<Millis> sends_;
+  int sentAfterLeave_ = 0;
   std::uint64_t sequence_ = 0;
   Millis now_;
 };
@@ -315,6 +351,7 @@
   CAPTURE(aPlan.entries);
   CAPTURE(rate);
   CHECK(fleet.CountMostInWindow() <= GetMostInWindow(rate));
+  CHECK(fleet.CountSentAfterLeave() == 0);
   // A single entry sends nothing while it is down. Where entries hardly have
   // requests, only as many of them may send as there are owners.
   bool isUp = aPlan.entries > 1 || aPlan.faultRate == 0;
@@ -372,6 +409,17 @@
   CheckFleets(plan, 0.3, 2);
 }
 
+// Guards against leaving entries that exceed a limit together with those that
+// have their parts, and against parts that nobody uses after a leave.
+TEST_CASE("a rate limit holds while entries announce their leaves")
+{
+  FleetPlan plan;
+  plan.leaveRate = 0.3;
+  CheckFleets(plan, 0.3, 1);
+  plan.lossShare = 0.3;
+  CheckFleets(plan, 0.3, 2);
+}
+
 TEST_CASE("a rate limit holds while some entries don't hear each other")
 {
   FleetPlan plan;
@@ -486,9 +534,60 @@
 {
   LimitFixture fixture;
   for (const auto* vm : { "a", "b", "c" }) {
-    fixture.roster.RecordNotice(vm, "r", Millis(0));
+    fixture.roster.RecordNotice(vm, "r", false, Millis(0));
   }
   fixture.Observe(20, 0, 0);
   // Each of four entries sends its quarter, also long after the last notice.
   CHECK(fixture.CountSends(5000, 15000) <= 20 * 10 / 4 + 10);
 }
+
+// Guards against a part of a rate that nobody uses after its owner was stopped:
+// for 2 s, or for 30 s where that leaves a single entry.
+TEST_CASE("an entry that announces its leave passes on its part at once")
+{
+  LimitFixture fixture;
+  for (const auto* vm : { "a", "b", "c" }) {
+    fixture.roster.RecordNotice(vm, "r", false, Millis(0));
+  }
+  fixture.Observe(20, 0, 0);
+  fixture.CountSends(0, 1000);
+  for (const auto* vm : { "a", "b", "c" }) {
+    fixture.roster.RecordNotice(vm, "r", true, Millis(1000));
+  }
+  CHECK(fixture.CountSends(1000, 2000) >= 18);
+  // Also once its notices have ended.
+  CHECK(fixture.CountSends(2000, 12000) >= 190);
+  // Started again, it has its part again.
+  for (const auto* vm : { "a", "b", "c" }) {
+    fixture.roster.RecordNotice(vm, "r", false, Millis(12000));
+  }
+  // A quarter of the rate for 1.8 s, and of the 22 requests that may be saved.
+  CHECK(fixture.CountSends(12100, 13900) <= 9 + 22 / 4);
+}
+
+// Guards against an entry that goes on sending after it has passed on its part,
+// in addition to the entry that has it.
+TEST_CASE("an entry that has announced its leave sends nothing at a rate limit")
+{
+  LimitFixture fixture;
+  fixture.roster.RecordNotice("a", "r", false, Millis(0));
+  fixture.Observe(20, 0, 0);
+  // Has saved up some sends.
+  CHECK(fixture.CountSends(0, 500) > 0);
+  fixture.limit.HasShare(fixture.roster, Millis(1000));
+  CHECK(fixture.roster.Leave(Millis(1000)));
+  CHECK(fixture.CountSends(1000, 9000) == 0);
+  CHECK_FALSE(fixture.limit.HasShare(fixture.roster, Millis(9000)));
+}
+
+// Guards against a part that a leaving entry gives up although there is nobody
+// to take it.
+TEST_CASE("an entry keeps its part of a rate if no other one stays")
+{
+  LimitFixture fixture;
+  fixture.Observe(20, 0, 0);
+  CHECK_FALSE(fixture.roster.Leave(Millis(100)));
+  fixture.roster.RecordNotice("a", "r", true, Millis(200));
+  CHECK_FALSE(fixture.roster.Leave(Millis(200)));
+  CHECK(fixture.CountSends(200, 1200) >= 18);
+}
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -170,6 +170,7 @@
   net::HttpLimits GetLimits();
   void NoticeLoop();
   void SendNotice(PeerGroup& aGroup);
+  void AnnounceLeave();
   void AddUses(PeerGroup& aGroup, schema::EntryNotice& aEntry);
   void AddEvents(const PeerGroup& aGroup, schema::EntryNotice& aEntry);
   void AddCrashes(PeerGroup& aGroup, schema::EntryNotice& aEntry);
@@ -186,7 +187,9 @@
   void UpdateRanks();
   void UpdateConfigReaders();
   void HandleNotice(const Peer& aFrom, const schema::FleetNotice& aNotice);
-  void ApplyEntryNotice(const Peer& aFrom, const schema::EntryNotice& aNotice);
+  void ApplyEntryNotice(const Peer& aFrom,
+                        bool aIsLeaving,
+                        const schema::EntryNotice& aNotice);
   void ApplySideNotice(const schema::SideNotice& aNotice);
   void LogLoop();
 
@@ -281,8 +284,12 @@
   net::Runtime::Sleep(kCloseDelay);
   auto isBusy = [&] { return impl.callerServer->GetActiveCount() > 0; };
   while (isBusy() && clock.Now() < end - kStopMargin) {
+    if (!impl.services.HasQueuedRequests()) {
+      impl.AnnounceLeave();
+    }
     net::Runtime::Sleep(kDrainPoll);
   }
+  impl.AnnounceLeave();
   std::ranges::for_each(impl.services.GetExchanges(),
                         [](Exchange* aExchange) { aExchange->Stop(); });
   while (isBusy() && clock.Now() < end) {
@@ -402,6 +409,24 @@
   peers.Send(PeerRole::Entry, notice, aGroup.scope);
 }
 
+// Passes this entry's parts of rate limits on. Requests that wait here may
+// still use them, so this comes after the last of those.
+void
+Entry::Impl::AnnounceLeave()
+{
+  auto& roster = services.GetUpstreams().GetRoster();
+  if (roster.HasLeft() || !roster.Leave(services.Now())) {
+    return;
+  }
+  peers.SetLeaving();
+  // The process may end at once, and a notice may be lost.
+  constexpr int kLeaveNotices = 2;
+  for (int sent = 0; sent < kLeaveNotices; ++sent) {
+    std::ranges::for_each(peerGroups,
+                          [this](PeerGroup& aGroup) { SendNotice(aGroup); });
+  }
+}
+
 // Sends mostly the changes since the last notice: in that time a request starts
 // or ends at only a few of many upstreams.
 void
@@ -683,7 +708,7 @@
 Entry::Impl::HandleNotice(const Peer& aFrom, const schema::FleetNotice& aNotice)
 {
   if (aNotice.has_entry()) {
-    ApplyEntryNotice(aFrom, aNotice.entry());
+    ApplyEntryNotice(aFrom, aNotice.leaving(), aNotice.entry());
   } else if (aNotice.has_side()) {
     ApplySideNotice(aNotice.side());
   }
@@ -691,6 +716,7 @@
 
 void
 Entry::Impl::ApplyEntryNotice(const Peer& aFrom,
+                              bool aIsLeaving,
                               const schema::EntryNotice& aNotice)
 {
   std::vector<dispatch::EntryUse> uses;
@@ -703,7 +729,7 @@
     services.GetUpstreams().ApplyEntryUse(aFrom.vm, uses, services.Now());
   }
   services.GetUpstreams().GetRoster().RecordNotice(
-    aFrom.vm, aFrom.region, services.Now());
+    aFrom.vm, aFrom.region, aIsLeaving, services.Now());
   auto& active = activeEntries[aFrom.vm];
   bool isNew = active.receivedAt == Millis(0);
   active = { services.Now(), aFrom.region };
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -178,6 +178,14 @@
     services_, [](auto& aRow) { aRow.second.waitQueue.PlaceQueued(); });
 }
 
+bool
+EntryServices::HasQueuedRequests() const
+{
+  return std::ranges::any_of(services_, [](const auto& aRow) {
+    return !aRow.second.waitQueue.IsEmpty();
+  });
+}
+
 std::uint64_t
 EntryServices::FindMinVersion(const std::string& aModel) const
 {
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -139,6 +139,8 @@
    * if called again within a few milliseconds.
    */
   void ServeWaitQueues();
+  /** Whether requests wait for room at an upstream. */
+  bool HasQueuedRequests() const;
 
   /** The oldest version that new work may be sent to; 0 allows any. */
   std::uint64_t FindMinVersion(const std::string& aModel) const;
--- a/libs/fleet/src/PeerLink.cpp
+++ b/libs/fleet/src/PeerLink.cpp
@@ -261,6 +261,7 @@
   aNotice.set_started_ms(startedMs_);
   aNotice.set_sequence(++sequence_);
   aNotice.set_log_epoch(GetLogEpoch());
+  aNotice.set_leaving(isLeaving_);
 }
 
 void
--- a/libs/fleet/src/PeerLink.h
+++ b/libs/fleet/src/PeerLink.h
@@ -83,6 +83,9 @@
             schema::FleetNotice& aNotice,
             PeerScope aScope = PeerScope::All);
 
+  /** All later notices state that this process is about to end. */
+  void SetLeaving() { isLeaving_ = true; }
+
   std::vector<Peer> List(PeerRole aRole) const;
   void Visit(PeerRole aRole,
              const std::function<void(const Peer&)>& aVisitor) const;
@@ -113,6 +116,7 @@
   net::Endpoint ownEndpoint_;
   std::uint64_t startedMs_;
   std::uint64_t sequence_ = 0;
+  bool isLeaving_ = false;
   /** The newest epoch of the log that peers have reported. */
   std::uint64_t peerLogEpoch_ = 0;
   /** Epoch in which this process's own record was last written. */
