Fleet: a broken stream may return to an upstream that was given up while sound

Cause: both sends count as the upstreams that the route allows, and the one that was given up is excluded. Its run can't be used any more, since the events that the caller has come from the other one; but the same upstream may be asked again, after the last event. The route limits the upstreams that a request is sent to, not the sends.

--- a/libs/dispatch/include/dispatch/UpstreamRegistry.h
+++ b/libs/dispatch/include/dispatch/UpstreamRegistry.h
@@ -42,6 +42,8 @@
   std::uint64_t entryHash = 0;
   /** Ids of the upstreams that were already tried. */
   std::vector<std::string> excluded;
+  /** The only upstream that may serve it; empty: any. */
+  std::string onlyUpstream;
 };
 
 /** The upstream chosen for a request. */
--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -104,6 +104,8 @@
          aNow >= aState.pausedUntil &&
          std::ranges::find(aQuery.excluded, aState.record.id) ==
            aQuery.excluded.end() &&
+         (aQuery.onlyUpstream.empty() ||
+          aQuery.onlyUpstream == aState.record.id) &&
          aState.rateLimit.MaySend(roster_, aNow);
 }
 
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -103,6 +103,7 @@
   bool IsTruncated() const;
   void RecordEvents();
   bool ResumeElsewhere();
+  bool AcquireResumePlacement();
   utils::Millis GetHeadTimeout() const;
   utils::Millis GetSilenceTimeout() const;
 
@@ -192,6 +193,8 @@
   /** When the upstream of answer_ stops work, as its send stated. */
   utils::Millis upstreamDeadline_;
   int sends_ = 0;
+  /** Given up for another one while it was sound; may be asked once more. */
+  std::string sparedUpstream_;
   int connectFailures_ = 0;
   bool mayHaveRun_ = false;
   EventRelay relay_;
--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -158,6 +158,7 @@
     return;
   }
   if (sendCanceller_->IsCancelled()) {
+    sparedUpstream_ = lease_->GetUpstream().record.id;
     RecordHang(sentAt_, GetHeadTimeout());
   }
   mayHaveRun_ = mayHaveRun_ || answer_.result == SendResult::Lost;
@@ -229,6 +230,11 @@
   hedge_->Wait();
   auto hedge = std::move(hedge_);
   auto result = hedge->GetAnswer().result;
+  bool wasSound = !hasFailed && (result == SendResult::Answered ||
+                                 result == SendResult::Lost);
+  if (wasSound) {
+    sparedUpstream_ = hedge->GetLease().GetUpstream().record.id;
+  }
   if (hasFailed) {
     services_.GetMetrics().hedgesFailed.Add();
   }
--- a/libs/fleet/src/ExchangeStream.cpp
+++ b/libs/fleet/src/ExchangeStream.cpp
@@ -197,6 +197,7 @@
       DiscardHedge();
     }
     if (ShouldAdoptHedge(quietSince)) {
+      sparedUpstream_ = lease_->GetUpstream().record.id;
       RecordHang(quietSince, GetSilenceTimeout());
       return false;
     }
@@ -241,13 +242,7 @@
   }
   while (true) {
     answer_.stream.reset();
-    bool allowed = route_->resumable && sends_ < route_->maxUpstreams &&
-                   connectFailures_ <= kMaxConnectFailures &&
-                   GetTimeLeft() >= kMinTimeLeft &&
-                   services_.GetTrust() != dispatch::Trust::KeylessOnly;
-    auto& retryBudget = services_.GetService(query_.service).retryBudget;
-    if (!allowed || !retryBudget.Take(services_.Now()) ||
-        !AcquirePlacement(false) || !SendOnce()) {
+    if (!AcquireResumePlacement() || !SendOnce()) {
       return false;
     }
     if (answer_.result == SendResult::Answered && answer_.head.status == kOk &&
@@ -259,4 +254,25 @@
   }
 }
 
+// Where the request has been sent to as many upstreams as the route allows, it
+// may return to one of them that was given up while it was sound.
+bool
+Exchange::AcquireResumePlacement()
+{
+  bool isLimitReached = sends_ >= route_->maxUpstreams;
+  if (isLimitReached && sparedUpstream_.empty()) {
+    return false;
+  }
+  if (isLimitReached) {
+    std::erase(query_.excluded, sparedUpstream_);
+    query_.onlyUpstream = std::exchange(sparedUpstream_, {});
+  }
+  bool allowed = route_->resumable && connectFailures_ <= kMaxConnectFailures &&
+                 GetTimeLeft() >= kMinTimeLeft &&
+                 services_.GetTrust() != dispatch::Trust::KeylessOnly;
+  auto& retryBudget = services_.GetService(query_.service).retryBudget;
+  return allowed && retryBudget.Take(services_.Now()) &&
+         AcquirePlacement(false);
+}
+
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/UpstreamSend.h
+++ b/libs/fleet/src/UpstreamSend.h
@@ -58,8 +58,6 @@
   platform::SendOptions metadata;
   /** Longest wait for the response head. */
   utils::Millis headTimeout;
-  /** A head that takes longer than this is the upstream's failure. */
-  utils::Millis objective{ 0 };
   /**
    * The work must have started, which the head proves, within this time;
    * otherwise the send is cancelled. Empty: no limit; not above 0: nothing is
@@ -70,6 +68,8 @@
   /** If set, called once if the head takes longer; see net::CallOptions. */
   std::function<void()> onSilence = nullptr;
   utils::Millis silenceTimeout{ 0 };
+  /** A head that takes longer than this is the upstream's failure. */
+  utils::Millis objective{ 0 };
 };
 
 /**
