Net: a stopping server answers a request that follows a kept response

Callers saw: a response that began before a planned stop promised to keep the connection; when it ended after the server's close, the connection was closed at once, without a line or a count, and the request that its caller sent at the response's end got no answer.

Cause: ServeConnection left its loop after the close unless the next request's bytes were there already. A new connection gets a second for its first request in that case, a kept one got none.

Evidence: a test plays 576 seeded requests from a thread of their own, 2 ms before to 2 ms after the close or at the end of such a response.

What still crosses is sent on a connection that was idle at the close, and stays unread.

The fix: such a connection waits up to a second for its next request, which is counted as active, so that the process runs until then. The response to it closes the connection; a wait that ends is counted as closed at shutdown.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -86,14 +86,16 @@
 
   /**
    * Stops accepting connections and closes the idle ones. Requests that have
-   * arrived, also those that are not read yet, are still served.
+   * arrived, also those that are not read yet, are still served. So is one that
+   * arrives within a second on a new connection, or after a response that began
+   * before the close and kept its connection.
    */
   void Close();
 
   /**
    * The number of requests that are being read or served, of connections
-   * whose first request is awaited, and of those that end and whose caller has
-   * not received the response yet.
+   * whose first request is awaited or whose next one is after the close, and of
+   * those that end and whose caller has not received the response yet.
    */
   std::size_t GetActiveCount() const;
 
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -28,7 +28,8 @@
 using Parser = http::request_parser<http::string_body>;
 
 // How long a closing server waits for the first request of a connection that
-// was accepted before.
+// was accepted before, and for the next one after a response that promised to
+// keep the connection.
 constexpr utils::Millis kClosingIdle(1000);
 
 /** The end of a wait for a caller's next request. */
@@ -307,7 +308,8 @@
   // its request, so the first one is served in any case.
   auto next = ServeRequest(aStream, buffer, true);
   --active;
-  while (next == Next::Request && (!closing || HasInput(aStream, buffer))) {
+  // After the close no response keeps its connection, so this ends.
+  while (next == Next::Request) {
     next = ServeRequest(aStream, buffer, false);
   }
   CloseGracefully(aStream, next);
@@ -347,6 +349,12 @@
   utils::Clock clock;
   auto since = clock.Now();
   bool wasClosing = closing;
+  // The caller of a response that began before the close may send its next
+  // request at that response's end. The process has to run until then.
+  std::optional<ActiveScope> scope;
+  if (wasClosing) {
+    scope.emplace(active);
+  }
   auto limit = GetLimits().idle;
   auto closingIdle = std::min(limit, kClosingIdle);
   auto wait = AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : limit);
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -1,11 +1,17 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <ctime>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <unistd.h>
 
@@ -494,3 +500,243 @@
   RunServer(
     handler, [&limits] { return limits; }, test);
 }
+
+namespace {
+
+/** What the first exchange of a caller leaves its connection in. */
+enum class CallerKind
+{
+  /** Kept and idle. */
+  Idle,
+  /** Connected, nothing sent. */
+  New,
+  /** Within a response that promised to keep the connection. */
+  Streaming
+};
+
+/** A caller whose last request is sent at a moment around a server's close. */
+struct ClosingCaller
+{
+  CallerKind kind = CallerKind::Idle;
+  std::string name;
+  /** Relative to the moment at which the close is due. */
+  std::chrono::microseconds sendDelay{ 0 };
+  std::chrono::steady_clock::time_point sentAt;
+  std::unique_ptr<RawCaller> connection;
+  bool isAnswered = false;
+  bool isRefused = false;
+};
+
+struct CloseCounts
+{
+  int requests = 0;
+  int answered = 0;
+  int refused = 0;
+  int crossedUnread = 0;
+  /** Passed to the handler, and not answered. */
+  int lostAfterRead = 0;
+  /** Not answered, though sent before the close. */
+  int lostBeforeClose = 0;
+  /** Not answered, though new, or kept by a response that ended after the
+   * close. */
+  int lostThoughDue = 0;
+};
+
+std::string
+MakePost(const std::string& aName)
+{
+  return "POST /last HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(aName.size()) + "\r\n\r\n" + aName;
+}
+
+/** Plays seeded callers, on a thread of their own, beside a server's close. */
+class CloseRound
+{
+public:
+  CloseRound(std::uint64_t aSeed, int aCallers)
+    : random_(aSeed)
+  {
+    std::uniform_int_distribution<int> kinds(0, 2);
+    std::uniform_int_distribution<int> delays(-2000, 2000);
+    for (int i = 0; i < aCallers; ++i) {
+      auto& caller = callers_.emplace_back();
+      caller.kind = static_cast<CallerKind>(kinds(random_));
+      caller.name = std::to_string(aSeed) + "-" + std::to_string(i) + ";";
+      caller.sendDelay = std::chrono::microseconds(delays(random_));
+    }
+  }
+
+  HttpHandler MakeHandler()
+  {
+    return [this](const HttpRequest& aRequest, ResponseWriter& aWriter) {
+      if (aRequest.target == "/stream") {
+        aWriter.Start(200, {});
+        aWriter.Write("first");
+        WaitUntil([this] { return released_.load(); });
+        aWriter.Write("last");
+        aWriter.Finish();
+        return;
+      }
+      read_.insert(aRequest.body);
+      aWriter.Send(MakeJsonResponse(200, "got " + aRequest.body));
+    };
+  }
+
+  void Play(HttpServer& aServer)
+  {
+    for (auto& caller : callers_) {
+      Prepare(caller);
+    }
+    auto closeDue =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(10);
+    std::thread thread([this, closeDue] { SendAll(closeDue); });
+    Runtime::Sleep(Millis(8));
+    while (std::chrono::steady_clock::now() < closeDue) {
+      Runtime::Sleep(Millis(0));
+    }
+    closedAt_ = std::chrono::steady_clock::now();
+    aServer.Close();
+    released_ = true;
+    WaitUntil([this] { return hasEnded_.load(); });
+    thread.join();
+  }
+
+  void AddTo(CloseCounts& aCounts) const
+  {
+    for (const auto& caller : callers_) {
+      bool isLost = !caller.isAnswered && !caller.isRefused;
+      bool wasRead = read_.contains(caller.name);
+      ++aCounts.requests;
+      aCounts.answered += caller.isAnswered ? 1 : 0;
+      aCounts.refused += caller.isRefused ? 1 : 0;
+      aCounts.crossedUnread += isLost && !wasRead ? 1 : 0;
+      aCounts.lostAfterRead += isLost && wasRead ? 1 : 0;
+      aCounts.lostBeforeClose += isLost && caller.sentAt < closedAt_ ? 1 : 0;
+      aCounts.lostThoughDue +=
+        isLost && caller.kind != CallerKind::Idle ? 1 : 0;
+    }
+  }
+
+private:
+  static void Prepare(ClosingCaller& aCaller)
+  {
+    aCaller.connection = std::make_unique<RawCaller>(MakeEndpoint());
+    if (aCaller.kind == CallerKind::Idle) {
+      aCaller.connection->Send(MakePost("first"));
+      ReadUntil(*aCaller.connection, "got first");
+    } else if (aCaller.kind == CallerKind::Streaming) {
+      aCaller.connection->Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+      ReadUntil(*aCaller.connection, "first\r\n");
+    }
+  }
+
+  static void ReadUntil(RawCaller& aConnection, const std::string& aEnd)
+  {
+    std::string received;
+    CHECK(WaitUntil([&] {
+      received += aConnection.ReadSome().value_or("");
+      return received.ends_with(aEnd);
+    }));
+  }
+
+  // Spins instead of sleeping: a sleep is longer than the moments in question.
+  void SendAll(std::chrono::steady_clock::time_point aCloseDue)
+  {
+    std::vector<ClosingCaller*> waiting;
+    for (auto& caller : callers_) {
+      waiting.push_back(&caller);
+    }
+    auto end = aCloseDue + kWaitTimeout.ToChrono();
+    std::vector<ClosingCaller*> sent;
+    std::map<ClosingCaller*, std::string> received;
+    while (!(waiting.empty() && sent.empty()) &&
+           std::chrono::steady_clock::now() < end) {
+      std::erase_if(waiting, [&](ClosingCaller* aCaller) {
+        auto& bytes = received[aCaller];
+        if (!IsDue(*aCaller, aCloseDue, bytes)) {
+          return false;
+        }
+        bytes.clear();
+        aCaller->connection->Send(MakePost(aCaller->name));
+        aCaller->sentAt = std::chrono::steady_clock::now();
+        sent.push_back(aCaller);
+        return true;
+      });
+      std::erase_if(sent, [&](ClosingCaller* aCaller) {
+        return ReadAnswer(*aCaller, received[aCaller]);
+      });
+    }
+    hasEnded_ = true;
+  }
+
+  static bool IsDue(ClosingCaller& aCaller,
+                    std::chrono::steady_clock::time_point aCloseDue,
+                    std::string& aReceived)
+  {
+    if (aCaller.kind != CallerKind::Streaming) {
+      return std::chrono::steady_clock::now() >= aCloseDue + aCaller.sendDelay;
+    }
+    aReceived += aCaller.connection->ReadSome().value_or("");
+    return aReceived.ends_with("\r\n0\r\n\r\n");
+  }
+
+  /** Whether the request has ended. */
+  static bool ReadAnswer(ClosingCaller& aCaller, std::string& aReceived)
+  {
+    auto part = aCaller.connection->ReadSome();
+    aReceived += part.value_or("");
+    aCaller.isAnswered = aReceived.ends_with("got " + aCaller.name);
+    aCaller.isRefused = !part && !aCaller.isAnswered &&
+                        aReceived.starts_with("HTTP/1.1 ") &&
+                        !aReceived.starts_with("HTTP/1.1 200 ");
+    return !part || aCaller.isAnswered;
+  }
+
+  std::mt19937_64 random_;
+  std::deque<ClosingCaller> callers_;
+  std::set<std::string> read_;
+  std::atomic<bool> released_{ false };
+  std::atomic<bool> hasEnded_{ false };
+  std::chrono::steady_clock::time_point closedAt_;
+};
+
+} // namespace
+
+// Guards against requests that a planned stop loses: those that had arrived
+// before the server's close, and those on a connection that a response which
+// ended after it had promised to keep.
+TEST_CASE("a server's close loses no request that it could have answered")
+{
+  constexpr std::uint64_t kRounds = 24;
+  constexpr int kCallers = 24;
+  CloseCounts counts;
+  CounterDelta peer("http_closed_by_peer_total");
+  CounterDelta unfinished("http_responses_unfinished_total");
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  for (std::uint64_t seed = 1; seed <= kRounds; ++seed) {
+    CloseRound round(seed, kCallers);
+    RunServer(
+      round.MakeHandler(),
+      [&limits] { return limits; },
+      [&round](HttpServer& aServer) { round.Play(aServer); });
+    round.AddTo(counts);
+  }
+  MESSAGE("requests ",
+          counts.requests,
+          ", answered ",
+          counts.answered,
+          ", refused ",
+          counts.refused,
+          ", crossed the close unread ",
+          counts.crossedUnread,
+          ", lost after being read ",
+          counts.lostAfterRead);
+  CHECK(counts.answered > 0);
+  CHECK(counts.answered + counts.refused + counts.crossedUnread ==
+        counts.requests);
+  CHECK(counts.lostAfterRead == 0);
+  CHECK(counts.lostBeforeClose == 0);
+  CHECK(counts.lostThoughDue == 0);
+  CHECK(peer.Get() == 0);
+  CHECK(unfinished.Get() == 0);
+}
