Net: closed idle connections state whether bytes had arrived

Operators saw the number of connections that a stopping server closed, but not whether a request lay on them, so that a caller's lost request could not be told from one that was still under way.

Cause: the end was recorded before the close, with nothing about the socket.

The fix: the end is recorded at the close itself, with unread_bytes in its line, and http_closed_unread_total counts those above zero, at the idle limit too. Such a line is written at the level info.

--- a/libs/net/src/ConnectionEnds.cpp
+++ b/libs/net/src/ConnectionEnds.cpp
@@ -93,9 +93,15 @@
 RecordEnd(ConnectionEnd aEnd, const EndedRequest& aRequest)
 {
   static const telemetry::Logger sLogger("http");
+  static auto& sUnread =
+    telemetry::Metrics::Get().GetCounter("http_closed_unread_total");
   const auto& row = *std::ranges::find(kEnds, aEnd, &EndName::end);
   auto& state = GetState(row);
   state.counter.Add();
+  bool hasUnread = aRequest.unreadBytes > 0;
+  if (hasUnread) {
+    sUnread.Add();
+  }
   if (!StartInterval(state)) {
     ++state.unlogged;
     return;
@@ -103,10 +109,11 @@
   std::vector<telemetry::Field> fields{
     { "target", std::string(aRequest.target) },
     { "read_bytes", std::to_string(aRequest.bytes) },
+    { "unread_bytes", std::to_string(aRequest.unreadBytes) },
     { "reason", aRequest.reason },
     { "unlogged", std::to_string(state.unlogged.exchange(0)) }
   };
-  if (row.isOrdinary) {
+  if (row.isOrdinary && !hasUnread) {
     sLogger.Debug(row.text, fields);
   } else {
     sLogger.Info(row.text, fields);
--- a/libs/net/src/ConnectionEnds.h
+++ b/libs/net/src/ConnectionEnds.h
@@ -34,11 +34,14 @@
   /** Bytes of the request that were read. */
   std::size_t bytes = 0;
   std::string reason;
+  /** Bytes that had arrived and were not read when the server closed. */
+  std::size_t unreadBytes = 0;
 };
 
 /**
- * Counts the end of a connection, and logs it unless an end of that kind was
- * logged within the last second. Safe from every thread.
+ * Counts the end of a connection, also among those with unread bytes, and logs
+ * it unless an end of that kind was logged within the last second. Safe from
+ * every thread.
  */
 void
 RecordEnd(ConnectionEnd aEnd, const EndedRequest& aRequest);
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -46,6 +46,8 @@
 {
   Request,
   Close,
+  /** Close as no request arrived in time or before the server's close. */
+  CloseIdle,
   /** Close after a refusal, to which the caller may still be sending. */
   DiscardAndClose
 };
@@ -154,8 +156,8 @@
   void AcceptLoop();
   HttpLimits GetLimits() const;
   void ServeConnection(Stream& aStream);
-  /** Waits for the first bytes of the next request; false if none arrived. */
-  bool AwaitRequest(Stream& aStream,
+  /** Waits for the first bytes of the next request. */
+  Wait AwaitRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
                     bool aIsFirst);
   Wait AwaitInput(Stream& aStream,
@@ -326,6 +328,14 @@
   ActiveScope scope(active);
   beast::error_code ignored;
   socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (aNext == Next::CloseIdle) {
+    // A request that crosses the close stays unread, so that its caller may
+    // send it again.
+    EndedRequest unread;
+    unread.unreadBytes = socket.available(ignored);
+    RecordEnd(closing ? ConnectionEnd::Shutdown : ConnectionEnd::IdleLimit,
+              unread);
+  }
   if (aNext == Next::DiscardAndClose) {
     DiscardInput(socket);
   } else if (socket.available(ignored) > 0) {
@@ -341,7 +351,7 @@
 
 // Callers go by the limit in force when they send, so one that was lengthened
 // during the wait counts. A shorter one holds from the next wait on.
-bool
+Wait
 HttpServer::Impl::AwaitRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
                                bool aIsFirst)
@@ -369,10 +379,7 @@
   if (wait == Wait::Cancelled && aIsFirst && !wasClosing) {
     wait = AwaitInput(aStream, aBuffer, closingIdle);
   }
-  if (wait == Wait::Expired || wait == Wait::Cancelled) {
-    RecordEnd(closing ? ConnectionEnd::Shutdown : ConnectionEnd::IdleLimit, {});
-  }
-  return wait == Wait::Arrived;
+  return wait;
 }
 
 // Input that arrived as the wait was cancelled or its time ended counts.
@@ -483,8 +490,9 @@
                                beast::flat_buffer& aBuffer,
                                bool aIsFirst)
 {
-  if (!AwaitRequest(aStream, aBuffer, aIsFirst)) {
-    return Next::Close;
+  auto wait = AwaitRequest(aStream, aBuffer, aIsFirst);
+  if (wait != Wait::Arrived) {
+    return wait == Wait::PeerClosed ? Next::Close : Next::CloseIdle;
   }
   ActiveScope scope(active);
   auto limits = GetLimits();
