Net: a connection above the largest number is refused with 503

Callers saw: their connection was accepted and reset, which they can't tell from a crash, and nothing said whether the request had run.

Ruled out: that a refusal takes the place of a served connection: refusals are counted apart, and at most 256 run at the same time. What exceeds these is closed at once, as before, and counted too; the test does not play that.

The fix: 503 with Retry-After is written without reading the request, and the input is discarded for a while, so that a reset does not destroy it.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -112,6 +112,7 @@
   HttpLimits limits;
   /** If set, called for each wait and request and used in place of `limits`. */
   std::function<HttpLimits()> currentLimits;
+  /** Connections above this number are refused with 503. */
   std::size_t maxConnections = 20000;
   /** Whether responses ask the caller to close its connection; called for
    * each response. */
--- a/libs/net/src/ConnectionEnds.cpp
+++ b/libs/net/src/ConnectionEnds.cpp
@@ -26,7 +26,7 @@
   bool isOrdinary;
 };
 
-constexpr std::array<EndName, 7> kEnds{ {
+constexpr std::array<EndName, 8> kEnds{ {
   { ConnectionEnd::IdleLimit,
     "http_closed_idle_total",
     "connection closed: idle limit reached",
@@ -55,6 +55,10 @@
     "http_closed_at_shutdown_total",
     "connection closed at shutdown",
     true },
+  { ConnectionEnd::TooMany,
+    "http_connections_refused_total",
+    "connection refused: too many connections",
+    false },
 } };
 
 struct EndState
@@ -73,7 +77,7 @@
   };
   static std::array<EndState, kEnds.size()> sStates{ make(0), make(1), make(2),
                                                      make(3), make(4), make(5),
-                                                     make(6) };
+                                                     make(6), make(7) };
   return sStates[static_cast<std::size_t>(&aRow - kEnds.data())];
 }
 
--- a/libs/net/src/ConnectionEnds.h
+++ b/libs/net/src/ConnectionEnds.h
@@ -23,7 +23,9 @@
   /** The handler did not finish the response, or it could not be written. */
   ResponseUnfinished,
   /** The server closed while the connection waited for a request. */
-  Shutdown
+  Shutdown,
+  /** Refused, as there were too many connections. */
+  TooMany
 };
 
 /** The request on which a connection ended. */
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -32,6 +32,9 @@
 // keep the connection.
 constexpr utils::Millis kClosingIdle(1000);
 
+// Connections that are refused with a response at the same time.
+constexpr std::size_t kMaxRefusals = 256;
+
 /** The end of a wait for a caller's next request. */
 enum class Wait
 {
@@ -182,6 +185,9 @@
   void AcceptPending();
   /** Serves an accepted connection on a fiber of its own. */
   void Serve(std::shared_ptr<Tcp::socket> aSocket, asio::io_context& aIo);
+  /** Refuses a connection above the largest number. */
+  void RefuseConnection(std::shared_ptr<Tcp::socket> aSocket,
+                        asio::io_context& aIo);
   /** Closes so that the caller receives what was sent to it. */
   void CloseGracefully(Stream& aStream, Next aNext);
   Next RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
@@ -197,6 +203,8 @@
   std::unique_ptr<Tcp::acceptor> acceptor;
   asio::io_context* acceptIo = nullptr;
   std::atomic<std::size_t> connections{ 0 };
+  /** Connections that are being refused; not among `connections`. */
+  std::atomic<std::size_t> refusals{ 0 };
   /** Connections with a request that is being read or served. */
   std::atomic<std::size_t> active{ 0 };
   std::atomic<bool> closing{ false };
@@ -248,14 +256,44 @@
     if (result.error == asio::error::operation_aborted) {
       break;
     }
-    if (result.error || connections >= options.maxConnections) {
+    if (result.error) {
+      Runtime::Sleep(kPauseAfterError);
+    } else if (connections < options.maxConnections) {
+      Serve(socket, loop.io);
+    } else if (refusals < kMaxRefusals) {
+      RefuseConnection(socket, loop.io);
+    } else {
+      RecordEnd(ConnectionEnd::TooMany, {});
+      socket.reset();
       Runtime::Sleep(kPauseAfterError);
-      continue;
     }
-    Serve(socket, loop.io);
   }
 }
 
+// Answers without reading: callers may send the request again elsewhere.
+void
+HttpServer::Impl::RefuseConnection(std::shared_ptr<Tcp::socket> aSocket,
+                                   asio::io_context& aIo)
+{
+  ++refusals;
+  SpawnOn(aIo, [self = shared_from_this(), socket = std::move(aSocket)] {
+    constexpr int kUnavailableStatus = 503;
+    constexpr const char* kRetryAfterSeconds = "1";
+    RecordEnd(ConnectionEnd::TooMany, {});
+    Stream stream(std::move(*socket));
+    utils::Error error;
+    error.Set(utils::ErrorKind::Overloaded, "too many connections");
+    auto response = MakeErrorResponse(error);
+    response.status = kUnavailableStatus;
+    response.fields.Set("Retry-After", kRetryAfterSeconds);
+    StreamWriter writer(
+      stream, self->options.writeTimeout, [] { return false; });
+    writer.Send(response);
+    self->CloseGracefully(stream, Next::DiscardAndClose);
+    --self->refusals;
+  });
+}
+
 void
 HttpServer::Impl::Serve(std::shared_ptr<Tcp::socket> aSocket,
                         asio::io_context& aIo)
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -505,6 +505,48 @@
     &Echo, [&limits] { return limits; }, test);
 }
 
+// Guards against a connection above the largest number that is closed with no
+// response, line or count, which its caller can't tell from a crash.
+TEST_CASE("a connection above the largest number is refused with 503")
+{
+  CounterDelta refused("http_connections_refused_total");
+  Runtime runtime(1);
+  runtime.Run([&] {
+    utils::Error reason;
+    auto server = HttpServer::Builder(runtime)
+                    .SetEndpoint(MakeEndpoint())
+                    .SetHandler(&Echo)
+                    .SetMaxConnections(1)
+                    .Build(reason);
+    REQUIRE_MESSAGE(server, reason.detail);
+    auto first = std::make_unique<RawCaller>(MakeEndpoint());
+    first->Send(kPostHead + "body");
+    CHECK(first->ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    for (std::uint64_t count = 1; count <= 3; ++count) {
+      RawCaller surplus(MakeEndpoint());
+      surplus.Send(kPostHead + "body");
+      auto answer = surplus.ReadToEnd(kWaitTimeout);
+      CHECK(answer.starts_with("HTTP/1.1 503 "));
+      CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+      CHECK(answer.find("Connection: close") != std::string::npos);
+      CHECK_FALSE(surplus.IsReset());
+      CHECK(refused.Get() == count);
+    }
+    first->Send(kPostHead + "body");
+    CHECK(first->ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    first.reset();
+    CHECK(WaitUntil([] {
+      RawCaller next(MakeEndpoint());
+      next.Send(kPostHead + "body");
+      return next.ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 ");
+    }));
+    CHECK(refused.Get() >= 3);
+    CHECK(WaitUntil([&server] { return server->GetActiveCount() == 0; }));
+    server->Close();
+    return 0;
+  });
+}
+
 TEST_CASE("callers that never read or close do not hold the server for long")
 {
   auto limits = MakeLimits(Millis(60000), Millis(100));
