Net: responses state for how long their connection is kept

Callers could not know the idle limit, which a configuration may shorten, so they sent requests on connections that the server was about to close.

Cause: no response stated the limit, and a limit that was shortened during a response held for the wait after it.

Ruled out: harm to callers that reuse a connection until the end of the stated time, as the server keeps it for half a second more; harm where the connection ends, as such a response states nothing, nor does one under a limit below a second; a handler's own field of that name, which would belong to another connection, is dropped, where it was passed on before.

The fix: a response that keeps its connection states the idle limit in force at its head, in whole seconds rounded down, and the wait after it is at least that long. The server's close ends the wait as before.

--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -57,7 +57,11 @@
 {
   std::size_t bodyBytes = 8 << 20;
   std::uint32_t headerBytes = 16 << 10;
-  /** How long a connection may stay idle between two requests. */
+  /**
+   * How long a connection may stay idle between two requests. Responses state
+   * it in whole seconds; a shorter one that comes after a response's head does
+   * not shorten the time that this response has stated.
+   */
   utils::Millis idle{ 60000 };
   /** From a request's first byte to the end of its header, and again from
    * there to the end of its body. */
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -32,6 +32,10 @@
 // keep the connection.
 constexpr utils::Millis kClosingIdle(1000);
 
+// How much longer than stated a connection stays open, for requests that are
+// sent at the end of that time.
+constexpr utils::Millis kStatedIdleMargin(500);
+
 // Connections that are refused with a response at the same time.
 constexpr std::size_t kMaxRefusals = 256;
 
@@ -55,6 +59,14 @@
   DiscardAndClose
 };
 
+/** What a connection's requests so far mean for its next one. */
+struct History
+{
+  bool isFirst = true;
+  /** The idle time that the last response stated; 0 if it stated none. */
+  utils::Millis statedIdle{ 0 };
+};
+
 /** The time in which a request's header, or its body, has to arrive. */
 struct ReadPhase
 {
@@ -162,13 +174,15 @@
   /** Waits for the first bytes of the next request. */
   Wait AwaitRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    bool aIsFirst);
+                    const History& aHistory);
+  /** How long a connection may wait for its next request. */
+  utils::Millis GetIdleLimit(const History& aHistory) const;
   Wait AwaitInput(Stream& aStream,
                   beast::flat_buffer& aBuffer,
                   utils::Millis aTime);
   Next ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    bool aIsFirst);
+                    History& aHistory);
   /** Reads a request into aParser; aReadBytes receives its size so far. */
   beast::error_code ReadRequest(Stream& aStream,
                                 beast::flat_buffer& aBuffer,
@@ -190,7 +204,10 @@
                         asio::io_context& aIo);
   /** Closes so that the caller receives what was sent to it. */
   void CloseGracefully(Stream& aStream, Next aNext);
-  Next RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
+  Next RunHandler(Stream& aStream,
+                  const HttpRequest& aRequest,
+                  bool aKeep,
+                  History& aHistory);
   /** Responds to a request that could not be read, where a response helps. */
   void Refuse(Stream& aStream,
               beast::error_code aError,
@@ -287,7 +304,7 @@
     response.status = kUnavailableStatus;
     response.fields.Set("Retry-After", kRetryAfterSeconds);
     StreamWriter writer(
-      stream, self->options.writeTimeout, [] { return false; });
+      stream, self->options.writeTimeout, [] { return std::nullopt; });
     writer.Send(response);
     self->CloseGracefully(stream, Next::DiscardAndClose);
     --self->refusals;
@@ -346,11 +363,12 @@
   beast::flat_buffer buffer;
   // A caller whose connection was accepted just before the close may have sent
   // its request, so the first one is served in any case.
-  auto next = ServeRequest(aStream, buffer, true);
+  History history;
+  auto next = ServeRequest(aStream, buffer, history);
   --active;
   // After the close no response keeps its connection, so this ends.
   while (next == Next::Request) {
-    next = ServeRequest(aStream, buffer, false);
+    next = ServeRequest(aStream, buffer, history);
   }
   CloseGracefully(aStream, next);
 }
@@ -387,12 +405,23 @@
   return options.currentLimits ? options.currentLimits() : options.limits;
 }
 
+// A limit that is shortened during a response doesn't take back what the
+// response has stated.
+utils::Millis
+HttpServer::Impl::GetIdleLimit(const History& aHistory) const
+{
+  auto limit = GetLimits().idle;
+  return aHistory.statedIdle > utils::Millis(0)
+           ? std::max(limit, aHistory.statedIdle + kStatedIdleMargin)
+           : limit;
+}
+
 // Callers go by the limit in force when they send, so one that was lengthened
 // during the wait counts. A shorter one holds from the next wait on.
 Wait
 HttpServer::Impl::AwaitRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               bool aIsFirst)
+                               const History& aHistory)
 {
   utils::Clock clock;
   auto since = clock.Now();
@@ -403,18 +432,18 @@
   if (wasClosing) {
     scope.emplace(active);
   }
-  auto limit = GetLimits().idle;
+  auto limit = GetIdleLimit(aHistory);
   auto closingIdle = std::min(limit, kClosingIdle);
   auto wait = AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : limit);
   while (wait == Wait::Expired && !closing) {
-    auto left = since + GetLimits().idle - clock.Now();
+    auto left = since + GetIdleLimit(aHistory) - clock.Now();
     if (left <= utils::Millis(0)) {
       break;
     }
     wait = AwaitInput(aStream, aBuffer, left);
   }
   // The close cancelled the wait. A new caller's request may be on its way.
-  if (wait == Wait::Cancelled && aIsFirst && !wasClosing) {
+  if (wait == Wait::Cancelled && aHistory.isFirst && !wasClosing) {
     wait = AwaitInput(aStream, aBuffer, closingIdle);
   }
   return wait;
@@ -526,9 +555,9 @@
 Next
 HttpServer::Impl::ServeRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               bool aIsFirst)
+                               History& aHistory)
 {
-  auto wait = AwaitRequest(aStream, aBuffer, aIsFirst);
+  auto wait = AwaitRequest(aStream, aBuffer, aHistory);
   if (wait != Wait::Arrived) {
     return wait == Wait::PeerClosed ? Next::Close : Next::CloseIdle;
   }
@@ -553,19 +582,23 @@
   request.target = std::string(message.target());
   request.fields = ReadFields(message);
   request.body = std::move(message.body());
-  return RunHandler(aStream, request, message.keep_alive());
+  return RunHandler(aStream, request, message.keep_alive(), aHistory);
 }
 
 Next
 HttpServer::Impl::RunHandler(Stream& aStream,
                              const HttpRequest& aRequest,
-                             bool aKeep)
+                             bool aKeep,
+                             History& aHistory)
 {
   // The server may begin to leave while the handler runs.
-  auto mayKeep = [this, aKeep] {
-    return aKeep && !closing && !(options.isLeaving && options.isLeaving());
+  auto getKeepTime = [this, aKeep]() -> std::optional<utils::Millis> {
+    if (!aKeep || closing || (options.isLeaving && options.isLeaving())) {
+      return std::nullopt;
+    }
+    return GetLimits().idle;
   };
-  StreamWriter writer(aStream, options.writeTimeout, mayKeep);
+  StreamWriter writer(aStream, options.writeTimeout, getKeepTime);
   CallHandler(aRequest, writer);
   // The hook belongs to the handler, which has ended.
   writer.EndWatch();
@@ -585,6 +618,8 @@
     aStream.close();
     return Next::Close;
   }
+  aHistory.isFirst = false;
+  aHistory.statedIdle = writer.GetStatedKeepTime();
   return writer.KeepsConnection() ? Next::Request : Next::Close;
 }
 
@@ -639,7 +674,8 @@
   RecordEnd(end, aRequest);
   auto response = MakeErrorResponse(error);
   response.status = status.value_or(response.status);
-  StreamWriter writer(aStream, options.writeTimeout, [] { return false; });
+  StreamWriter writer(
+    aStream, options.writeTimeout, [] { return std::nullopt; });
   if (!writer.Send(response)) {
     RecordEnd(ConnectionEnd::RefusalUnwritten, aRequest);
   }
--- a/libs/net/src/StreamWriter.cpp
+++ b/libs/net/src/StreamWriter.cpp
@@ -1,7 +1,9 @@
 #include "StreamWriter.h"
 
 #include <cerrno>
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include <poll.h>
@@ -14,6 +16,23 @@
 
 namespace waxwingyoke::net {
 
+// A handler's own field of this kind would belong to another connection.
+template<typename Message>
+void
+StreamWriter::SetConnectionFields(Message& aMessage)
+{
+  constexpr std::int64_t kSecondMs = 1000;
+  auto keepTime = getKeepTime_();
+  keepAlive_ = keepTime.has_value();
+  aMessage.keep_alive(keepAlive_);
+  aMessage.erase(http::field::keep_alive);
+  auto seconds = keepTime ? keepTime->value / kSecondMs : 0;
+  if (seconds > 0) {
+    aMessage.set(http::field::keep_alive, "timeout=" + std::to_string(seconds));
+    statedKeepTime_ = utils::Millis(seconds * kSecondMs);
+  }
+}
+
 template<typename Operation>
 bool
 StreamWriter::RunWrite(Operation aOperation)
@@ -139,8 +158,7 @@
   message.version(11);
   message.result(static_cast<unsigned>(aResponse.status));
   CopyFields(aResponse.fields, message);
-  keepAlive_ = mayKeep_();
-  message.keep_alive(keepAlive_);
+  SetConnectionFields(message);
   message.body() = aResponse.body;
   message.prepare_payload();
   return RunWrite([&](auto aHandler) {
@@ -156,8 +174,7 @@
   message.version(11);
   message.result(static_cast<unsigned>(aStatus));
   CopyFields(aFields, message);
-  keepAlive_ = mayKeep_();
-  message.keep_alive(keepAlive_);
+  SetConnectionFields(message);
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
   return RunWrite([&](auto aHandler) {
--- a/libs/net/src/StreamWriter.h
+++ b/libs/net/src/StreamWriter.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include <net/HttpServer.h>
@@ -18,13 +19,16 @@
 class StreamWriter : public ResponseWriter
 {
 public:
-  /** aMayKeep is asked once, when the response's head is written. */
+  /**
+   * aGetKeepTime is called once, when the response's head is written: for how
+   * long the connection is kept afterwards, empty if it is closed.
+   */
   StreamWriter(beast::tcp_stream& aStream,
                utils::Millis aTimeout,
-               std::function<bool()> aMayKeep)
+               std::function<std::optional<utils::Millis>()> aGetKeepTime)
     : stream_(aStream)
     , timeout_(aTimeout)
-    , mayKeep_(std::move(aMayKeep))
+    , getKeepTime_(std::move(aGetKeepTime))
   {
   }
 
@@ -46,6 +50,9 @@
   /** Whether the response promised to keep the connection. */
   bool KeepsConnection() const { return keepAlive_; }
 
+  /** The time that the response stated for this; 0 if it stated none. */
+  utils::Millis GetStatedKeepTime() const { return statedKeepTime_; }
+
   /** Whether a write waited too long for a caller that does not read. */
   bool HasTimedOut() const { return timedOut_; }
 
@@ -53,6 +60,9 @@
   bool IsComplete() const { return finished_ && !broken_; }
 
 private:
+  /** Sets the fields of a response's head that concern the connection. */
+  template<typename Message>
+  void SetConnectionFields(Message& aMessage);
   template<typename Operation>
   bool RunWrite(Operation aOperation);
 
@@ -61,8 +71,9 @@
   beast::tcp_stream& stream_;
   std::shared_ptr<Watch> watch_;
   utils::Millis timeout_;
-  std::function<bool()> mayKeep_;
+  std::function<std::optional<utils::Millis>()> getKeepTime_;
   bool keepAlive_ = false;
+  utils::Millis statedKeepTime_{ 0 };
   bool started_ = false;
   bool finished_ = false;
   bool broken_ = false;
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -505,6 +505,69 @@
     &Echo, [&limits] { return limits; }, test);
 }
 
+// Guards against callers that can't know the idle limit and send a request
+// into the close.
+TEST_CASE("a response that keeps its connection states the idle limit")
+{
+  const std::string kGetAndClose =
+    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  auto limits = MakeLimits(Millis(2900), Millis(60000));
+  bool streams = false;
+  auto handler = [&](const HttpRequest&, ResponseWriter& aWriter) {
+    HttpFields foreign;
+    foreign.Set("Keep-Alive", "timeout=77");
+    if (streams) {
+      aWriter.Start(200, foreign);
+      aWriter.Finish();
+      return;
+    }
+    HttpResponse response;
+    response.fields = foreign;
+    aWriter.Send(response);
+  };
+  auto call = [](const std::string& aRequest) {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(aRequest);
+    return caller.ReadBytes(60, kWaitTimeout);
+  };
+  auto test = [&](HttpServer&) {
+    for (bool isStream : { false, true }) {
+      CAPTURE(isStream);
+      streams = isStream;
+      limits.idle = Millis(2900);
+      CHECK(call(kGet).find("Keep-Alive: timeout=2\r\n") != std::string::npos);
+      CHECK(call(kGetAndClose).find("Keep-Alive") == std::string::npos);
+      limits.idle = Millis(999);
+      CHECK(call(kGet).find("Keep-Alive") == std::string::npos);
+    }
+  };
+  RunServer(
+    handler, [&limits] { return limits; }, test);
+}
+
+// Guards against a limit that is shortened under a response, which has stated
+// the longer one to its caller.
+TEST_CASE("a connection is kept for the time that its response has stated")
+{
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  auto handler = [&limits](const HttpRequest&, ResponseWriter& aWriter) {
+    aWriter.Start(200, {});
+    limits.idle = Millis(50);
+    aWriter.Finish();
+  };
+  auto test = [&](HttpServer&) {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(kGet);
+    CHECK(caller.ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    Runtime::Sleep(Millis(300));
+    CHECK_FALSE(caller.ReadSome() == std::nullopt);
+    CHECK(caller.Send(kGet));
+    CHECK(caller.ReadToEnd(kWaitTimeout).starts_with("HTTP/1.1 200 "));
+  };
+  RunServer(
+    handler, [&limits] { return limits; }, test);
+}
+
 // Guards against a connection above the largest number that is closed with no
 // response, line or count, which its caller can't tell from a crash.
 TEST_CASE("a connection above the largest number is refused with 503")
