--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -57,7 +57,11 @@
 {
   std::size_t bodyBytes = 8 << 20;
   std::uint32_t headerBytes = 16 << 10;
-  /** How long a connection may stay idle between two requests. */
+  /**
+   * How long a connection may stay idle between two requests. Responses state
+   * it in whole seconds; a shorter one that comes after a response's head does
+   * not shorten the time that this response has stated.
+   */
   utils::Millis idle{ 60000 };
   /** From a request's first byte to the end of its header, and again from
    * there to the end of its body. */
@@ -86,14 +90,16 @@
 
   /**
    * Stops accepting connections and closes the idle ones. Requests that have
-   * arrived, also those that are not read yet, are still served.
+   * arrived, also those that are not read yet, are still served. So is one that
+   * arrives within a second on a new connection, or after a response that began
+   * before the close and kept its connection.
    */
   void Close();
 
   /**
    * The number of requests that are being read or served, of connections
-   * whose first request is awaited, and of those that end and whose caller has
-   * not received the response yet.
+   * whose first request is awaited or whose next one is after the close, and of
+   * those that end and whose caller has not received the response yet.
    */
   std::size_t GetActiveCount() const;
 
@@ -110,6 +116,7 @@
   HttpLimits limits;
   /** If set, called for each wait and request and used in place of `limits`. */
   std::function<HttpLimits()> currentLimits;
+  /** Connections above this number are refused with 503. */
   std::size_t maxConnections = 20000;
   /** Whether responses ask the caller to close its connection; called for
    * each response. */
--- a/libs/net/src/ConnectionEnds.h
+++ b/libs/net/src/ConnectionEnds.h
@@ -23,7 +23,9 @@
   /** The handler did not finish the response, or it could not be written. */
   ResponseUnfinished,
   /** The server closed while the connection waited for a request. */
-  Shutdown
+  Shutdown,
+  /** Refused, as there were too many connections. */
+  TooMany
 };
 
 /** The request on which a connection ended. */
@@ -34,11 +36,14 @@
   /** Bytes of the request that were read. */
   std::size_t bytes = 0;
   std::string reason;
+  /** Bytes that had arrived and were not read when the server closed. */
+  std::size_t unreadBytes = 0;
 };
 
 /**
- * Counts the end of a connection, and logs it unless an end of that kind was
- * logged within the last second. Safe from every thread.
+ * Counts the end of a connection, also among those with unread bytes, and logs
+ * it unless an end of that kind was logged within the last second. Safe from
+ * every thread.
  */
 void
 RecordEnd(ConnectionEnd aEnd, const EndedRequest& aRequest);
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -28,9 +28,17 @@
 using Parser = http::request_parser<http::string_body>;
 
 // How long a closing server waits for the first request of a connection that
-// was accepted before.
+// was accepted before, and for the next one after a response that promised to
+// keep the connection.
 constexpr utils::Millis kClosingIdle(1000);
 
+// How much longer than stated a connection stays open, for requests that are
+// sent at the end of that time.
+constexpr utils::Millis kStatedIdleMargin(500);
+
+// Connections that are refused with a response at the same time.
+constexpr std::size_t kMaxRefusals = 256;
+
 /** The end of a wait for a caller's next request. */
 enum class Wait
 {
@@ -45,10 +53,20 @@
 {
   Request,
   Close,
+  /** Close as no request arrived in time or before the server's close. */
+  CloseIdle,
   /** Close after a refusal, to which the caller may still be sending. */
   DiscardAndClose
 };
 
+/** What a connection's requests so far mean for its next one. */
+struct History
+{
+  bool isFirst = true;
+  /** The idle time that the last response stated; 0 if it stated none. */
+  utils::Millis statedIdle{ 0 };
+};
+
 /** The time in which a request's header, or its body, has to arrive. */
 struct ReadPhase
 {
@@ -153,16 +171,18 @@
   void AcceptLoop();
   HttpLimits GetLimits() const;
   void ServeConnection(Stream& aStream);
-  /** Waits for the first bytes of the next request; false if none arrived. */
-  bool AwaitRequest(Stream& aStream,
+  /** Waits for the first bytes of the next request. */
+  Wait AwaitRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    bool aIsFirst);
+                    const History& aHistory);
+  /** How long a connection may wait for its next request. */
+  utils::Millis GetIdleLimit(const History& aHistory) const;
   Wait AwaitInput(Stream& aStream,
                   beast::flat_buffer& aBuffer,
                   utils::Millis aTime);
   Next ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
-                    bool aIsFirst);
+                    History& aHistory);
   /** Reads a request into aParser; aReadBytes receives its size so far. */
   beast::error_code ReadRequest(Stream& aStream,
                                 beast::flat_buffer& aBuffer,
@@ -179,9 +199,15 @@
   void AcceptPending();
   /** Serves an accepted connection on a fiber of its own. */
   void Serve(std::shared_ptr<Tcp::socket> aSocket, asio::io_context& aIo);
+  /** Refuses a connection above the largest number. */
+  void RefuseConnection(std::shared_ptr<Tcp::socket> aSocket,
+                        asio::io_context& aIo);
   /** Closes so that the caller receives what was sent to it. */
   void CloseGracefully(Stream& aStream, Next aNext);
-  Next RunHandler(Stream& aStream, const HttpRequest& aRequest, bool aKeep);
+  Next RunHandler(Stream& aStream,
+                  const HttpRequest& aRequest,
+                  bool aKeep,
+                  History& aHistory);
   /** Responds to a request that could not be read, where a response helps. */
   void Refuse(Stream& aStream,
               beast::error_code aError,
@@ -194,6 +220,8 @@
   std::unique_ptr<Tcp::acceptor> acceptor;
   asio::io_context* acceptIo = nullptr;
   std::atomic<std::size_t> connections{ 0 };
+  /** Connections that are being refused; not among `connections`. */
+  std::atomic<std::size_t> refusals{ 0 };
   /** Connections with a request that is being read or served. */
   std::atomic<std::size_t> active{ 0 };
   std::atomic<bool> closing{ false };
@@ -245,14 +273,44 @@
     if (result.error == asio::error::operation_aborted) {
       break;
     }
-    if (result.error || connections >= options.maxConnections) {
+    if (result.error) {
+      Runtime::Sleep(kPauseAfterError);
+    } else if (connections < options.maxConnections) {
+      Serve(socket, loop.io);
+    } else if (refusals < kMaxRefusals) {
+      RefuseConnection(socket, loop.io);
+    } else {
+      RecordEnd(ConnectionEnd::TooMany, {});
+      socket.reset();
       Runtime::Sleep(kPauseAfterError);
-      continue;
     }
-    Serve(socket, loop.io);
   }
 }
 
+// Answers without reading: callers may send the request again elsewhere.
+void
+HttpServer::Impl::RefuseConnection(std::shared_ptr<Tcp::socket> aSocket,
+                                   asio::io_context& aIo)
+{
+  ++refusals;
+  SpawnOn(aIo, [self = shared_from_this(), socket = std::move(aSocket)] {
+    constexpr int kUnavailableStatus = 503;
+    constexpr const char* kRetryAfterSeconds = "1";
+    RecordEnd(ConnectionEnd::TooMany, {});
+    Stream stream(std::move(*socket));
+    utils::Error error;
+    error.Set(utils::ErrorKind::Overloaded, "too many connections");
+    auto response = MakeErrorResponse(error);
+    response.status = kUnavailableStatus;
+    response.fields.Set("Retry-After", kRetryAfterSeconds);
+    StreamWriter writer(
+      stream, self->options.writeTimeout, [] { return std::nullopt; });
+    writer.Send(response);
+    self->CloseGracefully(stream, Next::DiscardAndClose);
+    --self->refusals;
+  });
+}
+
 void
 HttpServer::Impl::Serve(std::shared_ptr<Tcp::socket> aSocket,
                         asio::io_context& aIo)
@@ -305,10 +363,12 @@
   beast::flat_buffer buffer;
   // A caller whose connection was accepted just before the close may have sent
   // its request, so the first one is served in any case.
-  auto next = ServeRequest(aStream, buffer, true);
+  History history;
+  auto next = ServeRequest(aStream, buffer, history);
   --active;
-  while (next == Next::Request && (!closing || HasInput(aStream, buffer))) {
-    next = ServeRequest(aStream, buffer, false);
+  // After the close no response keeps its connection, so this ends.
+  while (next == Next::Request) {
+    next = ServeRequest(aStream, buffer, history);
   }
   CloseGracefully(aStream, next);
 }
@@ -324,6 +384,14 @@
   ActiveScope scope(active);
   beast::error_code ignored;
   socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  if (aNext == Next::CloseIdle) {
+    // A request that crosses the close stays unread, so that its caller may
+    // send it again.
+    EndedRequest unread;
+    unread.unreadBytes = socket.available(ignored);
+    RecordEnd(closing ? ConnectionEnd::Shutdown : ConnectionEnd::IdleLimit,
+              unread);
+  }
   if (aNext == Next::DiscardAndClose) {
     DiscardInput(socket);
   } else if (socket.available(ignored) > 0) {
@@ -337,34 +405,48 @@
   return options.currentLimits ? options.currentLimits() : options.limits;
 }
 
+// A limit that is shortened during a response doesn't take back what the
+// response has stated.
+utils::Millis
+HttpServer::Impl::GetIdleLimit(const History& aHistory) const
+{
+  auto limit = GetLimits().idle;
+  return aHistory.statedIdle > utils::Millis(0)
+           ? std::max(limit, aHistory.statedIdle + kStatedIdleMargin)
+           : limit;
+}
+
 // Callers go by the limit in force when they send, so one that was lengthened
 // during the wait counts. A shorter one holds from the next wait on.
-bool
+Wait
 HttpServer::Impl::AwaitRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               bool aIsFirst)
+                               const History& aHistory)
 {
   utils::Clock clock;
   auto since = clock.Now();
   bool wasClosing = closing;
-  auto limit = GetLimits().idle;
+  // The caller of a response that began before the close may send its next
+  // request at that response's end. The process has to run until then.
+  std::optional<ActiveScope> scope;
+  if (wasClosing) {
+    scope.emplace(active);
+  }
+  auto limit = GetIdleLimit(aHistory);
   auto closingIdle = std::min(limit, kClosingIdle);
   auto wait = AwaitInput(aStream, aBuffer, wasClosing ? closingIdle : limit);
   while (wait == Wait::Expired && !closing) {
-    auto left = since + GetLimits().idle - clock.Now();
+    auto left = since + GetIdleLimit(aHistory) - clock.Now();
     if (left <= utils::Millis(0)) {
       break;
     }
     wait = AwaitInput(aStream, aBuffer, left);
   }
   // The close cancelled the wait. A new caller's request may be on its way.
-  if (wait == Wait::Cancelled && aIsFirst && !wasClosing) {
+  if (wait == Wait::Cancelled && aHistory.isFirst && !wasClosing) {
     wait = AwaitInput(aStream, aBuffer, closingIdle);
   }
-  if (wait == Wait::Expired || wait == Wait::Cancelled) {
-    RecordEnd(closing ? ConnectionEnd::Shutdown : ConnectionEnd::IdleLimit, {});
-  }
-  return wait == Wait::Arrived;
+  return wait;
 }
 
 // Input that arrived as the wait was cancelled or its time ended counts.
@@ -473,10 +555,11 @@
 Next
 HttpServer::Impl::ServeRequest(Stream& aStream,
                                beast::flat_buffer& aBuffer,
-                               bool aIsFirst)
+                               History& aHistory)
 {
-  if (!AwaitRequest(aStream, aBuffer, aIsFirst)) {
-    return Next::Close;
+  auto wait = AwaitRequest(aStream, aBuffer, aHistory);
+  if (wait != Wait::Arrived) {
+    return wait == Wait::PeerClosed ? Next::Close : Next::CloseIdle;
   }
   ActiveScope scope(active);
   auto limits = GetLimits();
@@ -499,19 +582,23 @@
   request.target = std::string(message.target());
   request.fields = ReadFields(message);
   request.body = std::move(message.body());
-  return RunHandler(aStream, request, message.keep_alive());
+  return RunHandler(aStream, request, message.keep_alive(), aHistory);
 }
 
 Next
 HttpServer::Impl::RunHandler(Stream& aStream,
                              const HttpRequest& aRequest,
-                             bool aKeep)
+                             bool aKeep,
+                             History& aHistory)
 {
   // The server may begin to leave while the handler runs.
-  auto mayKeep = [this, aKeep] {
-    return aKeep && !closing && !(options.isLeaving && options.isLeaving());
+  auto getKeepTime = [this, aKeep]() -> std::optional<utils::Millis> {
+    if (!aKeep || closing || (options.isLeaving && options.isLeaving())) {
+      return std::nullopt;
+    }
+    return GetLimits().idle;
   };
-  StreamWriter writer(aStream, options.writeTimeout, mayKeep);
+  StreamWriter writer(aStream, options.writeTimeout, getKeepTime);
   CallHandler(aRequest, writer);
   // The hook belongs to the handler, which has ended.
   writer.EndWatch();
@@ -531,6 +618,8 @@
     aStream.close();
     return Next::Close;
   }
+  aHistory.isFirst = false;
+  aHistory.statedIdle = writer.GetStatedKeepTime();
   return writer.KeepsConnection() ? Next::Request : Next::Close;
 }
 
@@ -585,7 +674,8 @@
   RecordEnd(end, aRequest);
   auto response = MakeErrorResponse(error);
   response.status = status.value_or(response.status);
-  StreamWriter writer(aStream, options.writeTimeout, [] { return false; });
+  StreamWriter writer(
+    aStream, options.writeTimeout, [] { return std::nullopt; });
   if (!writer.Send(response)) {
     RecordEnd(ConnectionEnd::RefusalUnwritten, aRequest);
   }
--- a/libs/net/tests/ServerConnectionsTest.cpp
+++ b/libs/net/tests/ServerConnectionsTest.cpp
@@ -1,11 +1,17 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <ctime>
+#include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <random>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <unistd.h>
 
@@ -13,6 +19,7 @@
 #include <telemetry/Metrics.h>
 
 #include "Beast.h"
+#include "ConnectionEnds.h"
 #include "RawCaller.h"
 #include "RuntimeImpl.h"
 
@@ -177,6 +184,26 @@
     &Echo, [&limits] { return limits; }, test);
 }
 
+// Guards against a close on a request that leaves no trace of whether any of
+// its bytes had arrived.
+TEST_CASE("connections that are closed with unread bytes are counted")
+{
+  CounterDelta unread("http_closed_unread_total");
+  CounterDelta shutdown("http_closed_at_shutdown_total");
+  CounterDelta idle("http_closed_idle_total");
+  EndedRequest none;
+  EndedRequest some;
+  some.unreadBytes = 3;
+  RecordEnd(ConnectionEnd::Shutdown, none);
+  RecordEnd(ConnectionEnd::IdleLimit, none);
+  CHECK(unread.Get() == 0);
+  RecordEnd(ConnectionEnd::Shutdown, some);
+  RecordEnd(ConnectionEnd::IdleLimit, some);
+  CHECK(unread.Get() == 2);
+  CHECK(shutdown.Get() == 2);
+  CHECK(idle.Get() == 2);
+}
+
 // Guards against a caller that sends too slowly and gets no answer at all: the
 // timer closed the socket to which the refusal was then written.
 TEST_CASE("a request that does not arrive in time is refused with 408")
@@ -478,6 +505,111 @@
     &Echo, [&limits] { return limits; }, test);
 }
 
+// Guards against callers that can't know the idle limit and send a request
+// into the close.
+TEST_CASE("a response that keeps its connection states the idle limit")
+{
+  const std::string kGetAndClose =
+    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  auto limits = MakeLimits(Millis(2900), Millis(60000));
+  bool streams = false;
+  auto handler = [&](const HttpRequest&, ResponseWriter& aWriter) {
+    HttpFields foreign;
+    foreign.Set("Keep-Alive", "timeout=77");
+    if (streams) {
+      aWriter.Start(200, foreign);
+      aWriter.Finish();
+      return;
+    }
+    HttpResponse response;
+    response.fields = foreign;
+    aWriter.Send(response);
+  };
+  auto call = [](const std::string& aRequest) {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(aRequest);
+    return caller.ReadBytes(60, kWaitTimeout);
+  };
+  auto test = [&](HttpServer&) {
+    for (bool isStream : { false, true }) {
+      CAPTURE(isStream);
+      streams = isStream;
+      limits.idle = Millis(2900);
+      CHECK(call(kGet).find("Keep-Alive: timeout=2\r\n") != std::string::npos);
+      CHECK(call(kGetAndClose).find("Keep-Alive") == std::string::npos);
+      limits.idle = Millis(999);
+      CHECK(call(kGet).find("Keep-Alive") == std::string::npos);
+    }
+  };
+  RunServer(
+    handler, [&limits] { return limits; }, test);
+}
+
+// Guards against a limit that is shortened under a response, which has stated
+// the longer one to its caller.
+TEST_CASE("a connection is kept for the time that its response has stated")
+{
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  auto handler = [&limits](const HttpRequest&, ResponseWriter& aWriter) {
+    aWriter.Start(200, {});
+    limits.idle = Millis(50);
+    aWriter.Finish();
+  };
+  auto test = [&](HttpServer&) {
+    RawCaller caller(MakeEndpoint());
+    caller.Send(kGet);
+    CHECK(caller.ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    Runtime::Sleep(Millis(300));
+    CHECK_FALSE(caller.ReadSome() == std::nullopt);
+    CHECK(caller.Send(kGet));
+    CHECK(caller.ReadToEnd(kWaitTimeout).starts_with("HTTP/1.1 200 "));
+  };
+  RunServer(
+    handler, [&limits] { return limits; }, test);
+}
+
+// Guards against a connection above the largest number that is closed with no
+// response, line or count, which its caller can't tell from a crash.
+TEST_CASE("a connection above the largest number is refused with 503")
+{
+  CounterDelta refused("http_connections_refused_total");
+  Runtime runtime(1);
+  runtime.Run([&] {
+    utils::Error reason;
+    auto server = HttpServer::Builder(runtime)
+                    .SetEndpoint(MakeEndpoint())
+                    .SetHandler(&Echo)
+                    .SetMaxConnections(1)
+                    .Build(reason);
+    REQUIRE_MESSAGE(server, reason.detail);
+    auto first = std::make_unique<RawCaller>(MakeEndpoint());
+    first->Send(kPostHead + "body");
+    CHECK(first->ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    for (std::uint64_t count = 1; count <= 3; ++count) {
+      RawCaller surplus(MakeEndpoint());
+      surplus.Send(kPostHead + "body");
+      auto answer = surplus.ReadToEnd(kWaitTimeout);
+      CHECK(answer.starts_with("HTTP/1.1 503 "));
+      CHECK(answer.find("Retry-After: 1\r\n") != std::string::npos);
+      CHECK(answer.find("Connection: close") != std::string::npos);
+      CHECK_FALSE(surplus.IsReset());
+      CHECK(refused.Get() == count);
+    }
+    first->Send(kPostHead + "body");
+    CHECK(first->ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 "));
+    first.reset();
+    CHECK(WaitUntil([] {
+      RawCaller next(MakeEndpoint());
+      next.Send(kPostHead + "body");
+      return next.ReadBytes(15, kWaitTimeout).starts_with("HTTP/1.1 200 ");
+    }));
+    CHECK(refused.Get() >= 3);
+    CHECK(WaitUntil([&server] { return server->GetActiveCount() == 0; }));
+    server->Close();
+    return 0;
+  });
+}
+
 TEST_CASE("callers that never read or close do not hold the server for long")
 {
   auto limits = MakeLimits(Millis(60000), Millis(100));
@@ -494,3 +626,270 @@
   RunServer(
     handler, [&limits] { return limits; }, test);
 }
+
+namespace {
+
+/** What the first exchange of a caller leaves its connection in. */
+enum class CallerKind
+{
+  /** Kept and idle. */
+  Idle,
+  /** Connected, nothing sent. */
+  New,
+  /** Within a response that promised to keep the connection. */
+  Streaming
+};
+
+/** A caller whose last request is sent at a moment around a server's close. */
+struct ClosingCaller
+{
+  CallerKind kind = CallerKind::Idle;
+  std::string name;
+  /** Relative to the moment at which the close is due. */
+  std::chrono::microseconds sendDelay{ 0 };
+  std::chrono::steady_clock::time_point sentAt;
+  std::unique_ptr<RawCaller> connection;
+  bool isAnswered = false;
+  bool isRefused = false;
+  /** Answered by a response that kept the connection. */
+  bool isKept = false;
+};
+
+struct CloseCounts
+{
+  int requests = 0;
+  int answered = 0;
+  int answeredAndKept = 0;
+  int refused = 0;
+  int crossedUnread = 0;
+  /** Passed to the handler, and not answered. */
+  int lostAfterRead = 0;
+  /** Not answered, though sent before the close. */
+  int lostBeforeClose = 0;
+  /** Not answered, though sent in time on a connection that was new, or kept
+   * by a response that ended after the close. */
+  int lostThoughDue = 0;
+  /** Not sent in time by the test itself. */
+  int sentLate = 0;
+};
+
+// Within the second for which a closing server waits.
+constexpr Millis kDueTime(800);
+
+std::string
+MakePost(const std::string& aName)
+{
+  return "POST /last HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(aName.size()) + "\r\n\r\n" + aName;
+}
+
+/** Plays seeded callers, on a thread of their own, beside a server's close. */
+class CloseRound
+{
+public:
+  CloseRound(std::uint64_t aSeed, int aCallers)
+    : random_(aSeed)
+  {
+    std::uniform_int_distribution<int> kinds(0, 2);
+    std::uniform_int_distribution<int> delays(-2000, 2000);
+    for (int i = 0; i < aCallers; ++i) {
+      auto& caller = callers_.emplace_back();
+      caller.kind = static_cast<CallerKind>(kinds(random_));
+      caller.name = std::to_string(aSeed) + "-" + std::to_string(i) + ";";
+      caller.sendDelay = std::chrono::microseconds(delays(random_));
+    }
+  }
+
+  HttpHandler MakeHandler()
+  {
+    return [this](const HttpRequest& aRequest, ResponseWriter& aWriter) {
+      if (aRequest.target == "/stream") {
+        aWriter.Start(200, {});
+        aWriter.Write("first");
+        WaitUntil([this] { return released_.load(); });
+        aWriter.Write("last");
+        aWriter.Finish();
+        return;
+      }
+      read_.insert(aRequest.body);
+      aWriter.Send(MakeJsonResponse(200, "got " + aRequest.body));
+    };
+  }
+
+  void Play(HttpServer& aServer)
+  {
+    for (auto& caller : callers_) {
+      Prepare(caller);
+    }
+    auto closeDue =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(10);
+    std::thread thread([this, closeDue] { SendAll(closeDue); });
+    Runtime::Sleep(Millis(8));
+    while (std::chrono::steady_clock::now() < closeDue) {
+      Runtime::Sleep(Millis(0));
+    }
+    closedAt_ = std::chrono::steady_clock::now();
+    aServer.Close();
+    released_ = true;
+    WaitUntil([this] { return hasEnded_.load(); });
+    thread.join();
+    for (auto& caller : callers_) {
+      CHECK(WaitUntil([&caller] { return caller.connection->IsAtEnd(); }));
+    }
+  }
+
+  void AddTo(CloseCounts& aCounts) const
+  {
+    for (const auto& caller : callers_) {
+      bool isLost = !caller.isAnswered && !caller.isRefused;
+      bool wasRead = read_.contains(caller.name);
+      ++aCounts.requests;
+      aCounts.answered += caller.isAnswered ? 1 : 0;
+      aCounts.answeredAndKept += caller.isKept ? 1 : 0;
+      aCounts.refused += caller.isRefused ? 1 : 0;
+      aCounts.crossedUnread += isLost && !wasRead ? 1 : 0;
+      aCounts.lostAfterRead += isLost && wasRead ? 1 : 0;
+      aCounts.lostBeforeClose += isLost && caller.sentAt < closedAt_ ? 1 : 0;
+      bool isDue = caller.kind != CallerKind::Idle &&
+                   caller.sentAt < closedAt_ + kDueTime.ToChrono();
+      aCounts.lostThoughDue += isLost && isDue ? 1 : 0;
+      aCounts.sentLate +=
+        caller.sentAt >= closedAt_ + kDueTime.ToChrono() ? 1 : 0;
+    }
+  }
+
+private:
+  static void Prepare(ClosingCaller& aCaller)
+  {
+    aCaller.connection = std::make_unique<RawCaller>(MakeEndpoint());
+    if (aCaller.kind == CallerKind::Idle) {
+      aCaller.connection->Send(MakePost("first"));
+      ReadUntil(*aCaller.connection, "got first");
+    } else if (aCaller.kind == CallerKind::Streaming) {
+      aCaller.connection->Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+      ReadUntil(*aCaller.connection, "first\r\n");
+    }
+  }
+
+  static void ReadUntil(RawCaller& aConnection, const std::string& aEnd)
+  {
+    std::string received;
+    CHECK(WaitUntil([&] {
+      received += aConnection.ReadSome().value_or("");
+      return received.ends_with(aEnd);
+    }));
+  }
+
+  // Spins instead of sleeping: a sleep is longer than the moments in question.
+  void SendAll(std::chrono::steady_clock::time_point aCloseDue)
+  {
+    std::vector<ClosingCaller*> waiting;
+    for (auto& caller : callers_) {
+      waiting.push_back(&caller);
+    }
+    auto end = aCloseDue + kWaitTimeout.ToChrono();
+    std::vector<ClosingCaller*> sent;
+    std::map<ClosingCaller*, std::string> received;
+    while (!(waiting.empty() && sent.empty()) &&
+           std::chrono::steady_clock::now() < end) {
+      std::erase_if(waiting, [&](ClosingCaller* aCaller) {
+        auto& bytes = received[aCaller];
+        if (!IsDue(*aCaller, aCloseDue, bytes)) {
+          return false;
+        }
+        bytes.clear();
+        aCaller->connection->Send(MakePost(aCaller->name));
+        aCaller->sentAt = std::chrono::steady_clock::now();
+        sent.push_back(aCaller);
+        return true;
+      });
+      std::erase_if(sent, [&](ClosingCaller* aCaller) {
+        return ReadAnswer(*aCaller, received[aCaller]);
+      });
+    }
+    hasEnded_ = true;
+  }
+
+  static bool IsDue(ClosingCaller& aCaller,
+                    std::chrono::steady_clock::time_point aCloseDue,
+                    std::string& aReceived)
+  {
+    if (aCaller.kind != CallerKind::Streaming) {
+      return std::chrono::steady_clock::now() >= aCloseDue + aCaller.sendDelay;
+    }
+    aReceived += aCaller.connection->ReadSome().value_or("");
+    return aReceived.ends_with("\r\n0\r\n\r\n");
+  }
+
+  /** Whether the request has ended. */
+  static bool ReadAnswer(ClosingCaller& aCaller, std::string& aReceived)
+  {
+    auto part = aCaller.connection->ReadSome();
+    aReceived += part.value_or("");
+    aCaller.isAnswered = aReceived.ends_with("got " + aCaller.name);
+    aCaller.isKept = aCaller.isAnswered &&
+                     aReceived.find("Connection: close") == std::string::npos;
+    aCaller.isRefused = !part && !aCaller.isAnswered &&
+                        aReceived.starts_with("HTTP/1.1 ") &&
+                        !aReceived.starts_with("HTTP/1.1 200 ");
+    return !part || aCaller.isAnswered;
+  }
+
+  std::mt19937_64 random_;
+  std::deque<ClosingCaller> callers_;
+  std::set<std::string> read_;
+  std::atomic<bool> released_{ false };
+  std::atomic<bool> hasEnded_{ false };
+  std::chrono::steady_clock::time_point closedAt_;
+};
+
+} // namespace
+
+// Guards against requests that a planned stop loses: those that had arrived
+// before the server's close, and those on a connection that a response which
+// ended after it had promised to keep.
+TEST_CASE("a server's close loses no request that it could have answered")
+{
+  constexpr std::uint64_t kRounds = 24;
+  constexpr int kCallers = 24;
+  CloseCounts counts;
+  CounterDelta peer("http_closed_by_peer_total");
+  CounterDelta unfinished("http_responses_unfinished_total");
+  CounterDelta shutdown("http_closed_at_shutdown_total");
+  CounterDelta unread("http_closed_unread_total");
+  auto limits = MakeLimits(Millis(60000), Millis(60000));
+  for (std::uint64_t seed = 1; seed <= kRounds; ++seed) {
+    CloseRound round(seed, kCallers);
+    RunServer(
+      round.MakeHandler(),
+      [&limits] { return limits; },
+      [&round](HttpServer& aServer) { round.Play(aServer); });
+    round.AddTo(counts);
+  }
+  MESSAGE("requests ",
+          counts.requests,
+          ", answered ",
+          counts.answered,
+          ", refused ",
+          counts.refused,
+          ", crossed the close unread ",
+          counts.crossedUnread,
+          ", lost after being read ",
+          counts.lostAfterRead,
+          ", sent late ",
+          counts.sentLate,
+          ", closed with unread bytes ",
+          unread.Get());
+  CHECK(counts.answered > 0);
+  CHECK(counts.sentLate < counts.requests / 4);
+  CHECK(counts.answered + counts.refused + counts.crossedUnread ==
+        counts.requests);
+  CHECK(counts.lostAfterRead == 0);
+  CHECK(counts.lostBeforeClose == 0);
+  CHECK(counts.lostThoughDue == 0);
+  CHECK(static_cast<int>(shutdown.Get()) ==
+        counts.crossedUnread + counts.answeredAndKept);
+  CHECK(static_cast<int>(unread.Get()) <= counts.crossedUnread);
+  CHECK(peer.Get() == 0);
+  CHECK(unfinished.Get() == 0);
+}
