--- a/libs/fleet/src/ExchangeHedge.cpp
+++ b/libs/fleet/src/ExchangeHedge.cpp
@@ -5,8 +5,8 @@
 
 // Sends an idempotent request to a second upstream while the first one is
 // silent: a sound upstream may be silent for a moment and go on. Neither of
-// them is given up before the other has gone further than its head, as a
-// request may be sent to no third one in place of an answer that breaks off.
+// them is given up before the other has gone further than its head: if that
+// answer then breaks off, the route may allow no third upstream.
 
 namespace waxwingyoke::fleet {
 
@@ -18,8 +18,8 @@
 // break off and the first may go on. Once one of them is delivered the first is
 // of no use: its later events need not continue those of the second.
 constexpr Millis kHoldTime(500);
-// They are delivered earlier if the first has been silent for longer than this,
-// as callers abandon a stream after two seconds without an event.
+// They are delivered earlier once the first has been silent for this long:
+// callers abandon a stream after two seconds without an event.
 constexpr Millis kMaxSilence(1700);
 
 } // namespace
