Weights: the log shows each order, and when the upstream accepted it

The log could not tell them apart: it stated the age of the check only with an answer, and nothing for an order that was not answered, for the report that first shows an acceptance, or for orders of other processes.

Adds a line before each order (version, expected number of accepted orders, age of the check) and one when the number of accepted orders in the upstream's report changes. No decision changes.

--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -116,6 +116,7 @@
   auto before = GetServing();
   bool restarted =
     report_ && aReport && report_->startedMs != aReport->startedMs;
+  LogAcceptedOrders(aReport);
   report_ = aReport;
   if (restarted) {
     logger_.Info("the upstream started anew");
@@ -136,6 +137,25 @@
   }
 }
 
+// Without this line the log does not show when an order without an answer was
+// accepted, nor orders of other processes.
+void
+WeightLoader::LogAcceptedOrders(
+  const std::optional<platform::UpstreamReport>& aReport) const
+{
+  if (!report_ || !aReport || report_->orders == aReport->orders) {
+    return;
+  }
+  logger_.Info(
+    "the count of accepted orders changed",
+    { { "before", std::to_string(report_->orders) },
+      { "orders", std::to_string(aReport->orders) },
+      { "busy", aReport->busy ? "yes" : "no" },
+      { "version", std::to_string(GetExpectedVersion()) },
+      { "staged", std::to_string(store_.GetList().version) },
+      { "check_age_ms", std::to_string(store_.GetCheckAge().value) } });
+}
+
 void
 WeightLoader::EndLoading(bool aDone)
 {
@@ -382,6 +402,11 @@
   if (loading_) {
     loading_->orderedAt = clock_.Now();
   }
+  logger_.Info(
+    "sending the order",
+    { { "version", std::to_string(aTarget.version) },
+      { "expected_orders", std::to_string(order.expectedOrders) },
+      { "check_age_ms", std::to_string(store_.GetCheckAge().value) } });
   utils::Error reason;
   auto result = upstream_.OrderLoad(order, reason);
   if (!result && reason.kind == utils::ErrorKind::ConnectFailed) {
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -93,6 +93,8 @@
   bool CheckStaged(const NamedVersion& aTarget);
   bool MayOrder() const;
   void WithdrawOrder(const NamedVersion& aTarget, const utils::Error& aReason);
+  void LogAcceptedOrders(
+    const std::optional<platform::UpstreamReport>& aReport) const;
   void EndLoading(bool aDone);
 
   const platform::FleetSettings& settings_;
