Weights: a list with fewer pieces than configured is not used

A list of pieces without its last digests passed every check: only the pieces in the list are fetched and read back, so the load was ordered with a piece missing. Nothing compared its length with the number of pieces that the configuration states for the engine.

A list of another length is now refused, from the origin as a failed read, from another side by asking the next one. Where the configuration states no number, nothing changes.

--- a/libs/fleet/src/PieceExchange.cpp
+++ b/libs/fleet/src/PieceExchange.cpp
@@ -312,6 +312,25 @@
   return list.digests.empty() ? std::nullopt : std::optional(list);
 }
 
+// A list that lacks pieces would pass as staged without them.
+bool
+PieceExchange::IsComplete(const std::optional<platform::PieceList>& aList,
+                          const FetchTask& aTask,
+                          utils::Error& aReason)
+{
+  if (!aList) {
+    return false;
+  }
+  auto pieces = aList->digests.size();
+  if (aTask.pieces > 0 && pieces != aTask.pieces) {
+    aReason.Set(utils::ErrorKind::DigestMismatch,
+                "a list of " + std::to_string(pieces) + " pieces, " +
+                  std::to_string(aTask.pieces) + " are configured");
+    return false;
+  }
+  return true;
+}
+
 // No side has the list of a version that was just named: only the origin does.
 std::optional<platform::PieceList>
 PieceExchange::GetList(const FetchTask& aTask,
@@ -337,7 +356,8 @@
   });
   for (const auto& peer : holders) {
     auto list = FetchListFromPeer(peer, aTask, aModel, aVersion);
-    if (list) {
+    utils::Error ignored;
+    if (IsComplete(list, aTask, ignored)) {
       return list;
     }
   }
@@ -351,9 +371,10 @@
   }
   auto list = origin_.GetPieceList(
     *aTask.origin->origin, aModel, aVersion, aTask.maxListBytes, aReason);
-  originHealth_.RecordResult(list.has_value(), aReason);
-  change_.isFromOrigin = change_.isFromOrigin || list;
-  return list;
+  bool isUsable = IsComplete(list, aTask, aReason);
+  originHealth_.RecordResult(isUsable, aReason);
+  change_.isFromOrigin = change_.isFromOrigin || isUsable;
+  return isUsable ? std::move(list) : std::nullopt;
 }
 
 bool
--- a/libs/fleet/src/PieceExchange.h
+++ b/libs/fleet/src/PieceExchange.h
@@ -53,6 +53,8 @@
 {
   /** Null if no service provides weights. */
   const platform::ServiceInfo* origin = nullptr;
+  /** Pieces of each version, as configured; 0: not stated. */
+  std::size_t pieces = 0;
   /** Largest sizes of a piece, and of the list of a version's pieces. */
   std::size_t maxPieceBytes = 0;
   std::size_t maxListBytes = 0;
@@ -124,6 +126,9 @@
     utils::Millis busyUntil;
   };
 
+  static bool IsComplete(const std::optional<platform::PieceList>& aList,
+                         const FetchTask& aTask,
+                         utils::Error& aReason);
   bool HasUnannouncedPiece(const std::vector<bool>& aPieces) const;
   bool IsAnnounced(std::uint32_t aPiece) const;
   PickQuery MakeQuery(const FetchTask& aTask);
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -266,6 +266,7 @@
 {
   FetchTask task;
   task.origin = aConfig.FindOrigin();
+  task.pieces = aEngine.pieces;
   task.maxPieceBytes = LimitSize(aEngine.pieceBytes, kDefaultPieceLimit);
   task.maxListBytes =
     LimitSize(aEngine.pieces * kListBytesPerPiece, kDefaultListLimit);
