Weights: requests run on a load only once its pieces are known to have been whole

Callers got answers from weights of which a piece was damaged, missing or of another version when the engine took it.

Cause: the age of a check was bounded up to the moment the order is sent. The engine takes the pieces when it accepts the order, and nothing looked whether that was soon enough, or whether the accepted order was this process's at all: a version in the report counted as good. An order may be accepted seconds late (a VM that stands still with the order on its way), after its side was killed, or come from another process of the VM. An order for the version that is held is answered 200 and loads nothing, so a bad load also stayed.

Class: an act that is proven by a check at the moment of its sending, but takes effect later.

Change: LoadTracker, without sockets or a clock, holds up to which accepted order the weights are proven: by an answer within 3 s of the check, or by a check that begins after the acceptance, if no piece was written since the last report without it. Until then the upstream is announced as not accepting. What can't be proven is loaded again, in three orders for parts of the layers, as an engine keeps those that it holds. A write without an answer may be applied late: then an answer alone proves nothing. An answer that later reports contradict was another call's.

--- a/libs/fleet/src/PieceStore.cpp
+++ b/libs/fleet/src/PieceStore.cpp
@@ -5,6 +5,18 @@
 
 namespace waxwingyoke::fleet {
 
+namespace {
+
+bool
+MayStillBeApplied(const utils::Error& aReason)
+{
+  return aReason.kind == utils::ErrorKind::TimedOut ||
+         aReason.kind == utils::ErrorKind::ConnectionLost ||
+         aReason.kind == utils::ErrorKind::AnswerBroken;
+}
+
+} // namespace
+
 PieceStore::PieceStore(platform::LocalUpstream& aUpstream, utils::Clock aClock)
   : upstream_(aUpstream)
   , clock_(std::move(aClock))
@@ -73,7 +85,10 @@
     return false;
   }
   auto begun = clock_.Now();
-  if (!upstream_.PutStaged(list_.model, aPiece, aBytes, aReason)) {
+  bool isStaged = upstream_.PutStaged(list_.model, aPiece, aBytes, aReason);
+  lastWriteAt_ = clock_.Now();
+  if (!isStaged) {
+    hasOpenWrite_ = hasOpenWrite_ || MayStillBeApplied(aReason);
     return false;
   }
   staged_[aPiece] = { digest, begun };
--- a/libs/fleet/src/PieceStore.h
+++ b/libs/fleet/src/PieceStore.h
@@ -63,6 +63,15 @@
    */
   utils::Millis GetCheckAge() const;
 
+  /** When the last write ended; empty if there was none. */
+  std::optional<utils::Millis> GetLastWriteAt() const { return lastWriteAt_; }
+
+  /** Whether a write was not answered, so that it may still be applied. */
+  bool HasOpenWrite() const { return hasOpenWrite_; }
+
+  /** The upstream has started anew: earlier writes were applied or are lost. */
+  void EndOpenWrites() { hasOpenWrite_ = false; }
+
   const platform::PieceList& GetList() const { return list_; }
 
 private:
@@ -81,6 +90,8 @@
   std::size_t maxPieceBytes_ = 0;
   /** The checked pieces by number. */
   std::map<std::uint32_t, CheckedPiece> staged_;
+  std::optional<utils::Millis> lastWriteAt_;
+  bool hasOpenWrite_ = false;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -220,12 +220,11 @@
 Side::Impl::ReadReport()
 {
   utils::Error reason;
-  auto fresh = upstream.GetReport(reason);
+  auto fresh = loader.ReadReport(reason);
   if (report && !fresh) {
     logger.Report(reason, { { "step", "report" } });
   }
   report = std::move(fresh);
-  loader.ApplyReport(report);
   double pace = report ? report->pace : 1;
   bool paceChanged = std::abs(pace - sentPace) > kMinPaceChange;
   if (paceChanged || clock.Now() - entriesNotifiedAt >= kNoticeRepeat) {
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -26,12 +26,11 @@
 // Between checks for a newer version while the scheduled switch is awaited;
 // short compared to the duration of a load.
 constexpr Millis kTargetPollInterval(50);
-// The platform's limit: no weights are loaded from a piece that has been
-// damaged for this long.
-constexpr Millis kDamageDetectionTime(3000);
-// From the last look at the clock until the upstream has read the order.
+// From the last look at the clock until the upstream has read the order. An
+// order that takes longer is accepted on a check that proves nothing.
 constexpr Millis kOrderTransitTime(1000);
-constexpr Millis kMaxCheckAge = kDamageDetectionTime - kOrderTransitTime;
+constexpr Millis kMaxCheckAge =
+  platform::kDamageDetectionTime - kOrderTransitTime;
 // Limits of what is read for a piece and for a list of pieces. A configuration
 // that states too small a size stops no transfer of usual size.
 constexpr std::size_t kMinSizeLimit = 64 * 1024;
@@ -88,44 +87,70 @@
            : 0;
 }
 
+std::uint64_t
+WeightLoader::GetHeldVersion(const platform::EngineTraits& aEngine) const
+{
+  auto held = report_ ? report_->held : std::vector<platform::HeldLayers>();
+  auto part =
+    std::ranges::find(held, aEngine.model, &platform::HeldLayers::model);
+  return part == held.end() ? 0 : part->version;
+}
+
 std::uint64_t
 WeightLoader::GetExpectedVersion() const
 {
-  return loading_ ? loading_->version : GetLoadedVersion();
+  if (loading_) {
+    return loading_->version;
+  }
+  return tracker_.IsRefuted() ? 0 : GetLoadedVersion();
 }
 
 Serving
 WeightLoader::GetServing() const
 {
   auto version = GetLoadedVersion();
-  return { version, version > 0 && !loading_ };
+  return { version, version > 0 && !loading_ && tracker_.IsProven() };
 }
 
 bool
 WeightLoader::IsUpToDate() const
 {
   const auto* engine = FindEngine();
-  return engine != nullptr && report_ && !loading_ &&
+  return engine != nullptr && report_ && !loading_ && tracker_.IsProven() &&
          GetLoadedVersion() >= ChooseTarget(*engine).version;
 }
 
+std::optional<platform::UpstreamReport>
+WeightLoader::ReadReport(utils::Error& aReason)
+{
+  auto sentAt = clock_.Now();
+  auto report = upstream_.GetReport(aReason);
+  ApplyReport(report, sentAt);
+  return report;
+}
+
 void
 WeightLoader::ApplyReport(
-  const std::optional<platform::UpstreamReport>& aReport)
+  const std::optional<platform::UpstreamReport>& aReport,
+  Millis aSentAt)
 {
   auto before = GetServing();
   bool restarted =
     report_ && aReport && report_->startedMs != aReport->startedMs;
   LogAcceptedOrders(aReport);
   report_ = aReport;
+  if (report_) {
+    tracker_.ApplyReport(*report_, aSentAt);
+  }
   if (restarted) {
     logger_.Info("the upstream started anew");
     loading_.reset();
+    store_.EndOpenWrites();
     store_.Verify();
   }
   if (loading_ && loading_->orderedAt) {
     auto age = clock_.Now() - *loading_->orderedAt;
-    bool done = GetLoadedVersion() == loading_->version;
+    bool done = IsLoadComplete(*loading_);
     bool idle = report_ && !report_->busy && age > kOrderReportDelay;
     if (done || idle || age > kLoadTimeout) {
       EndLoading(done);
@@ -137,6 +162,15 @@
   }
 }
 
+bool
+WeightLoader::IsLoadComplete(const Loading& aLoading) const
+{
+  if (!aLoading.isPartial) {
+    return GetLoadedVersion() == aLoading.version;
+  }
+  return report_ && !report_->busy && report_->orders > aLoading.expectedOrders;
+}
+
 // Without this line the log does not show when an order without an answer was
 // accepted, nor orders of other processes.
 void
@@ -209,11 +243,14 @@
   if (engine == nullptr || !report_) {
     return false;
   }
+  // Before another version's list replaces the loaded one's, and after.
+  CheckLoad(*engine);
   auto target = ChooseTarget(*engine);
   auto task = MakeFetchTask(*config, *engine, target);
   if (!BeginStaging(task, *engine, target)) {
     return false;
   }
+  CheckLoad(*engine);
   // Checked only now: other sides may need the staged pieces even if this
   // upstream has loaded them.
   if (GetExpectedVersion() >= target.version) {
@@ -325,7 +362,8 @@
                              const NamedVersion& aTarget) const
 {
   auto options = MakeSwitchOptions(aTarget.version);
-  options.idle = GetLoadedVersion() == 0 || !aTarget.GetLimitStart();
+  options.idle =
+    GetLoadedVersion() == 0 || tracker_.IsRefuted() || !aTarget.GetLimitStart();
   // If several versions were named in a row, the limit counts from the first
   // one that this upstream does not have.
   auto next = config_.FindNextVersion(aEngine.model, GetExpectedVersion())
@@ -357,6 +395,33 @@
   return damaged == 0;
 }
 
+// Reads the staged pieces back if that can prove the weights that the upstream
+// holds or loads.
+void
+WeightLoader::CheckLoad(const platform::EngineTraits& aEngine)
+{
+  const auto& list = store_.GetList();
+  auto version = loading_ ? loading_->version : GetHeldVersion(aEngine);
+  bool isOfList = list.model == aEngine.model && list.version == version;
+  if (!tracker_.NeedsCheck() || version == 0 || !isOfList) {
+    return;
+  }
+  auto check = tracker_.GetAcceptance();
+  check.isWhole = CheckStaged({ version, {}, {}, {} });
+  check.lastWriteAt = store_.GetLastWriteAt();
+  tracker_.RecordCheck(check);
+  static auto& sRefuted =
+    telemetry::Metrics::Get().GetCounter("fleet_loads_refuted_total");
+  if (tracker_.IsRefuted()) {
+    sRefuted.Add();
+  }
+  logger_.Info("accepted load checked",
+               { { "version", std::to_string(version) },
+                 { "orders", std::to_string(check.orders) },
+                 { "proven", tracker_.IsProven() ? "yes" : "no" } });
+  onServing_();
+}
+
 // Whether what an order was decided on still holds. This process may have been
 // suspended since: a piece that was whole when it was checked may be damaged,
 // and the upstream may have started anew, which ends the announced load.
@@ -383,6 +448,38 @@
   onServing_();
 }
 
+platform::LoadOrder
+WeightLoader::MakeOrder(const platform::EngineTraits& aEngine,
+                        const NamedVersion& aTarget)
+{
+  auto report = report_.value_or(platform::UpstreamReport());
+  platform::LoadOrder order;
+  order.model = aEngine.model;
+  order.version = aTarget.version;
+  // Decided on this state of the upstream: if another process of this VM, such
+  // as one that it replaces, has ordered since, the order is refused.
+  order.expectedOrders = report.orders;
+  auto layers =
+    ChooseLayers(report, aTarget.version, aEngine.layers, tracker_.IsProven());
+  if (layers.end - layers.first < aEngine.layers) {
+    order.layers = layers;
+  }
+  SentOrder sent;
+  sent.version = aTarget.version;
+  sent.expectedOrders = order.expectedOrders;
+  sent.checkedAt = clock_.Now() - store_.GetCheckAge();
+  sent.replacesAll = !HoldsPartOf(report, aTarget.version, layers);
+  sent.mayBeOverwritten = store_.HasOpenWrite();
+  order.mayStillSend = [this, sent] {
+    bool maySend = MayOrder();
+    if (maySend) {
+      tracker_.RecordSent(sent);
+    }
+    return maySend;
+  };
+  return order;
+}
+
 bool
 WeightLoader::Switch(const platform::EngineTraits& aEngine,
                      const NamedVersion& aTarget)
@@ -390,14 +487,11 @@
   if (!CheckStaged(aTarget)) {
     return false;
   }
-  platform::LoadOrder order;
-  order.model = aEngine.model;
-  order.version = aTarget.version;
-  // Decided on this state of the upstream: if another process of this VM, such
-  // as one that it replaces, has ordered since, the order is refused.
-  order.expectedOrders = report_ ? report_->orders : 0;
-  order.mayStillSend = [this] { return MayOrder(); };
-  loading_ = Loading{ aTarget.version, std::nullopt };
+  auto order = MakeOrder(aEngine, aTarget);
+  loading_ = Loading{ aTarget.version,
+                      std::nullopt,
+                      order.expectedOrders,
+                      order.layers.has_value() };
   onServing_();
   net::Runtime::Sleep(kAnnounceDelay);
   if (loading_) {
@@ -414,9 +508,13 @@
     WithdrawOrder(aTarget, reason);
     return false;
   }
+  tracker_.RecordAnswer(result, clock_.Now());
   // A report that was read during the call may have ended the load.
   if (!loading_) {
-    loading_ = Loading{ aTarget.version, clock_.Now() };
+    loading_ = Loading{ aTarget.version,
+                        clock_.Now(),
+                        order.expectedOrders,
+                        order.layers.has_value() };
   }
   if (!result) {
     // The upstream may have accepted the order all the same; the next reports
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -13,6 +13,7 @@
 #include <utils/Time.h>
 
 #include "ConfigFollower.h"
+#include "LoadTracker.h"
 #include "PeerLink.h"
 #include "PieceExchange.h"
 #include "PieceStore.h"
@@ -25,7 +26,10 @@
 {
   /** Version whose weights are loaded completely; 0: none. */
   std::uint64_t version = 0;
-  /** False while a load runs or is about to be ordered. */
+  /**
+   * False while a load runs or is about to be ordered, and until it is known
+   * that the weights come from whole pieces.
+   */
   bool accepting = false;
 };
 
@@ -51,8 +55,8 @@
    */
   bool Step();
 
-  /** Applies the upstream's latest report; empty if it does not answer. */
-  void ApplyReport(const std::optional<platform::UpstreamReport>& aReport);
+  /** Reads the upstream's report; empty if it does not answer. */
+  std::optional<platform::UpstreamReport> ReadReport(utils::Error& aReason);
 
   Serving GetServing() const;
 
@@ -69,11 +73,22 @@
     std::uint64_t version = 0;
     /** Empty until the order is sent. */
     std::optional<utils::Millis> orderedAt;
+    std::uint64_t expectedOrders = 0;
+    /** Not of all layers. */
+    bool isPartial = false;
   };
 
+  void ApplyReport(const std::optional<platform::UpstreamReport>& aReport,
+                   utils::Millis aSentAt);
+  bool IsLoadComplete(const Loading& aLoading) const;
   const platform::EngineTraits* FindEngine() const;
   std::uint64_t GetLoadedVersion() const;
-  /** The version that is being loaded; if none is, the loaded one. */
+  /** The version of the layers that the upstream holds, also if some lack. */
+  std::uint64_t GetHeldVersion(const platform::EngineTraits& aEngine) const;
+  /**
+   * The version that is being loaded; if none is, the loaded one. 0 if that has
+   * to be loaded again.
+   */
   std::uint64_t GetExpectedVersion() const;
   NamedVersion ChooseTarget(const platform::EngineTraits& aEngine) const;
   bool ShouldFinishSuperseded(const NamedVersion& aNewest) const;
@@ -91,6 +106,9 @@
   bool Switch(const platform::EngineTraits& aEngine,
               const NamedVersion& aTarget);
   bool CheckStaged(const NamedVersion& aTarget);
+  void CheckLoad(const platform::EngineTraits& aEngine);
+  platform::LoadOrder MakeOrder(const platform::EngineTraits& aEngine,
+                                const NamedVersion& aTarget);
   bool MayOrder() const;
   void WithdrawOrder(const NamedVersion& aTarget, const utils::Error& aReason);
   void LogAcceptedOrders(
@@ -108,6 +126,7 @@
   telemetry::Logger logger_{ "weights" };
   std::optional<platform::UpstreamReport> report_;
   std::optional<Loading> loading_;
+  LoadTracker tracker_;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/platform/include/platform/UpstreamCalls.h
+++ b/libs/platform/include/platform/UpstreamCalls.h
@@ -11,6 +11,7 @@
 #include <platform/Upstream.h>
 #include <utils/Digest.h>
 #include <utils/Error.h>
+#include <utils/Time.h>
 
 namespace waxwingyoke::platform {
 
@@ -23,11 +24,33 @@
   std::vector<utils::Digest> digests;
 };
 
-/** An order to load all layers of a version from the staged pieces. */
+/**
+ * The platform's limit: no weights are loaded from a piece that has been
+ * damaged for this long.
+ */
+inline constexpr utils::Millis kDamageDetectionTime{ 3000 };
+
+/** Some of a model's layers. */
+struct LayerRange
+{
+  std::uint32_t first = 0;
+  /** One past the last. */
+  std::uint32_t end = 0;
+
+  bool operator==(const LayerRange&) const = default;
+};
+
+/**
+ * An order to load layers of a version from the staged pieces. The upstream
+ * takes the pieces as they are when it accepts the order; it loads those layers
+ * that it does not hold of that version, and drops all others.
+ */
 struct LoadOrder
 {
   std::string model;
   std::uint64_t version = 0;
+  /** Empty: all layers. */
+  std::optional<LayerRange> layers;
   /**
    * Number of accepted orders in the report that the order was decided on. The
    * upstream refuses the order if another process has ordered since.
