Weights: the pieces of an order that may still be accepted stay staged

An order without an answer was given up 0.4 s after its announcement if the upstream's report said idle. The next version was then staged over its pieces, and the upstream, which read the order seconds late, took pieces of two versions as one.

Cause: a time ended the order, not its fate.

Change: while an order may still be accepted, its version stays the one to load. A report that shows the acceptance, an accepted later order or a new start of the upstream ends it. If a piece is missing, the next version is staged after all: LoadTracker then keeps requests away from what the late order loads.

--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -222,13 +222,26 @@
                             pieces_.IsOriginAnswering() });
 }
 
+// Whether the upstream may still accept an order for the staged version. Pieces
+// of another version must not replace them until that is known; ordering again
+// ends it, as the upstream accepts one of the two. With a piece missing an
+// order is not possible, and what the upstream accepts has to be loaded again
+// anyway.
+bool
+WeightLoader::IsOrderOpen() const
+{
+  return tracker_.GetOpenVersion() == store_.GetList().version &&
+         store_.GetMissing().empty();
+}
+
 NamedVersion
 WeightLoader::ChooseTarget(const platform::EngineTraits& aEngine) const
 {
   auto newest = config_.FindVersion(aEngine.model)
                   .value_or(NamedVersion{ kFirstVersion, {}, {}, {} });
   const auto& list = store_.GetList();
-  if (list.model != aEngine.model || !ShouldFinishSuperseded(newest)) {
+  bool isListKept = IsOrderOpen() || ShouldFinishSuperseded(newest);
+  if (list.model != aEngine.model || !isListKept) {
     return newest;
   }
   return config_.FindNextVersion(aEngine.model, list.version - 1)
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -91,6 +91,7 @@
    */
   std::uint64_t GetExpectedVersion() const;
   NamedVersion ChooseTarget(const platform::EngineTraits& aEngine) const;
+  bool IsOrderOpen() const;
   bool ShouldFinishSuperseded(const NamedVersion& aNewest) const;
   void LogStaged(const NamedVersion& aTarget, utils::Millis aDelay) const;
   FetchTask MakeFetchTask(const platform::FleetConfig& aConfig,
