Weights: layers that can't be proven are dropped at once

A load that its side had found to be bad stayed complete in the engine until all pieces were staged again. A side killed meanwhile, as with the origin away, forgot what it had found: its successor took the complete version of an idle engine as good, and so did entries by the directory.

The engine then states no complete version, for any process, and a side that starts beside an engine with some layers only loads them all again.

Two unit cases: a load of all layers after a bad one, and inherited layers.

--- a/libs/fleet/src/LoadTracker.cpp
+++ b/libs/fleet/src/LoadTracker.cpp
@@ -39,6 +39,7 @@
   fewerReportedAt_ = aSentAt;
   unprovenSince_ = aSentAt;
   isRefuted_ = false;
+  isInherited_ = true;
   last_.reset();
   open_.reset();
 }
@@ -115,6 +116,7 @@
   if (isRecent && !last_->mayBeOverwritten) {
     provenOrders_ = last_->expectedOrders + 1;
     provenAt_ = aNow;
+    isInherited_ = false;
   }
 }
 
@@ -138,11 +140,21 @@
   if (aCheck.isWhole && !isWritten) {
     provenOrders_ = orders_;
     isRefuted_ = false;
+    isInherited_ = false;
   } else {
     isRefuted_ = true;
   }
 }
 
+void
+LoadTracker::RefuteInherited()
+{
+  if (isInherited_ && orders_ > 0) {
+    provenOrders_ = orders_ - 1;
+    isRefuted_ = true;
+  }
+}
+
 std::optional<std::uint64_t>
 LoadTracker::GetOpenVersion() const
 {
--- a/libs/fleet/src/LoadTracker.h
+++ b/libs/fleet/src/LoadTracker.h
@@ -57,6 +57,12 @@
 
   void RecordCheck(const LoadCheck& aCheck);
 
+  /**
+   * Nothing proves the loads that were accepted before this process started, if
+   * that is all that the upstream holds.
+   */
+  void RefuteInherited();
+
   /** What a check applies to that begins now. */
   LoadCheck GetAcceptance() const;
 
@@ -91,6 +97,8 @@
   /** No unproven load was accepted before. */
   utils::Millis unprovenSince_;
   bool isRefuted_ = false;
+  /** This process has proven no load of this incarnation. */
+  bool isInherited_ = true;
   /** The last order; empty if it concerns an earlier incarnation. */
   std::optional<SentOrder> last_;
   /** An order that the upstream may still accept. */
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -258,6 +258,9 @@
   }
   // Before another version's list replaces the loaded one's, and after.
   CheckLoad(*engine);
+  if (!loading_ && DropRefuted(*engine)) {
+    return true;
+  }
   auto target = ChooseTarget(*engine);
   auto task = MakeFetchTask(*config, *engine, target);
   if (!BeginStaging(task, *engine, target)) {
@@ -375,8 +378,8 @@
                              const NamedVersion& aTarget) const
 {
   auto options = MakeSwitchOptions(aTarget.version);
-  options.idle =
-    GetLoadedVersion() == 0 || tracker_.IsRefuted() || !aTarget.GetLimitStart();
+  options.idle = GetLoadedVersion() == 0 || tracker_.IsRefuted() ||
+                 IsOrderOpen() || !aTarget.GetLimitStart();
   // If several versions were named in a row, the limit counts from the first
   // one that this upstream does not have.
   auto next = config_.FindNextVersion(aEngine.model, GetExpectedVersion())
@@ -435,25 +438,42 @@
   onServing_();
 }
 
-// Whether what an order was decided on still holds. This process may have been
-// suspended since: a piece that was whole when it was checked may be damaged,
-// and the upstream may have started anew, which ends the announced load.
+// Has the upstream drop layers that can't be proven, at once: other processes,
+// such as the next one of this side, then see that it has no complete version.
+// True if it was ordered.
 bool
-WeightLoader::MayOrder() const
+WeightLoader::DropRefuted(const platform::EngineTraits& aEngine)
 {
-  return loading_ && store_.GetCheckAge() <= kMaxCheckAge;
+  auto version = GetHeldVersion(aEngine);
+  bool isComplete = GetLoadedVersion() > 0;
+  if (version > 0 && !isComplete) {
+    tracker_.RefuteInherited();
+  }
+  if (!tracker_.IsRefuted() || !isComplete || aEngine.layers < 2) {
+    return false;
+  }
+  auto order = MakeOrder(aEngine, version);
+  loading_ = Loading{ version, std::nullopt, order.expectedOrders, true };
+  return SendOrder(order);
+}
+
+// This process may have been suspended since the check, so that a piece that
+// was whole then may be damaged.
+bool
+WeightLoader::IsCheckRecent() const
+{
+  return store_.GetCheckAge() <= kMaxCheckAge;
 }
 
 // The next Step checks the pieces again.
 void
-WeightLoader::WithdrawOrder(const NamedVersion& aTarget,
-                            const utils::Error& aReason)
+WeightLoader::WithdrawOrder(std::uint64_t aVersion, const utils::Error& aReason)
 {
   static auto& sWithdrawn =
     telemetry::Metrics::Get().GetCounter("fleet_orders_withdrawn_total");
   sWithdrawn.Add();
   logger_.Warn("load not ordered",
-               { { "version", std::to_string(aTarget.version) },
+               { { "version", std::to_string(aVersion) },
                  { "check_age_ms", std::to_string(store_.GetCheckAge().value) },
                  { "announced", loading_ ? "yes" : "no" },
                  { "why", aReason.detail } });
@@ -463,28 +483,31 @@
 
 platform::LoadOrder
 WeightLoader::MakeOrder(const platform::EngineTraits& aEngine,
-                        const NamedVersion& aTarget)
+                        std::uint64_t aVersion)
 {
   auto report = report_.value_or(platform::UpstreamReport());
   platform::LoadOrder order;
   order.model = aEngine.model;
-  order.version = aTarget.version;
+  order.version = aVersion;
   // Decided on this state of the upstream: if another process of this VM, such
   // as one that it replaces, has ordered since, the order is refused.
   order.expectedOrders = report.orders;
   auto layers =
-    ChooseLayers(report, aTarget.version, aEngine.layers, tracker_.IsProven());
+    ChooseLayers(report, aVersion, aEngine.layers, tracker_.IsProven());
   if (layers.end - layers.first < aEngine.layers) {
     order.layers = layers;
   }
   SentOrder sent;
-  sent.version = aTarget.version;
+  sent.version = aVersion;
   sent.expectedOrders = order.expectedOrders;
   sent.checkedAt = clock_.Now() - store_.GetCheckAge();
-  sent.replacesAll = !HoldsPartOf(report, aTarget.version, layers);
+  sent.replacesAll = !HoldsPartOf(report, aVersion, layers);
   sent.mayBeOverwritten = store_.HasOpenWrite();
-  order.mayStillSend = [this, sent] {
-    bool maySend = MayOrder();
+  // Of a complete version, the upstream keeps what is in the range.
+  bool takesPieces = !order.layers || GetLoadedVersion() != aVersion;
+  // If the upstream starts anew meanwhile, the announced load ends.
+  order.mayStillSend = [this, sent, takesPieces] {
+    bool maySend = loading_ && (!takesPieces || IsCheckRecent());
     if (maySend) {
       tracker_.RecordSent(sent);
     }
@@ -500,34 +523,43 @@
   if (!CheckStaged(aTarget)) {
     return false;
   }
-  auto order = MakeOrder(aEngine, aTarget);
+  auto order = MakeOrder(aEngine, aTarget.version);
   loading_ = Loading{ aTarget.version,
                       std::nullopt,
                       order.expectedOrders,
                       order.layers.has_value() };
   onServing_();
   net::Runtime::Sleep(kAnnounceDelay);
+  return SendOrder(order);
+}
+
+// True if the upstream accepted the order or may have.
+bool
+WeightLoader::SendOrder(const platform::LoadOrder& aOrder)
+{
+  auto version = std::to_string(aOrder.version);
   if (loading_) {
     loading_->orderedAt = clock_.Now();
   }
   logger_.Info(
     "sending the order",
-    { { "version", std::to_string(aTarget.version) },
-      { "expected_orders", std::to_string(order.expectedOrders) },
+    { { "version", version },
+      { "layers", aOrder.layers ? "some" : "all" },
+      { "expected_orders", std::to_string(aOrder.expectedOrders) },
       { "check_age_ms", std::to_string(store_.GetCheckAge().value) } });
   utils::Error reason;
-  auto result = upstream_.OrderLoad(order, reason);
+  auto result = upstream_.OrderLoad(aOrder, reason);
   if (!result && reason.kind == utils::ErrorKind::ConnectFailed) {
-    WithdrawOrder(aTarget, reason);
+    WithdrawOrder(aOrder.version, reason);
     return false;
   }
   tracker_.RecordAnswer(result, clock_.Now());
   // A report that was read during the call may have ended the load.
   if (!loading_) {
-    loading_ = Loading{ aTarget.version,
+    loading_ = Loading{ aOrder.version,
                         clock_.Now(),
-                        order.expectedOrders,
-                        order.layers.has_value() };
+                        aOrder.expectedOrders,
+                        aOrder.layers.has_value() };
   }
   if (!result) {
     // The upstream may have accepted the order all the same; the next reports
@@ -537,7 +569,7 @@
   }
   bool isAccepted = *result != platform::OrderResult::Conflict;
   logger_.Info("load ordered",
-               { { "version", std::to_string(aTarget.version) },
+               { { "version", version },
                  { "check_age_ms", std::to_string(store_.GetCheckAge().value) },
                  { "accepted", isAccepted ? "yes" : "no" } });
   if (!isAccepted) {
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -109,9 +109,11 @@
   bool CheckStaged(const NamedVersion& aTarget);
   void CheckLoad(const platform::EngineTraits& aEngine);
   platform::LoadOrder MakeOrder(const platform::EngineTraits& aEngine,
-                                const NamedVersion& aTarget);
-  bool MayOrder() const;
-  void WithdrawOrder(const NamedVersion& aTarget, const utils::Error& aReason);
+                                std::uint64_t aVersion);
+  bool DropRefuted(const platform::EngineTraits& aEngine);
+  bool SendOrder(const platform::LoadOrder& aOrder);
+  bool IsCheckRecent() const;
+  void WithdrawOrder(std::uint64_t aVersion, const utils::Error& aReason);
   void LogAcceptedOrders(
     const std::optional<platform::UpstreamReport>& aReport) const;
   void EndLoading(bool aDone);
--- a/libs/fleet/tests/LoadTrackerTest.cpp
+++ b/libs/fleet/tests/LoadTrackerTest.cpp
@@ -178,6 +178,43 @@
   CHECK(busy.NeedsCheck());
 }
 
+// Guards against weights that are loaded again and again, as the unproven load
+// before them counts against each.
+TEST_CASE("a load of all layers is proven whatever was loaded before it")
+{
+  LoadTracker tracker;
+  tracker.ApplyReport(MakeReport(0), Millis(100));
+  tracker.ApplyReport(MakeReport(1, 2), Millis(200));
+  tracker.RecordCheck(MakeCheck(tracker, false));
+  REQUIRE(tracker.IsRefuted());
+  tracker.ApplyReport(MakeReport(1, 2), Millis(600));
+  auto order = MakeOrder(1, Millis(700));
+  order.mayBeOverwritten = true;
+  tracker.RecordSent(order);
+  tracker.RecordAnswer(OrderResult::Begun, Millis(800));
+  tracker.ApplyReport(MakeReport(2, 1), Millis(900));
+  CHECK(tracker.NeedsCheck());
+  // Written after the load before it, and before this one.
+  tracker.RecordCheck(MakeCheck(tracker, true, Millis(500)));
+  CHECK(tracker.IsProven());
+}
+
+// Guards against layers that the process before this one could not prove, and
+// that count as proven beside those that are loaded again.
+TEST_CASE(
+  "layers that another process left are refuted, own proven ones are not")
+{
+  LoadTracker tracker;
+  tracker.ApplyReport(MakeReport(2, 1, { 0, 2 }), Millis(100));
+  tracker.RefuteInherited();
+  CHECK(tracker.IsRefuted());
+  tracker.RecordSent(MakeOrder(2, Millis(100)));
+  tracker.RecordAnswer(OrderResult::Begun, Millis(200));
+  tracker.ApplyReport(MakeReport(3, 1, { 2, 4 }), Millis(300));
+  tracker.RefuteInherited();
+  CHECK(tracker.IsProven());
+}
+
 TEST_CASE(
   "an order that a late write may spoil is proven by a later check only")
 {
--- a/libs/platform/include/platform/UpstreamCalls.h
+++ b/libs/platform/include/platform/UpstreamCalls.h
@@ -49,8 +49,6 @@
 {
   std::string model;
   std::uint64_t version = 0;
-  /** Empty: all layers. */
-  std::optional<LayerRange> layers;
   /**
    * Number of accepted orders in the report that the order was decided on. The
    * upstream refuses the order if another process has ordered since.
@@ -61,6 +59,8 @@
    * withdrawn and fails with ConnectFailed. Must not suspend.
    */
   std::function<bool()> mayStillSend;
+  /** Empty: all layers. */
+  std::optional<LayerRange> layers{};
 };
 
 /** An upstream's reply to an order. */
