Weights: what the review of the proof of loads found

What a process inherits still serves at once, but a staged piece that turns out to be damaged refutes it, and it is loaded again; before, it stayed until the next version. - the same with the side staying away: entries fell back to the directory after 3.2 s. They now wait up to 15 s for a side whose last report accepted no work. It is refuted and dropped; fetching pieces and waiting for the switch yield to that. - an unproven answer ended the order's claim on its pieces before a report showed it - the first report of a new incarnation that shows an order: writes before it counted as earlier than the load - partial layers of a predecessor were checked like a load of this process - writes without an answer stayed open over a new start of the engine that a failed report had preceded - a withheld upstream waited for its scheduled switch

--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -14,6 +14,8 @@
 // A side's report takes precedence over the directory's record up to this age.
 // Sides repeat their reports four times within it.
 constexpr Millis kMaxSideReportAge(3200);
+// A side whose upstream did not accept work is back within this time.
+constexpr Millis kUnprovenTime(15000);
 // Cost of another data centre, as a delay of the first event: its network
 // latency counts twice, and its traffic is charged. Also the cost of a version
 // other than the preferred one.
@@ -59,6 +61,12 @@
   if (isFresh) {
     return aState.side->accepting ? aState.side->version : 0;
   }
+  // The side fell silent before it had proven the weights that the directory
+  // may state by now.
+  if (aState.side && !aState.side->accepting &&
+      aNow - aState.sideReportedAt < kUnprovenTime) {
+    return 0;
+  }
   return aState.record.FindCompleteVersion(aQuery.model, aQuery.layers);
 }
 
--- a/libs/fleet/src/LoadTracker.cpp
+++ b/libs/fleet/src/LoadTracker.cpp
@@ -57,8 +57,12 @@
     return;
   }
   if (IsNewIncarnation(aReport)) {
-    // It holds nothing until it has accepted an order.
+    // It holds nothing until it has accepted an order, which may have been at
+    // any time since the report before.
+    auto before = reportedAt_;
     StartAnew(aReport, 0, aSentAt);
+    fewerReportedAt_ = before;
+    unprovenSince_ = IsProven() ? aSentAt : before;
     return;
   }
   if (aReport.orders < provenOrders_ && aSentAt > provenAt_) {
@@ -102,7 +106,8 @@
   if (*aResult != platform::OrderResult::Begun) {
     return;
   }
-  open_.reset();
+  // Unless the answer proves it, the pieces are needed for a check.
+  open_ = orders_ > last_->expectedOrders ? std::nullopt : last_;
   bool isBasedOnProof =
     last_->replacesAll || last_->expectedOrders == provenOrders_;
   if (!isBasedOnProof) {
@@ -117,6 +122,7 @@
     provenOrders_ = last_->expectedOrders + 1;
     provenAt_ = aNow;
     isInherited_ = false;
+    open_.reset();
   }
 }
 
@@ -147,10 +153,10 @@
 }
 
 void
-LoadTracker::RefuteInherited()
+LoadTracker::Refute()
 {
-  if (isInherited_ && orders_ > 0) {
-    provenOrders_ = orders_ - 1;
+  if (orders_ > 0) {
+    provenOrders_ = std::min(provenOrders_, orders_ - 1);
     isRefuted_ = true;
   }
 }
--- a/libs/fleet/src/LoadTracker.h
+++ b/libs/fleet/src/LoadTracker.h
@@ -58,10 +58,13 @@
   void RecordCheck(const LoadCheck& aCheck);
 
   /**
-   * Nothing proves the loads that were accepted before this process started, if
-   * that is all that the upstream holds.
+   * Whether the upstream holds only what it accepted before this process
+   * started. That counts as proven until something speaks against it.
    */
-  void RefuteInherited();
+  bool IsInherited() const { return isInherited_ && orders_ > 0; }
+
+  /** No check can prove the last load. */
+  void Refute();
 
   /** What a check applies to that begins now. */
   LoadCheck GetAcceptance() const;
--- a/libs/fleet/src/PieceStore.cpp
+++ b/libs/fleet/src/PieceStore.cpp
@@ -114,6 +114,15 @@
   return bytes;
 }
 
+bool
+PieceStore::HasDamaged() const
+{
+  return std::ranges::any_of(staged_, [this](const auto& aRow) {
+    return aRow.first < list_.digests.size() &&
+           aRow.second.digest != list_.digests[aRow.first];
+  });
+}
+
 bool
 PieceStore::IsWanted(const utils::Digest& aDigest) const
 {
--- a/libs/fleet/src/PieceStore.h
+++ b/libs/fleet/src/PieceStore.h
@@ -63,6 +63,9 @@
    */
   utils::Millis GetCheckAge() const;
 
+  /** Whether the last check of a wanted piece found other bytes. */
+  bool HasDamaged() const;
+
   /** When the last write ended; empty if there was none. */
   std::optional<utils::Millis> GetLastWriteAt() const { return lastWriteAt_; }
 
--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -141,11 +141,13 @@
   report_ = aReport;
   if (report_) {
     tracker_.ApplyReport(*report_, aSentAt);
+    if (std::exchange(startedMs_, report_->startedMs) != report_->startedMs) {
+      store_.EndOpenWrites();
+    }
   }
   if (restarted) {
     logger_.Info("the upstream started anew");
     loading_.reset();
-    store_.EndOpenWrites();
     store_.Verify();
   }
   if (loading_ && loading_->orderedAt) {
@@ -257,6 +259,7 @@
     return false;
   }
   // Before another version's list replaces the loaded one's, and after.
+  RefutePartial(*engine);
   CheckLoad(*engine);
   if (!loading_ && DropRefuted(*engine)) {
     return true;
@@ -267,6 +270,10 @@
     return false;
   }
   CheckLoad(*engine);
+  RefuteByStaged(*engine);
+  if (!loading_ && DropRefuted(*engine)) {
+    return true;
+  }
   // Checked only now: other sides may need the staged pieces even if this
   // upstream has loaded them.
   if (GetExpectedVersion() >= target.version) {
@@ -325,7 +332,7 @@
     LimitSize(aEngine.pieces * kListBytesPerPiece, kDefaultListLimit);
   task.isNew = aTarget.GetLimitStart().has_value();
   task.isWanted = [this, &aEngine, version = aTarget.version] {
-    return ChooseTarget(aEngine).version == version;
+    return ChooseTarget(aEngine).version == version && !MustCheckLoad(aEngine);
   };
   return task;
 }
@@ -438,6 +445,44 @@
   onServing_();
 }
 
+// A process before this one has had the upstream drop layers that it could not
+// prove; those that it left are no better.
+void
+WeightLoader::RefutePartial(const platform::EngineTraits& aEngine)
+{
+  if (tracker_.IsInherited() && GetHeldVersion(aEngine) > 0 &&
+      GetLoadedVersion() == 0) {
+    tracker_.Refute();
+  }
+}
+
+// Whether a load that is not proven has ended.
+bool
+WeightLoader::MustCheckLoad(const platform::EngineTraits& aEngine) const
+{
+  return tracker_.NeedsCheck() && GetHeldVersion(aEngine) > 0;
+}
+
+// With another version staged, nothing can prove the load. What a process
+// before this one loaded serves until a staged piece is found to be damaged: it
+// may have been killed before it could check the load.
+void
+WeightLoader::RefuteByStaged(const platform::EngineTraits& aEngine)
+{
+  bool isOfList = store_.GetList().version == GetHeldVersion(aEngine);
+  bool isLost = !loading_ && MustCheckLoad(aEngine) && !isOfList;
+  bool isSuspect = tracker_.IsInherited() && tracker_.IsProven() && isOfList &&
+                   store_.HasDamaged();
+  if (!isLost && !isSuspect) {
+    return;
+  }
+  tracker_.Refute();
+  logger_.Warn("load refuted",
+               { { "version", std::to_string(GetHeldVersion(aEngine)) },
+                 { "staged", std::to_string(store_.GetList().version) } });
+  onServing_();
+}
+
 // Has the upstream drop layers that can't be proven, at once: other processes,
 // such as the next one of this side, then see that it has no complete version.
 // True if it was ordered.
@@ -446,9 +491,6 @@
 {
   auto version = GetHeldVersion(aEngine);
   bool isComplete = GetLoadedVersion() > 0;
-  if (version > 0 && !isComplete) {
-    tracker_.RefuteInherited();
-  }
   if (!tracker_.IsRefuted() || !isComplete || aEngine.layers < 2) {
     return false;
   }
--- a/libs/fleet/src/WeightLoader.h
+++ b/libs/fleet/src/WeightLoader.h
@@ -110,6 +110,9 @@
   void CheckLoad(const platform::EngineTraits& aEngine);
   platform::LoadOrder MakeOrder(const platform::EngineTraits& aEngine,
                                 std::uint64_t aVersion);
+  void RefutePartial(const platform::EngineTraits& aEngine);
+  bool MustCheckLoad(const platform::EngineTraits& aEngine) const;
+  void RefuteByStaged(const platform::EngineTraits& aEngine);
   bool DropRefuted(const platform::EngineTraits& aEngine);
   bool SendOrder(const platform::LoadOrder& aOrder);
   bool IsCheckRecent() const;
@@ -130,6 +133,8 @@
   std::optional<platform::UpstreamReport> report_;
   std::optional<Loading> loading_;
   LoadTracker tracker_;
+  /** Start of the upstream's last known incarnation. */
+  std::int64_t startedMs_ = 0;
 };
 
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/tests/LoadTrackerTest.cpp
+++ b/libs/fleet/tests/LoadTrackerTest.cpp
@@ -206,12 +206,13 @@
 {
   LoadTracker tracker;
   tracker.ApplyReport(MakeReport(2, 1, { 0, 2 }), Millis(100));
-  tracker.RefuteInherited();
+  REQUIRE(tracker.IsInherited());
+  tracker.Refute();
   CHECK(tracker.IsRefuted());
   tracker.RecordSent(MakeOrder(2, Millis(100)));
   tracker.RecordAnswer(OrderResult::Begun, Millis(200));
   tracker.ApplyReport(MakeReport(3, 1, { 2, 4 }), Millis(300));
-  tracker.RefuteInherited();
+  CHECK_FALSE(tracker.IsInherited());
   CHECK(tracker.IsProven());
 }
 
