--- a/soak/src/Main.cpp
+++ b/soak/src/Main.cpp
@@ -190,7 +190,7 @@
         checker_.AddViolation("ran requests on damaged or missing pieces: " +
                               upstream->GetId());
       }
-      if (upstream->GetBadLoads() > 0 && !injector_.HasLateOrders()) {
+      if (upstream->GetPromptBadLoads() > 0) {
         checker_.AddViolation("loaded damaged or missing pieces: " +
                               upstream->GetId());
       }
