Weights: a load in progress is not taken for the one that it replaces

A side that starts while its engine works off requests before a load sees the old version held and an order that it did not send. The count of refuted loads includes those refuted without a check.

--- a/libs/fleet/src/WeightLoader.cpp
+++ b/libs/fleet/src/WeightLoader.cpp
@@ -40,6 +40,14 @@
 // A digest in hexadecimal with its quotes, separator and spaces.
 constexpr std::size_t kListBytesPerPiece = 80;
 
+void
+CountRefuted()
+{
+  static auto& sRefuted =
+    telemetry::Metrics::Get().GetCounter("fleet_loads_refuted_total");
+  sRefuted.Add();
+}
+
 std::size_t
 LimitSize(std::size_t aStated, std::size_t aDefault)
 {
@@ -153,7 +161,7 @@
   if (loading_ && loading_->orderedAt) {
     auto age = clock_.Now() - *loading_->orderedAt;
     bool done = IsLoadComplete(*loading_);
-    bool idle = report_ && !report_->busy && age > kOrderReportDelay;
+    bool idle = report_ && report_ && !report_->busy && age > kOrderReportDelay;
     if (done || idle || age > kLoadTimeout) {
       EndLoading(done);
     }
@@ -170,7 +178,8 @@
   if (!aLoading.isPartial) {
     return GetLoadedVersion() == aLoading.version;
   }
-  return report_ && !report_->busy && report_->orders > aLoading.expectedOrders;
+  return report_ && report_ && !report_->busy &&
+         report_->orders > aLoading.expectedOrders;
 }
 
 // Without this line the log does not show when an order without an answer was
@@ -433,10 +442,8 @@
   check.isWhole = CheckStaged({ version, {}, {}, {} });
   check.lastWriteAt = store_.GetLastWriteAt();
   tracker_.RecordCheck(check);
-  static auto& sRefuted =
-    telemetry::Metrics::Get().GetCounter("fleet_loads_refuted_total");
   if (tracker_.IsRefuted()) {
-    sRefuted.Add();
+    CountRefuted();
   }
   logger_.Info("accepted load checked",
                { { "version", std::to_string(version) },
@@ -456,11 +463,13 @@
   }
 }
 
-// Whether a load that is not proven has ended.
+// Whether a load that is not proven has ended. Before, the upstream may still
+// hold the version that the load replaces.
 bool
 WeightLoader::MustCheckLoad(const platform::EngineTraits& aEngine) const
 {
-  return tracker_.NeedsCheck() && GetHeldVersion(aEngine) > 0;
+  return tracker_.NeedsCheck() && report_ && !report_->busy &&
+         GetHeldVersion(aEngine) > 0;
 }
 
 // With another version staged, nothing can prove the load. What a process
@@ -477,6 +486,7 @@
     return;
   }
   tracker_.Refute();
+  CountRefuted();
   logger_.Warn("load refuted",
                { { "version", std::to_string(GetHeldVersion(aEngine)) },
                  { "staged", std::to_string(store_.GetList().version) } });
@@ -491,7 +501,8 @@
 {
   auto version = GetHeldVersion(aEngine);
   bool isComplete = GetLoadedVersion() > 0;
-  if (!tracker_.IsRefuted() || !isComplete || aEngine.layers < 2) {
+  if (!tracker_.IsRefuted() || !isComplete || !report_ || report_->busy ||
+      aEngine.layers < 2) {
     return false;
   }
   auto order = MakeOrder(aEngine, version);
