--- a/soak/src/FaultInjector.h
+++ b/soak/src/FaultInjector.h
@@ -80,10 +80,9 @@
     return injectedCounts_;
   }
 
-  /** Whether engines accept orders late, so that some take damaged pieces. */
-  bool HasLateOrders() const;
-
 private:
+  /** Whether engines accept orders late in this seed. */
+  bool HasLateOrders() const;
   FaultMix PickMix() const;
   void InjectMix(net::Runtime& aRuntime, utils::Millis aEnd, FaultMix aMix);
   void InjectUsual(net::Runtime& aRuntime, utils::Millis aEnd);
