--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -14,7 +14,9 @@
 // A side's report takes precedence over the directory's record up to this age.
 // Sides repeat their reports four times within it.
 constexpr Millis kMaxSideReportAge(3200);
-// A side whose upstream did not accept work is back within this time.
+// After a side's last report that its upstream accepts no work, the directory's
+// record is not used for this long: the side restarts and proves the load
+// within.
 constexpr Millis kUnprovenTime(15000);
 // Cost of another data centre, as a delay of the first event: its network
 // latency counts twice, and its traffic is charged. Also the cost of a version
