Server: bounds what all requests of callers hold, and what can't be parsed yet

Callers saw: an entry ended, with all requests that it served, when other callers sent trailers or chunk lines without end, or many bodies at once.

Cause, read in HttpServer and shown by fleet_hostile_test: the parser takes trailers and the line before a chunk only as a whole, and the read buffer that held them had no bound; each body was bounded, their sum over connections was not; a body's whole room was reserved when its header had arrived; each send copied the body once more.

Change: input that the parser can't take yet is bounded as a header is (431). Complete requests never give way. Announced bodies are counted when their header has arrived, so that bodies that are half read don't wait for each other, and their room is reserved only then: pages that the heap has used before are resident at once. A body is sent from where it lies. Trailer fields no longer pass for header fields.

--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -17,6 +17,7 @@
 #include "Exchange.h"
 #include "PeerLink.h"
 #include "QuarantineLog.h"
+#include "ServerLimits.h"
 #include "StallMonitor.h"
 
 namespace waxwingyoke::fleet {
@@ -305,8 +306,11 @@
                 "an entry's settings need addresses for callers and readiness");
     return false;
   }
+  auto memory = MakeRequestMemory(settings);
   callerServer = net::HttpServer::Builder(runtime)
                    .SetEndpoint(*settings.callers)
+                   .SetMemory(memory)
+                   .SetMaxConnections(GetMaxCallerConnections(settings))
                    .SetCurrentLimits([this] { return GetLimits(); })
                    .SetLeaving([this] { return draining; })
                    .SetHandler([this](const auto& aRequest, auto& aWriter) {
@@ -317,6 +321,8 @@
     callerServer
       ? net::HttpServer::Builder(runtime)
           .SetEndpoint(*settings.readiness)
+          .SetMemory(memory)
+          .SetMaxBodyBytes(kMaxControlBodyBytes)
           // Any path: the balancer requests nothing else at this address.
           .SetHandler([this](const auto&, auto& aWriter) {
             bool ready = IsReady();
@@ -329,6 +335,8 @@
   peerServer = readinessServer
                  ? net::HttpServer::Builder(runtime)
                      .SetEndpoint(peers.GetOwnEndpoint())
+                     .SetMemory(memory)
+                     .SetMaxBodyBytes(kMaxControlBodyBytes)
                      .SetHandler([this](const auto& aRequest, auto& aWriter) {
                        peerRouter.Handle(aRequest, aWriter);
                      })
--- a/libs/fleet/src/Side.cpp
+++ b/libs/fleet/src/Side.cpp
@@ -16,6 +16,7 @@
 #include "PeerLink.h"
 #include "PieceExchange.h"
 #include "PieceStore.h"
+#include "ServerLimits.h"
 #include "StallMonitor.h"
 #include "WeightLoader.h"
 
@@ -166,6 +167,8 @@
   impl.pieces.AddRoutes(impl.router);
   impl.server = net::HttpServer::Builder(impl.runtime)
                   .SetEndpoint(impl.peers.GetOwnEndpoint())
+                  .SetMemory(MakeRequestMemory(impl.settings))
+                  .SetMaxBodyBytes(kMaxControlBodyBytes)
                   .SetHandler([&impl](const auto& aRequest, auto& aWriter) {
                     impl.router.Handle(aRequest, aWriter);
                   })
--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -1,6 +1,7 @@
 #ifndef waxwingyoke_net_Http_h
 #define waxwingyoke_net_Http_h
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,14 @@
   std::string target = "/";
   HttpFields fields;
   std::string body;
+  /**
+   * Sent in place of body if set, without a copy. Must stay valid until the
+   * request is sent.
+   */
+  std::optional<std::string_view> borrowedBody;
+
+  /** The body that is sent. */
+  std::string_view GetBody() const { return borrowedBody.value_or(body); }
 };
 
 struct HttpResponse
--- a/libs/net/include/net/HttpServer.h
+++ b/libs/net/include/net/HttpServer.h
@@ -8,6 +8,7 @@
 
 #include <net/Endpoint.h>
 #include <net/Http.h>
+#include <net/RequestMemory.h>
 #include <net/Runtime.h>
 #include <utils/Error.h>
 #include <utils/Time.h>
@@ -56,6 +57,7 @@
 struct HttpLimits
 {
   std::size_t bodyBytes = 8 << 20;
+  /** Of a header, and likewise of trailers or of the line before a chunk. */
   std::uint32_t headerBytes = 16 << 10;
   /**
    * How long a connection may stay idle between two requests. Responses state
@@ -116,6 +118,11 @@
   HttpLimits limits;
   /** If set, called for each wait and request and used in place of `limits`. */
   std::function<HttpLimits()> currentLimits;
+  /**
+   * Bounds what requests hold, together with those of other servers. A request
+   * waits a second for it, then is refused with 503. Null: no bound.
+   */
+  std::shared_ptr<RequestMemory> memory;
   /** Connections above this number are refused with 503. */
   std::size_t maxConnections = 20000;
   /** Whether responses ask the caller to close its connection; called for
@@ -133,6 +140,7 @@
   Builder& SetEndpoint(Endpoint aEndpoint);
   Builder& SetHandler(HttpHandler aHandler);
   Builder& SetMaxBodyBytes(std::size_t aBytes);
+  Builder& SetMemory(std::shared_ptr<RequestMemory> aMemory);
   Builder& SetMaxConnections(std::size_t aCount);
   Builder& SetIdleTimeout(utils::Millis aTime);
   Builder& SetCurrentLimits(std::function<HttpLimits()> aLimits);
--- a/libs/net/include/net/Runtime.h
+++ b/libs/net/include/net/Runtime.h
@@ -2,6 +2,7 @@
 #define waxwingyoke_net_Runtime_h
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -46,6 +47,9 @@
   /** The calling thread's index, from 0; for state kept per thread. */
   static std::size_t GetThreadIndex();
 
+  /** The most descriptors that this process may open. */
+  static std::uint64_t GetDescriptorLimit();
+
   /** Suspends the calling fiber. */
   static void Sleep(utils::Millis aTime);
 
--- a/libs/net/src/ConnectionEnds.cpp
+++ b/libs/net/src/ConnectionEnds.cpp
@@ -26,7 +26,7 @@
   bool isOrdinary;
 };
 
-constexpr std::array<EndName, 8> kEnds{ {
+constexpr std::array<EndName, 9> kEnds{ {
   { ConnectionEnd::IdleLimit,
     "http_closed_idle_total",
     "connection closed: idle limit reached",
@@ -43,6 +43,10 @@
     "http_broken_requests_total",
     "connection closed: broken request refused",
     false },
+  { ConnectionEnd::NoMemory,
+    "http_memory_refusals_total",
+    "connection closed: no memory for the request's body",
+    false },
   { ConnectionEnd::RefusalUnwritten,
     "http_refusals_unwritten_total",
     "connection closed: refusal could not be written",
@@ -75,9 +79,10 @@
   auto make = [](std::size_t aIndex) -> EndState {
     return { telemetry::Metrics::Get().GetCounter(kEnds[aIndex].metric) };
   };
-  static std::array<EndState, kEnds.size()> sStates{ make(0), make(1), make(2),
-                                                     make(3), make(4), make(5),
-                                                     make(6), make(7) };
+  static std::array<EndState, kEnds.size()> sStates{
+    make(0), make(1), make(2), make(3), make(4),
+    make(5), make(6), make(7), make(8)
+  };
   return sStates[static_cast<std::size_t>(&aRow - kEnds.data())];
 }
 
--- a/libs/net/src/ConnectionEnds.h
+++ b/libs/net/src/ConnectionEnds.h
@@ -18,6 +18,8 @@
   PeerClosed,
   /** The request was broken or too large, and was refused. */
   RequestRefused,
+  /** Refused, as other requests held the memory for its body. */
+  NoMemory,
   /** The refusal of a request could not be written. */
   RefusalUnwritten,
   /** The handler did not finish the response, or it could not be written. */
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -50,7 +50,8 @@
   if (aRequest.fields.Find("Host").empty()) {
     message.set(http::field::host, aPeer.ToString());
   }
-  message.body() = { aRequest.body.data(), aRequest.body.size() };
+  auto body = aRequest.GetBody();
+  message.body() = { body.data(), body.size() };
   message.prepare_payload();
   return message;
 }
--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -25,7 +25,50 @@
 namespace {
 
 using Stream = beast::tcp_stream;
-using Parser = http::request_parser<http::string_body>;
+
+/**
+ * A request's body. Unlike http::string_body it reserves nothing when the
+ * header has arrived: that is done once there is memory for it.
+ */
+struct RequestBody
+{
+  using value_type = std::string;
+
+  static std::uint64_t size(const value_type& aBody) { return aBody.size(); }
+
+  class reader
+  {
+  public:
+    template<bool kIsRequest, typename Fields>
+    reader(http::header<kIsRequest, Fields>&, value_type& aBody)
+      : body_(aBody)
+    {
+    }
+
+    void init(const boost::optional<std::uint64_t>&, beast::error_code& aError)
+    {
+      aError = {};
+    }
+
+    template<typename Buffers>
+    std::size_t put(const Buffers& aBuffers, beast::error_code& aError)
+    {
+      aError = {};
+      auto before = body_.size();
+      for (auto part : beast::buffers_range_ref(aBuffers)) {
+        body_.append(static_cast<const char*>(part.data()), part.size());
+      }
+      return body_.size() - before;
+    }
+
+    void finish(beast::error_code& aError) { aError = {}; }
+
+  private:
+    value_type& body_;
+  };
+};
+
+using Parser = http::request_parser<RequestBody>;
 
 // How long a closing server waits for the first request of a connection that
 // was accepted before, and for the next one after a response that promised to
@@ -36,6 +79,26 @@
 // sent at the end of that time.
 constexpr utils::Millis kStatedIdleMargin(500);
 
+// Requests that hold at most this much are not counted against the memory of
+// all requests. They are bounded by the number of connections.
+constexpr std::size_t kUncountedBytes = 4096;
+
+// How long a request waits for memory that others hold. Callers give up on a
+// request that is not read for longer.
+constexpr utils::Millis kMemoryWait(1000);
+
+// Interval in which a request that waits, for memory or for its next bytes,
+// learns that it may go on or has to give way.
+constexpr utils::Millis kMemoryPoll(20);
+constexpr utils::Millis kGiveWayPoll(250);
+
+constexpr std::size_t kMaxReadBytes = 64 * 1024;
+
+// The refusal of a caller for lack of memory or connections, both of which
+// become free soon.
+constexpr int kUnavailableStatus = 503;
+constexpr const char* kRetryAfterSeconds = "1";
+
 // Connections that are refused with a response at the same time.
 constexpr std::size_t kMaxRefusals = 256;
 
@@ -77,6 +140,40 @@
   std::optional<std::size_t> overdueBytes;
 };
 
+/** A request while it is read. */
+struct IncomingRequest
+{
+  Parser parser;
+  /** Header fields; fields of trailers are not among them. */
+  HttpFields fields;
+  /** Bytes read so far. */
+  std::size_t readBytes = 0;
+  /** Exists once the request has to be counted. */
+  std::unique_ptr<RequestShare> share;
+};
+
+// The error of a request that is refused for lack of memory.
+const beast::error_code kNoMemory = asio::error::no_memory;
+
+/**
+ * The room that a body needs for the next read. It is announced with the header
+ * or grows, by less than that of a string, which doubles.
+ */
+std::size_t
+GetBodyCapacity(IncomingRequest& aIncoming, std::size_t aNextRead)
+{
+  constexpr std::size_t kGrowthDivisor = 2;
+  auto announced = aIncoming.parser.content_length();
+  if (announced) {
+    return static_cast<std::size_t>(*announced);
+  }
+  const auto& body = aIncoming.parser.get().body();
+  auto next = body.size() + aNextRead;
+  return next <= body.capacity()
+           ? body.capacity()
+           : std::max(next, body.capacity() + body.capacity() / kGrowthDivisor);
+}
+
 /** Counts a request as active while it is read and served. */
 class ActiveScope
 {
@@ -183,15 +280,19 @@
   Next ServeRequest(Stream& aStream,
                     beast::flat_buffer& aBuffer,
                     History& aHistory);
-  /** Reads a request into aParser; aReadBytes receives its size so far. */
   beast::error_code ReadRequest(Stream& aStream,
                                 beast::flat_buffer& aBuffer,
-                                utils::Millis aLimit,
-                                Parser& aParser,
-                                std::size_t& aReadBytes);
+                                const HttpLimits& aLimits,
+                                IncomingRequest& aIncoming);
+  /** Waits until there is memory for the next read; false: refuse. */
+  bool AwaitMemory(Stream& aStream,
+                   const beast::flat_buffer& aBuffer,
+                   ReadPhase& aPhase,
+                   IncomingRequest& aIncoming);
   beast::error_code ReadMore(Stream& aStream,
                              beast::flat_buffer& aBuffer,
-                             ReadPhase& aPhase);
+                             ReadPhase& aPhase,
+                             const RequestShare* aShare);
   /** Runs the handler. An exception is logged and leaves the response as it is.
    */
   void CallHandler(const HttpRequest& aRequest, ResponseWriter& aWriter);
@@ -294,8 +395,6 @@
 {
   ++refusals;
   SpawnOn(aIo, [self = shared_from_this(), socket = std::move(aSocket)] {
-    constexpr int kUnavailableStatus = 503;
-    constexpr const char* kRetryAfterSeconds = "1";
     RecordEnd(ConnectionEnd::TooMany, {});
     Stream stream(std::move(*socket));
     utils::Error error;
@@ -482,42 +581,92 @@
 beast::error_code
 HttpServer::Impl::ReadRequest(Stream& aStream,
                               beast::flat_buffer& aBuffer,
-                              utils::Millis aLimit,
-                              Parser& aParser,
-                              std::size_t& aReadBytes)
+                              const HttpLimits& aLimits,
+                              IncomingRequest& aIncoming)
 {
   utils::Clock clock;
-  ReadPhase phase{ aLimit, clock.Now(), std::nullopt };
+  ReadPhase phase{ aLimits.header, clock.Now(), std::nullopt };
   bool inHeader = true;
+  auto& parser = aIncoming.parser;
   beast::error_code error;
-  aParser.eager(true);
+  parser.eager(true);
   while (!error) {
-    auto used = aParser.put(aBuffer.data(), error);
+    auto used = parser.put(aBuffer.data(), error);
     aBuffer.consume(used);
-    aReadBytes += used;
+    aIncoming.readBytes += used;
     if (error == http::error::need_more) {
       error = {};
     }
-    if (error || aParser.is_done()) {
+    if (inHeader && parser.is_header_done()) {
+      inHeader = false;
+      phase = { aLimits.header, clock.Now(), phase.overdueBytes };
+      aIncoming.fields = ReadFields(parser.get());
+    }
+    if (error || parser.is_done()) {
       break;
     }
-    if (inHeader && aParser.is_header_done()) {
-      inHeader = false;
-      phase = { aLimit, clock.Now(), phase.overdueBytes };
+    // The parser takes trailers, and the line before a chunk, only as a whole.
+    if (aBuffer.size() > aLimits.headerBytes) {
+      error = http::error::header_limit;
+    } else if (!inHeader && !AwaitMemory(aStream, aBuffer, phase, aIncoming)) {
+      error = kNoMemory;
+    } else {
+      error = ReadMore(aStream, aBuffer, phase, aIncoming.share.get());
     }
-    error = ReadMore(aStream, aBuffer, phase);
   }
   return error == asio::error::eof ? http::error::partial_message : error;
 }
 
+bool
+HttpServer::Impl::AwaitMemory(Stream& aStream,
+                              const beast::flat_buffer& aBuffer,
+                              ReadPhase& aPhase,
+                              IncomingRequest& aIncoming)
+{
+  static auto& sWaits =
+    telemetry::Metrics::Get().GetCounter("http_memory_waits_total");
+  auto capacity =
+    GetBodyCapacity(aIncoming, beast::read_size(aBuffer, kMaxReadBytes));
+  auto needed = aBuffer.capacity() + capacity;
+  auto& body = aIncoming.parser.get().body();
+  if (!options.memory || needed <= kUncountedBytes) {
+    body.reserve(capacity);
+    return true;
+  }
+  utils::Clock clock;
+  auto since = clock.Now();
+  auto& share = aIncoming.share;
+  if (!share) {
+    share = std::make_unique<RequestShare>(options.memory, since);
+  }
+  share->RecordProgress(since);
+  bool hasWaited = false;
+  while (!share->Resize(needed, clock.Now())) {
+    bool isOver = clock.Now() - since >= kMemoryWait || share->MustGiveWay() ||
+                  IsClosedByPeer(aStream.socket());
+    if (isOver) {
+      return false;
+    }
+    sWaits.Add(std::exchange(hasWaited, true) ? 0 : 1);
+    Runtime::Sleep(kMemoryPoll);
+  }
+  if (hasWaited) {
+    // The caller could not send meanwhile.
+    share->RecordProgress(clock.Now());
+    aPhase.startedAt = aPhase.startedAt + (clock.Now() - since);
+  }
+  body.reserve(capacity);
+  return true;
+}
+
 // After the limit it still reads what has arrived by then, so that a stall of
 // this process refuses no request that its caller has sent in time.
 beast::error_code
 HttpServer::Impl::ReadMore(Stream& aStream,
                            beast::flat_buffer& aBuffer,
-                           ReadPhase& aPhase)
+                           ReadPhase& aPhase,
+                           const RequestShare* aShare)
 {
-  constexpr std::size_t kMaxReadBytes = 64 * 1024;
   auto& socket = aStream.socket();
   auto getLeft = [this, &aPhase] {
     auto limit = std::max(aPhase.limit, GetLimits().header);
@@ -525,7 +674,8 @@
   };
   for (auto left = getLeft(); !aPhase.overdueBytes && left > utils::Millis(0);
        left = getLeft()) {
-    auto result = AwaitFor(socket, left, [&](auto aHandler) {
+    auto wait = aShare != nullptr ? std::min(left, kGiveWayPoll) : left;
+    auto result = AwaitFor(socket, wait, [&](auto aHandler) {
       socket.async_read_some(
         aBuffer.prepare(beast::read_size(aBuffer, kMaxReadBytes)),
         std::move(aHandler));
@@ -534,6 +684,9 @@
     if (result.error != beast::error::timeout) {
       return result.error;
     }
+    if (aShare != nullptr && aShare->MustGiveWay()) {
+      return kNoMemory;
+    }
   }
   beast::error_code error;
   if (!aPhase.overdueBytes) {
@@ -563,25 +716,32 @@
   }
   ActiveScope scope(active);
   auto limits = GetLimits();
-  Parser parser;
+  IncomingRequest incoming;
+  auto& parser = incoming.parser;
   parser.body_limit(limits.bodyBytes);
   parser.header_limit(limits.headerBytes);
-  std::size_t readBytes = 0;
-  auto error = ReadRequest(aStream, aBuffer, limits.header, parser, readBytes);
-  Traffic::Get().received.Add(readBytes);
+  auto error = ReadRequest(aStream, aBuffer, limits, incoming);
+  Traffic::Get().received.Add(incoming.readBytes);
   if (error) {
     auto target = parser.is_header_done() ? std::string(parser.get().target())
                                           : std::string();
-    Refuse(
-      aStream, error, { target, readBytes + aBuffer.size(), error.message() });
+    auto bytes = incoming.readBytes + aBuffer.size();
+    // Its memory is of no use while the refusal is written.
+    parser.get().body() = {};
+    incoming.share.reset();
+    aBuffer = {};
+    Refuse(aStream, error, { target, bytes, error.message() });
     return Next::DiscardAndClose;
   }
   auto message = parser.release();
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  request.fields = ReadFields(message);
+  request.fields = std::move(incoming.fields);
   request.body = std::move(message.body());
+  if (incoming.share) {
+    incoming.share->Pin();
+  }
   return RunHandler(aStream, request, message.keep_alive(), aHistory);
 }
 
@@ -657,6 +817,11 @@
   } else if (aError == http::error::header_limit) {
     error.Set(utils::ErrorKind::TooLarge, aError.message());
     status = kHeaderTooLargeStatus;
+  } else if (aError == kNoMemory) {
+    error.Set(utils::ErrorKind::Overloaded,
+              "no memory is left for the request's body");
+    status = kUnavailableStatus;
+    end = ConnectionEnd::NoMemory;
   } else if (aError == beast::error::timeout) {
     error.Set(utils::ErrorKind::BadRequest,
               "the request did not arrive in time");
@@ -674,6 +839,9 @@
   RecordEnd(end, aRequest);
   auto response = MakeErrorResponse(error);
   response.status = status.value_or(response.status);
+  if (status == kUnavailableStatus) {
+    response.fields.Set("Retry-After", kRetryAfterSeconds);
+  }
   StreamWriter writer(
     aStream, options.writeTimeout, [] { return std::nullopt; });
   if (!writer.Send(response)) {
@@ -745,6 +913,13 @@
   return *this;
 }
 
+HttpServer::Builder&
+HttpServer::Builder::SetMemory(std::shared_ptr<RequestMemory> aMemory)
+{
+  options_.memory = std::move(aMemory);
+  return *this;
+}
+
 HttpServer::Builder&
 HttpServer::Builder::SetMaxConnections(std::size_t aCount)
 {
--- a/libs/net/src/Runtime.cpp
+++ b/libs/net/src/Runtime.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <limits>
 #include <mutex>
 #include <utility>
 
@@ -223,6 +224,15 @@
   return tThreadIndex;
 }
 
+std::uint64_t
+Runtime::GetDescriptorLimit()
+{
+  rlimit limit{};
+  return getrlimit(RLIMIT_NOFILE, &limit) == 0
+           ? limit.rlim_cur
+           : std::numeric_limits<std::uint64_t>::max();
+}
+
 void
 Runtime::Sleep(utils::Millis aTime)
 {
--- a/libs/platform/include/platform/FleetSettings.h
+++ b/libs/platform/include/platform/FleetSettings.h
@@ -46,6 +46,8 @@
   std::uint64_t linkBytesPerSecond = 0;
   /** A process that uses more memory is killed; 0: unknown. */
   std::uint64_t memoryBytes = 0;
+  /** The most descriptors that a process may open; 0: unknown. */
+  std::uint64_t descriptors = 0;
   /** First port for connections between the fleet's own processes. */
   std::uint16_t firstPeerPort = 0;
   /** Addresses of a few entries to join by; they may no longer exist. */
--- a/libs/platform/include/platform/RequestDialect.h
+++ b/libs/platform/include/platform/RequestDialect.h
@@ -85,6 +85,7 @@
 
   virtual CallerRequest Read(const net::HttpRequest& aRequest) const = 0;
 
+  /** The request to send. It borrows the body of aRequest. */
   virtual net::HttpRequest MakeUpstreamRequest(
     const net::HttpRequest& aRequest,
     const SendOptions& aOptions) const = 0;
