Regions: requests run in the regions that their route and organisation allow

HomeRegions of a route or an organisation binds its requests: every placement, also of hedges, resumes and retries, uses upstreams in the allowed regions only. A request that no region may run is refused at once with 503. The regions of the newest configuration bind requests that arrived before it as well. The wait queue counts failed tries for each set of regions, and Retry-After is planned for each, so that a full region does not hold up the others.

A test of NamedVersions initialises the new field of its organisation.

--- a/libs/dispatch/include/dispatch/UpstreamRegistry.h
+++ b/libs/dispatch/include/dispatch/UpstreamRegistry.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <dispatch/EngineModel.h>
+#include <dispatch/RegionRules.h>
 #include <dispatch/SlotArbiter.h>
 #include <dispatch/UpstreamState.h>
 #include <utils/Time.h>
@@ -44,6 +45,8 @@
   std::vector<std::string> excluded;
   /** The only upstream that may serve it; empty: any. */
   std::string onlyUpstream;
+  /** The only regions in which it may run; empty optional: any. */
+  RegionSet regions;
 };
 
 /** The upstream chosen for a request. */
@@ -154,6 +157,11 @@
    * record states.
    */
   void Put(const platform::Upstream& aRecord);
+  /**
+   * Sets the region of each data centre. Those without one serve no request
+   * that is bound to regions.
+   */
+  void SetRegions(std::map<std::string, std::string> aRegions);
   void Remove(const std::string& aId);
   /** Null if there is no such upstream. */
   UpstreamPointer Find(const std::string& aId) const;
@@ -203,7 +211,11 @@
                                     utils::Millis aNow,
                                     bool aMustMeetObjective) const;
 
+  std::string FindRegion(const std::string& aDataCentre) const;
+
   std::map<std::string, UpstreamPointer> upstreams_;
+  /** Regions by data centre. */
+  std::map<std::string, std::string> regions_;
   std::unordered_map<std::uint64_t, UpstreamPointer> byHash_;
   /** Start times of incarnations that announced their exit, by id. */
   std::map<std::string, std::int64_t> left_;
--- a/libs/dispatch/include/dispatch/UpstreamState.h
+++ b/libs/dispatch/include/dispatch/UpstreamState.h
@@ -47,6 +47,8 @@
 {
   platform::Upstream record;
   std::uint64_t hash = 0;
+  /** Region of its data centre; empty if that has none. */
+  std::string region;
   /** This entry's own requests. */
   UseCount own;
   /** Load of the other entries by their id, and its sum. */
--- a/libs/dispatch/include/dispatch/WaitQueue.h
+++ b/libs/dispatch/include/dispatch/WaitQueue.h
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 
+#include <dispatch/RegionRules.h>
 #include <utils/Time.h>
 
 namespace waxwingyoke::dispatch {
@@ -17,6 +19,8 @@
   /** A retry of a request that was refused before. */
   bool isRetry = false;
   utils::Millis arrived;
+  /** The regions that it is bound to. */
+  RegionSet regions;
   /** Tries to take a slot; returns true if it got one. */
   std::function<bool()> tryPlace;
   /** Called once tryPlace has succeeded. */
@@ -40,10 +44,13 @@
   void PlaceQueued();
 
   bool IsEmpty() const { return queue_.empty(); }
-  std::int64_t GetSize() const { return std::ssize(queue_); }
+  /** Requests that may run at an upstream where one bound to aRegions may. */
+  std::int64_t CountCompeting(const RegionSet& aRegions) const;
 
 private:
   std::list<QueuedRequest> queue_;
+  /** Number of queued requests by the regions that they are bound to. */
+  std::map<RegionSet, std::int64_t> sizes_;
 };
 
 } // namespace waxwingyoke::dispatch
--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -78,7 +78,7 @@
                          Millis aNow) const
 {
   if (aState.record.service != aQuery.service || aState.record.draining ||
-      aState.leaving) {
+      aState.leaving || !IsAllowed(aQuery.regions, aState.region)) {
     return false;
   }
   if (aQuery.engine == nullptr) {
@@ -385,6 +385,7 @@
     state->health = {};
   }
   state->record = aRecord;
+  state->region = FindRegion(aRecord.dataCentre);
   state->rateLimit.SetUpstream(state->hash, aRecord.dataCentre);
   state->staleUntil = Millis(0);
   if (aRecord.draining) {
@@ -393,6 +394,22 @@
   state->leaving = HasLeft(aRecord);
 }
 
+std::string
+UpstreamRegistry::FindRegion(const std::string& aDataCentre) const
+{
+  auto row = regions_.find(aDataCentre);
+  return row == regions_.end() ? std::string() : row->second;
+}
+
+void
+UpstreamRegistry::SetRegions(std::map<std::string, std::string> aRegions)
+{
+  regions_ = std::move(aRegions);
+  for (auto& [id, state] : upstreams_) {
+    state->region = FindRegion(state->record.dataCentre);
+  }
+}
+
 void
 UpstreamRegistry::Remove(const std::string& aId)
 {
--- a/libs/dispatch/src/WaitQueue.cpp
+++ b/libs/dispatch/src/WaitQueue.cpp
@@ -30,6 +30,7 @@
 WaitQueue::Ticket
 WaitQueue::Insert(QueuedRequest aRequest)
 {
+  ++sizes_[aRequest.regions];
   auto position =
     std::ranges::find_if(queue_, [&aRequest](const QueuedRequest& aOther) {
       return HasPrecedence(aRequest, aOther);
@@ -40,27 +41,47 @@
 void
 WaitQueue::Remove(Ticket aTicket)
 {
+  auto size = sizes_.find(aTicket->regions);
+  if (--size->second == 0) {
+    sizes_.erase(size);
+  }
   queue_.erase(aTicket);
 }
 
 // A request that cannot be placed does not block later ones that need less. The
 // pass ends after several failed tries, as then hardly any slot is free: the
-// queue grows long under overload, and each try evaluates all upstreams.
+// queue grows long under overload, and each try evaluates all upstreams. Tries
+// are counted for each set of regions, as another region may have free slots.
 void
 WaitQueue::PlaceQueued()
 {
-  int failedTries = 0;
+  std::map<RegionSet, int> failedTries;
+  std::size_t fullSets = 0;
   for (auto& queued : queue_) {
     if (!queued.tryPlace) {
       continue;
     }
+    auto& failed = failedTries[queued.regions];
+    if (failed == kMaxFailedTries) {
+      continue;
+    }
     if (queued.tryPlace()) {
       queued.tryPlace = nullptr;
       queued.onPlaced();
-    } else if (++failedTries == kMaxFailedTries) {
+    } else if (++failed == kMaxFailedTries && ++fullSets == sizes_.size()) {
       return;
     }
   }
 }
 
+std::int64_t
+WaitQueue::CountCompeting(const RegionSet& aRegions) const
+{
+  std::int64_t count = 0;
+  for (const auto& [regions, size] : sizes_) {
+    count += Overlap(regions, aRegions) ? size : 0;
+  }
+  return count;
+}
+
 } // namespace waxwingyoke::dispatch
--- a/libs/dispatch/tests/UpstreamRegistryTest.cpp
+++ b/libs/dispatch/tests/UpstreamRegistryTest.cpp
@@ -402,3 +402,120 @@
   }
   CHECK(refusing.IsUsable(kNow));
 }
+
+namespace {
+
+/** One engine in each of three regions, and one in an unlisted data centre. */
+void
+PutRegions(Fixture& aFixture)
+{
+  aFixture.registry.SetRegions(
+    { { "dc1", "r1" }, { "dc2", "r2" }, { "dc3", "r3" }, { "dc4", "" } });
+  for (const auto* number : { "1", "2", "3", "4", "5" }) {
+    auto upstream = MakeUpstream(std::string("u") + number);
+    upstream.dataCentre = std::string("dc") + number;
+    aFixture.registry.Put(upstream);
+  }
+}
+
+} // namespace
+
+// Guards against a bound request that is sent to an upstream of another region
+// because its own has none that is free, sound or not yet tried.
+TEST_CASE("regions: bound requests are placed in their regions only")
+{
+  Fixture fixture;
+  PutRegions(fixture);
+  auto& registry = fixture.registry;
+  auto query = fixture.MakeQuery();
+  auto find = [&](auto aFind) {
+    auto placement = (registry.*aFind)(query, kNow);
+    return placement ? placement->upstream->record.id : std::string();
+  };
+  auto findPlacement = &UpstreamRegistry::FindPlacement;
+  auto findFallback = &UpstreamRegistry::FindFallbackPlacement;
+  // The nearest one, as its data centre is the entry's.
+  CHECK(find(findPlacement) == "u1");
+  query.regions = { { "r2", "" } };
+  CHECK(find(findPlacement) == "u2");
+  CHECK(find(findFallback) == "u2");
+  registry.Find("u2")->own.running = 100;
+  CHECK(find(findPlacement).empty());
+  CHECK(find(findFallback) == "u2");
+  CHECK(registry.HasServingUpstream(query, kNow));
+  query.excluded = { "u2" };
+  CHECK(find(findFallback).empty());
+  query.onlyUpstream = "u1";
+  CHECK(find(findFallback).empty());
+  query.excluded.clear();
+  query.onlyUpstream.clear();
+  registry.Find("u2")->leaving = true;
+  CHECK(find(findFallback).empty());
+  CHECK_FALSE(registry.HasServingUpstream(query, kNow));
+  query.engine = nullptr;
+  CHECK(find(findFallback).empty());
+  query.regions = { { "r2", "r3" } };
+  CHECK(find(findPlacement) == "u3");
+  // Closed, or bound to a region that no data centre has.
+  for (const auto& regions : { std::set<std::string>{}, { "" }, { "r9" } }) {
+    query.regions = regions;
+    CHECK(find(findFallback).empty());
+    CHECK_FALSE(registry.HasServingUpstream(query, kNow));
+  }
+}
+
+TEST_CASE("regions: the regions of data centres may be set and records change")
+{
+  Fixture fixture;
+  PutRegions(fixture);
+  auto query = fixture.MakeQuery();
+  query.regions = { { "r2" } };
+  fixture.registry.SetRegions({ { "dc3", "r2" } });
+  auto placement = fixture.registry.FindPlacement(query, kNow);
+  REQUIRE(placement);
+  CHECK(placement->upstream->record.id == "u3");
+  auto moved = MakeUpstream("u3");
+  moved.dataCentre = "dc1";
+  fixture.registry.Put(moved);
+  CHECK_FALSE(fixture.registry.FindPlacement(query, kNow));
+}
+
+// Guards against a Retry-After for upstreams that the request may not use.
+TEST_CASE("regions: the next opening is that of the allowed regions")
+{
+  Fixture fixture;
+  PutRegions(fixture);
+  auto& registry = fixture.registry;
+  registry.Find("u2")->pausedUntil = kNow + Millis(700);
+  registry.Find("u3")->pausedUntil = kNow + Millis(300);
+  auto query = fixture.MakeQuery();
+  CHECK_FALSE(registry.FindOpening(query, kNow));
+  query.regions = { { "r2" } };
+  auto opening = registry.FindOpening(query, kNow);
+  REQUIRE(opening);
+  CHECK(opening->at == kNow + Millis(700));
+  query.regions = { { "r2", "r3" } };
+  opening = registry.FindOpening(query, kNow);
+  REQUIRE(opening);
+  CHECK(opening->at == kNow + Millis(300));
+}
+
+// Guards against bound requests that are refused although the upstreams of
+// their region are only in doubt, as those of other regions are listed.
+TEST_CASE("regions: upstreams in doubt are needed if their region has no other")
+{
+  Fixture fixture;
+  PutRegions(fixture);
+  auto& registry = fixture.registry;
+  registry.SetInDoubt("u2", true);
+  auto query = fixture.MakeQuery();
+  query.regions = { { "r2" } };
+  auto placement = registry.FindPlacement(query, kNow);
+  REQUIRE(placement);
+  CHECK(placement->upstream->record.id == "u2");
+  query.regions = { { "r1", "r2", "r3" } };
+  query.dataCentre = "dc2";
+  placement = registry.FindPlacement(query, kNow);
+  REQUIRE(placement);
+  CHECK(placement->upstream->record.id != "u2");
+}
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -110,6 +110,7 @@
            metrics.GetCounter("fleet_streams_truncated_total"),
            metrics.GetCounter("fleet_upstream_crashes_total"),
            metrics.GetCounter("fleet_quarantine_refusals_total"),
+           metrics.GetCounter("fleet_region_refusals_total"),
            metrics.GetCounter("fleet_hedges_total"),
            metrics.GetCounter("fleet_hedges_used_total"),
            metrics.GetCounter("fleet_hedges_failed_total"),
@@ -141,6 +142,7 @@
 {
   upstreams_.SetRoster(dispatch::EntryRoster(
     { utils::StableHash(aSettings.vm), aSettings.region }, aSettings.regions));
+  upstreams_.SetRegions(aSettings.regions);
 }
 
 ServiceState&
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -40,7 +40,10 @@
 struct ServiceState
 {
   dispatch::WindowBudget retryBudget;
-  dispatch::RetryAfterPlanner retryPlanner;
+  /** By the regions that requests are bound to. */
+  std::map<dispatch::RegionSet, dispatch::RetryAfterPlanner> retryPlanners{
+    { dispatch::RegionSet(), {} }
+  };
   dispatch::WaitQueue waitQueue;
   dispatch::PredictionBias predictionBias;
 };
@@ -74,6 +77,7 @@
   telemetry::Counter& truncatedStreams;
   telemetry::Counter& upstreamCrashes;
   telemetry::Counter& quarantineRefusals;
+  telemetry::Counter& regionRefusals;
   telemetry::Counter& hedges;
   telemetry::Counter& hedgesUsed;
   telemetry::Counter& hedgesFailed;
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -56,7 +56,7 @@
   if (!services_.IsAccepting()) {
     Refuse(ErrorKind::Leaving, "this entry is stopping");
   } else if (ResolveRoute() && CheckKey() && CheckConfigFreshness() &&
-             CheckQuarantine()) {
+             CheckRegions() && CheckQuarantine()) {
     writer_.SetDisconnectHook([this] { HandleCallerDisconnect(); });
     services_.GetService(query_.service)
       .retryBudget.RecordFirstSend(services_.Now());
@@ -271,6 +271,80 @@
   query_.promptTokens = caller_.promptTokens;
   query_.dataCentre = services_.GetSettings().dataCentre;
   query_.entryHash = utils::StableHash(services_.GetSettings().vm);
+  BindRegions();
+}
+
+// A request that no region may run is refused before any upstream is chosen.
+bool
+Exchange::CheckRegions()
+{
+  // The organisation is known by now.
+  BindRegions();
+  if (!dispatch::IsClosed(query_.regions)) {
+    return true;
+  }
+  RefuseClosed();
+  return false;
+}
+
+// Binds the request to the regions of the configuration that it arrived under
+// and to those of the newest one.
+void
+Exchange::BindRegions()
+{
+  regionsConfig_ = services_.GetConfig().GetConfig();
+  query_.regions.reset();
+  auto bind = [this](const auto* aRule) {
+    if (aRule != nullptr) {
+      query_.regions =
+        dispatch::CombineRegions(query_.regions, aRule->homeRegions);
+    }
+  };
+  bind(route_);
+  bind(organisation_);
+  if (regionsConfig_ && regionsConfig_ != config_) {
+    bind(FindSameRoute(*regionsConfig_));
+    bind(FindSameOrganisation(*regionsConfig_));
+  }
+}
+
+void
+Exchange::FollowRegions()
+{
+  if (services_.GetConfig().GetConfig() != regionsConfig_) {
+    BindRegions();
+  }
+}
+
+// The request's own route in another configuration; null if there is none. The
+// names of routes need not be unique, so the one that takes its path comes
+// first.
+const platform::Route*
+Exchange::FindSameRoute(const platform::FleetConfig& aConfig) const
+{
+  const auto* route = aConfig.FindRoute(caller_.host, caller_.path);
+  if (route != nullptr && route->name == route_->name) {
+    return route;
+  }
+  auto row =
+    std::ranges::find(aConfig.routes, route_->name, &platform::Route::name);
+  return row == aConfig.routes.end() ? nullptr : &*row;
+}
+
+// The same for its organisation, whose key may have been replaced.
+const platform::Organisation*
+Exchange::FindSameOrganisation(const platform::FleetConfig& aConfig) const
+{
+  if (organisation_ == nullptr) {
+    return nullptr;
+  }
+  const auto* organisation = aConfig.FindOrganisation(caller_.apiKey);
+  if (organisation != nullptr && organisation->name == organisation_->name) {
+    return organisation;
+  }
+  auto row = std::ranges::find(
+    aConfig.organisations, organisation_->name, &platform::Organisation::name);
+  return row == aConfig.organisations.end() ? nullptr : &*row;
 }
 
 Millis
@@ -284,6 +358,7 @@
 void
 Exchange::UpdateQuery(bool aIsLate)
 {
+  FollowRegions();
   auto now = services_.Now();
   auto toObjective = route_->objective - elapsedBefore_ - GetElapsed();
   query_.timeLeft =
@@ -329,6 +404,10 @@
 bool
 Exchange::RefuseIfUnservable()
 {
+  if (dispatch::IsClosed(query_.regions)) {
+    RefuseClosed();
+    return true;
+  }
   if (!IsRetry() &&
       !services_.GetUpstreams().HasServingUpstream(query_, services_.Now())) {
     Refuse(ErrorKind::NoUpstream, "no upstream currently serves this request");
@@ -338,7 +417,8 @@
   if (!opening) {
     return false;
   }
-  auto ahead = services_.GetService(query_.service).waitQueue.GetSize();
+  auto ahead = services_.GetService(query_.service)
+                 .waitQueue.CountCompeting(query_.regions);
   auto wait = opening->at - services_.Now() + opening->interval * ahead;
   if (!opening->isForThisEntry || wait >= GetWaitLimit()) {
     Refuse(ErrorKind::Overloaded,
@@ -370,7 +450,14 @@
       : route_->priority;
   queuedRequest.isRetry = IsRetry();
   queuedRequest.arrived = arrivedAt_;
-  queuedRequest.tryPlace = [this] { return AcquirePlacement(true); };
+  queuedRequest.regions = query_.regions;
+  queuedRequest.tryPlace = [&] {
+    bool isPlaced = AcquirePlacement(true);
+    if (dispatch::IsClosed(query_.regions)) {
+      placedCondition.notify_all();
+    }
+    return isPlaced;
+  };
   queuedRequest.onPlaced = [&] {
     placed = true;
     placedCondition.notify_all();
@@ -379,10 +466,14 @@
   waitQueue.PlaceQueued();
   std::unique_lock lock(mutex);
   auto limit = std::chrono::steady_clock::now() + GetWaitLimit().ToChrono();
-  placedCondition.wait_until(
-    lock, limit, [&] { return placed || IsCallerDisconnected(); });
+  placedCondition.wait_until(lock, limit, [&] {
+    return placed || IsCallerDisconnected() ||
+           dispatch::IsClosed(query_.regions);
+  });
   waitQueue.Remove(ticket);
-  if (!placed) {
+  if (!placed && dispatch::IsClosed(query_.regions)) {
+    RefuseClosed();
+  } else if (!placed) {
     Refuse(ErrorKind::Overloaded, "no upstream has room in time");
   }
   return placed;
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -69,6 +69,13 @@
   bool CheckKey();
   bool CheckConfigFreshness();
   bool CheckQuarantine();
+  bool CheckRegions();
+  void BindRegions();
+  void FollowRegions();
+  const platform::Route* FindSameRoute(
+    const platform::FleetConfig& aConfig) const;
+  const platform::Organisation* FindSameOrganisation(
+    const platform::FleetConfig& aConfig) const;
   std::uint64_t MakeDigest() const;
   void PickService();
   void MakeQuery();
@@ -127,6 +134,7 @@
   void RecordSurvival();
 
   void RecordRefusal();
+  void RefuseClosed();
   void Refuse(utils::ErrorKind aKind, std::string_view aText);
   void RefuseAfter(utils::ErrorKind aKind,
                    std::string_view aText,
@@ -171,6 +179,8 @@
   /** Kept for query_, which refers to it, until the request ends. */
   std::shared_ptr<const dispatch::EngineModel> engine_;
   dispatch::PlacementQuery query_;
+  /** The configuration whose regions query_ was last bound to. */
+  std::shared_ptr<const platform::FleetConfig> regionsConfig_;
   std::uint64_t digest_ = 0;
   /** Stable hashes of the prompt's parts that other requests may share. */
   std::vector<std::uint64_t> parts_;
--- a/libs/fleet/src/ExchangeEnd.cpp
+++ b/libs/fleet/src/ExchangeEnd.cpp
@@ -55,13 +55,15 @@
   auto opening = service_ != nullptr ? FindOpening() : std::nullopt;
   if (opening) {
     RecordRefusal();
-    retryAfter = services_.GetService(service_->name)
-                   .retryPlanner.PlanRetryAt(
-                     opening->at, opening->interval, services_.Now());
+    retryAfter =
+      services_.GetService(service_->name)
+        .retryPlanners[query_.regions]
+        .PlanRetryAt(opening->at, opening->interval, services_.Now());
   } else if (service_ != nullptr) {
     RecordRefusal();
     retryAfter = services_.GetService(service_->name)
-                   .retryPlanner.PlanRetry(services_.Now());
+                   .retryPlanners[query_.regions]
+                   .PlanRetry(services_.Now());
     // If no upstream serves the request, no slot becomes free soon: use the
     // longer delay. While the registry is empty, the directory is still being
     // read.
@@ -74,6 +76,17 @@
   RefuseAfter(aKind, aText, retryAfter);
 }
 
+// Only another configuration helps, so no slot is reserved for a retry.
+void
+Exchange::RefuseClosed()
+{
+  services_.GetMetrics().regionRefusals.Add();
+  RefuseAfter(
+    ErrorKind::NoUpstream,
+    "no region may serve this request",
+    std::max(kRetryAfterWithoutConfig, GetTimeLeft() / kMaxRetryAfterDivisor));
+}
+
 void
 Exchange::RefuseAfter(ErrorKind aKind,
                       std::string_view aText,
@@ -163,6 +176,7 @@
       { "organisation", organisation_ != nullptr ? organisation_->name : "" },
       { "config", text(config_ ? config_->version : 0) },
       { "config_age_ms", text(services_.GetConfig().GetAge().value) },
+      { "regions", dispatch::JoinRegions(query_.regions) },
       { "upstreams", upstreams_ },
       { "weights", text(leaseVersion_) },
       { "start_timeout_ms",
--- a/libs/fleet/src/ExchangeSend.cpp
+++ b/libs/fleet/src/ExchangeSend.cpp
@@ -255,6 +255,8 @@
   }
   if (mayHaveRun_) {
     Fail(answer_.reason.detail);
+  } else if (dispatch::IsClosed(query_.regions)) {
+    RefuseClosed();
   } else {
     Refuse(ErrorKind::NoUpstream, "no upstream took the request");
   }
--- a/libs/fleet/src/UpstreamLease.cpp
+++ b/libs/fleet/src/UpstreamLease.cpp
@@ -48,7 +48,11 @@
   --upstream_->own.running;
   upstream_->useChangedAt = services_.Now();
   auto& service = services_.GetService(upstream_->record.service);
-  service.retryPlanner.RecordRelease(services_.Now());
+  for (auto& [regions, planner] : service.retryPlanners) {
+    if (dispatch::IsAllowed(regions, upstream_->region)) {
+      planner.RecordRelease(services_.Now());
+    }
+  }
   services_.MarkUseChanged();
   service.waitQueue.PlaceQueued();
 }
--- a/libs/fleet/tests/NamedVersionsTest.cpp
+++ b/libs/fleet/tests/NamedVersionsTest.cpp
@@ -776,7 +776,9 @@
   service.name = kService;
   service.engine = engine;
   config.services = { service };
-  config.organisations = { { "org", { aVersion == 5 ? kKey : "other" }, {} } };
+  config.organisations = {
+    { "org", { aVersion == 5 ? kKey : "other" }, {}, {} }
+  };
   config.needsKeys = true;
   config.Index();
   return config;
--- a/libs/platform/include/platform/FleetConfig.h
+++ b/libs/platform/include/platform/FleetConfig.h
@@ -25,6 +25,9 @@
   Stream
 };
 
+/** Names of regions. */
+using RegionList = std::vector<std::string>;
+
 /** A service and the weight of its share of a route's requests. */
 struct ServiceShare
 {
@@ -56,6 +59,11 @@
   /** Requests need no API key. */
   bool isPublic = false;
   std::vector<ServiceShare> shares;
+  /**
+   * The only regions in which its requests may run; empty optional: any, empty
+   * list: none.
+   */
+  std::optional<RegionList> homeRegions;
 
   bool IsIdempotent() const
   {
@@ -109,6 +117,8 @@
   std::vector<std::string> keys;
   /** Overrides the route's priority. */
   std::optional<int> priority;
+  /** As Route::homeRegions. */
+  std::optional<RegionList> homeRegions;
 };
 
 /** Size and time limits of callers' requests. */
