--- a/tools/waxwingyoked/src/ControlPort.cpp
+++ b/tools/waxwingyoked/src/ControlPort.cpp
@@ -66,6 +66,7 @@
   auto port = static_cast<std::uint16_t>(settings.node().control_port());
   server_ = net::HttpServer::Builder(context_.runtime)
               .SetEndpoint({ settings.node().address(), port })
+              .SetMemory(context_.requestMemory)
               .SetMaxBodyBytes(settings.entry().max_body_bytes() +
                                kAttemptOverheadBytes)
               .SetHandler([this](const auto& aRequest, auto& aWriter) {
--- a/tools/waxwingyoked/src/DaemonContext.h
+++ b/tools/waxwingyoked/src/DaemonContext.h
@@ -1,8 +1,11 @@
 #ifndef waxwingyoke_waxwingyoked_DaemonContext_h
 #define waxwingyoke_waxwingyoked_DaemonContext_h
 
+#include <memory>
+
 #include <membership/Node.h>
 #include <net/HttpClient.h>
+#include <net/RequestMemory.h>
 #include <net/Runtime.h>
 #include <platform/LogClient.h>
 #include <platform/VmListClient.h>
@@ -20,6 +23,8 @@
   rpc::RpcClient& rpcClient;
   platform::LogClient& log;
   membership::Node& node;
+  /** Shared by all servers of the process. */
+  std::shared_ptr<net::RequestMemory> requestMemory;
 };
 
 } // namespace waxwingyoke::daemon
--- a/tools/waxwingyoked/src/EntryRole.cpp
+++ b/tools/waxwingyoked/src/EntryRole.cpp
@@ -49,6 +49,7 @@
   auto port = static_cast<std::uint16_t>(settings.entry().caller_port());
   callerServer_ = net::HttpServer::Builder(context_.runtime)
                     .SetEndpoint({ settings.node().address(), port })
+                    .SetMemory(context_.requestMemory)
                     .SetMaxBodyBytes(settings.entry().max_body_bytes())
                     .SetHandler([this](const auto& aRequest, auto& aWriter) {
                       callerRouter_.Handle(aRequest, aWriter);
--- a/tools/waxwingyoked/src/Main.cpp
+++ b/tools/waxwingyoked/src/Main.cpp
@@ -82,9 +82,14 @@
     httpClient, *net::Endpoint::Parse(aSettings.platform().vm_list()));
   membership::Node node(
     aRuntime, aSettings, utils::MakeUniqueId(), log, vmList, rpcClient);
-  DaemonContext context{
-    aRuntime, aSettings, httpClient, rpcClient, log, node
-  };
+  DaemonContext context{ aRuntime,
+                         aSettings,
+                         httpClient,
+                         rpcClient,
+                         log,
+                         node,
+                         std::make_shared<net::RequestMemory>(
+                           aSettings.node().request_memory_bytes()) };
   auto role = aSettings.node().role() == "entry" ? MakeEntryRole(context)
                                                  : MakeSideRole(context);
   ControlPort control(context, *role);
--- a/tools/waxwingyoked/src/SideRole.cpp
+++ b/tools/waxwingyoked/src/SideRole.cpp
@@ -136,6 +136,7 @@
   auto port = static_cast<std::uint16_t>(settings.side().engine_port());
   engineServer_ = net::HttpServer::Builder(context_.runtime)
                     .SetEndpoint({ settings.node().address(), port })
+                    .SetMemory(context_.requestMemory)
                     .SetHandler([this](const auto& aRequest, auto& aWriter) {
                       engineRouter_.Handle(aRequest, aWriter);
                     })
