Configuration: one that can't be read confirms no older one

What callers saw: after the operator's newest configuration, which took a key away, arrived cut or otherwise unreadable, requests with that key were still answered, without end, at every entry.

Cause: ConfigFollower skipped the record, and the read that carried it, like every later one, still confirmed the configuration in force as the newest.

Why the fix works: the follower keeps the offsets after the newest readable and the newest unreadable configuration of the epoch. While the second is larger, no read and no peer's record confirms the configuration, so its age passes RevokeMs and entries refuse what needs a key. Poll then returns false: the topic is read completely, with the backoff of reads that fail, until a configuration at that offset or a newer one is read or comes from a peer. Records of peers state the offset of the newest readable configuration, as the receiver relies on it.

--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -98,9 +99,15 @@
    */
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
-  /** Reads the topic once; false if the read failed. */
+  /**
+   * Reads the topic once; false if the read failed, or if the newest
+   * configuration in the topic can't be read.
+   */
   bool Poll();
 
+  /** The pause after a Poll that returned false; counts it as one more. */
+  utils::Millis NextRetryDelay();
+
   /**
    * Applies a peer's report of its position: if it is ahead, a waiting follower
    * reads at once, unless it prefers peers.
@@ -234,7 +241,6 @@
   void WaitForPeers();
   void WaitForUpdate();
   void WaitUntilReadDue();
-  void BackOff();
   utils::Millis GetReadWait(utils::Millis aNow) const;
   bool IsPeerAhead(std::uint64_t aEnd) const;
   void BeginEpoch(std::uint64_t aEpoch);
@@ -242,8 +248,17 @@
                  utils::Millis aSentAt,
                  utils::Millis aWait);
   void Apply(const platform::KeyedRecord& aRecord);
-  /** Returns the text's version, also if it is not newer; 0: unreadable. */
-  std::uint64_t ApplyConfig(const std::string& aText, std::uint64_t aOffset);
+  /** Whether the newest configuration that the topic showed is unreadable. */
+  bool IsConfigUnreadable() const
+  {
+    return unreadableConfigEnd_ > readConfigEnd_;
+  }
+  /** Returns the text's version, also if it is not newer; empty: unreadable. */
+  std::optional<std::uint64_t> ApplyConfig(const std::string& aText,
+                                           std::uint64_t aOffset);
+  void ReportUnreadable(const std::string& aText,
+                        std::uint64_t aOffset,
+                        const utils::Error& aReason);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
   void RecordUnreadable(const std::string& aModel,
                         const std::string& aText,
@@ -264,7 +279,15 @@
   std::function<void()> onChange_;
   std::shared_ptr<const platform::FleetConfig> config_;
   std::string text_;
-  std::uint64_t offset_ = 0;
+  /**
+   * Offset after the newest configuration that could be read in this epoch, by
+   * this process or by a peer whose configuration it holds; 0: none.
+   */
+  std::uint64_t readConfigEnd_ = 0;
+  /** Offset after the newest one that couldn't be; 0: none. */
+  std::uint64_t unreadableConfigEnd_ = 0;
+  /** Hashes of unreadable configurations that have been logged. */
+  std::set<std::uint64_t> reportedTexts_;
   NamedVersions versions_;
   /** All that the topic held at this time has been applied. */
   std::optional<utils::Millis> appliedAt_;
@@ -287,7 +310,7 @@
   std::optional<utils::Millis> outageAt_;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable updateAvailable_;
-  /** Epoch of the log in which end_ and offset_ count; 0: not stated. */
+  /** Epoch of the log in which offsets count; 0: not stated. */
   std::uint64_t epoch_ = 0;
   /** Until then reads don't confirm the configuration; see BeginEpoch. */
   utils::Millis unconfirmedUntil_;
