--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -456,7 +456,7 @@
           "offset or a newer one")
 {
   UnreadableFollower process;
-  auto apply = [&process](schema::OperatorRecord aRecord) {
+  auto apply = [&process](const schema::OperatorRecord& aRecord) {
     process.follower.ApplyPeerRecord(aRecord, process.follower.Now());
   };
   apply(MakePeerRecord("5", 5, 0));
