--- a/build.sh
+++ b/build.sh
@@ -23,6 +23,7 @@
   build      build everything into build/
   test       build, then run every test
   demo       build, then run the main job: see README.md
+  release    build the daemon optimised, as deployed, into build-release/
   sanitize   unit tests with address and undefined-behaviour sanitizers
   sanitize-fleet
              the same with real processes: fleet_config_test and the daemon
@@ -139,6 +140,10 @@
     build
     build/bin/waxwingyoke-demo
     ;;
+  release)
+    configure build-release -DCMAKE_BUILD_TYPE=Release -DWAXWINGYOKE_DEPLOY=ON
+    compile build-release --target waxwingyoked
+    ;;
   sanitize)
     configure_sanitized
     compile build-asan
--- a/libs/profiles/src/Preview.cpp
+++ b/libs/profiles/src/Preview.cpp
@@ -157,8 +157,11 @@
             std::to_string(aPreview.result.revision) + " by " +
             aPreview.result.author;
   }
-  text += "\n" + aPreview.difference;
-  text += "\n" + std::to_string(aPreview.vms.size()) + " VMs affected\n";
+  // Appended in parts: GCC 12 reports a false -Wrestrict, when optimising, for
+  // a literal + a temporary string.
+  text += '\n' + aPreview.difference;
+  text += '\n';
+  text += std::to_string(aPreview.vms.size()) + " VMs affected\n";
   std::ranges::for_each(aPreview.vms, [&text](const AffectedVm& aVm) {
     auto before = aVm.before.empty() ? "none" : aVm.before;
     auto after = aVm.after.empty() ? "none" : aVm.after;
--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -45,7 +45,9 @@
   /** Answer bytes received; an attach resumes from here. */
   std::uint64_t bytes = 0;
   utils::DigestBuilder digest{};
-  AttemptResult result{};
+  // Not {}: GCC 12 then warns, when optimising, that an exception in the
+  // initialization of a Progress would destroy an uninitialized string.
+  AttemptResult result = AttemptResult();
   bool done = false;
   Millis nextDisconnectCheck{};
 };
--- a/libs/telemetry/src/Logger.cpp
+++ b/libs/telemetry/src/Logger.cpp
@@ -216,7 +216,12 @@
   std::string line =
     "{\"time_ms\":" + std::to_string(utils::GetWallTime().value);
   auto add = [&line](std::string_view aName, std::string_view aValue) {
-    line += "," + QuoteJson(aName) + ":" + QuoteJson(aValue);
+    // Appended in parts: GCC 12 reports a false -Wrestrict, when optimising,
+    // for a literal + a temporary string.
+    line += ',';
+    line += QuoteJson(aName);
+    line += ':';
+    line += QuoteJson(aValue);
   };
   add("level", level.name);
   add("vm", GetVm());
