Entries: evacuation of a data centre by a record of the operator's topic

A record evacuate/DATACENTRE stops everything new to upstreams there, at every entry, until the record is removed; what runs ends. The state is passed between processes with the end offset of the records that it covers.

--- a/libs/dispatch/include/dispatch/UpstreamRegistry.h
+++ b/libs/dispatch/include/dispatch/UpstreamRegistry.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -136,6 +137,18 @@
   /** Upstreams whose exit this entry has observed since aSince. */
   std::vector<UpstreamPointer> ListLeavingSince(utils::Millis aSince) const;
 
+  /**
+   * Names the data centres whose upstreams get nothing new, also no work that
+   * has begun elsewhere. What runs there is not affected.
+   */
+  void SetEvacuated(std::set<std::string> aDataCentres);
+  const std::set<std::string>& GetEvacuated() const { return evacuated_; }
+  /**
+   * Whether no upstream serves the query while one of its service is in an
+   * evacuated data centre.
+   */
+  bool IsEvacuated(const PlacementQuery& aQuery, utils::Millis aNow) const;
+
   /** Marks an upstream whose directory entry is missing; see inDoubt. */
   void SetInDoubt(const std::string& aId, bool aInDoubt);
 
@@ -222,6 +235,7 @@
   /** Keys of left_, oldest first. */
   std::deque<std::string> leftOrder_;
   std::size_t inDoubtCount_ = 0;
+  std::set<std::string> evacuated_;
   std::optional<SlotArbiter> arbiter_;
   EntryRoster roster_;
 };
--- a/libs/dispatch/include/dispatch/UpstreamState.h
+++ b/libs/dispatch/include/dispatch/UpstreamState.h
@@ -76,6 +76,8 @@
    * unavailable.
    */
   bool inDoubt = false;
+  /** Its data centre is evacuated; see UpstreamRegistry::SetEvacuated. */
+  bool evacuated = false;
 
   /** Load of all entries. */
   UseCount GetUse() const;
--- a/libs/dispatch/src/UpstreamRegistry.cpp
+++ b/libs/dispatch/src/UpstreamRegistry.cpp
@@ -78,7 +78,8 @@
                          Millis aNow) const
 {
   if (aState.record.service != aQuery.service || aState.record.draining ||
-      aState.leaving || !IsAllowed(aQuery.regions, aState.region)) {
+      aState.leaving || aState.evacuated ||
+      !IsAllowed(aQuery.regions, aState.region)) {
     return false;
   }
   if (aQuery.engine == nullptr) {
@@ -239,6 +240,26 @@
   return row != left_.end() && row->second == aRecord.startedMs;
 }
 
+void
+UpstreamRegistry::SetEvacuated(std::set<std::string> aDataCentres)
+{
+  evacuated_ = std::move(aDataCentres);
+  for (auto& [id, state] : upstreams_) {
+    state->evacuated = evacuated_.contains(state->record.dataCentre);
+  }
+}
+
+bool
+UpstreamRegistry::IsEvacuated(const PlacementQuery& aQuery, Millis aNow) const
+{
+  bool isAnyEvacuated =
+    !evacuated_.empty() && std::ranges::any_of(upstreams_, [&](auto& aRow) {
+      return aRow.second->evacuated &&
+             aRow.second->record.service == aQuery.service;
+    });
+  return isAnyEvacuated && !HasServingUpstream(aQuery, aNow);
+}
+
 void
 UpstreamRegistry::SetInDoubt(const std::string& aId, bool aInDoubt)
 {
@@ -386,6 +407,7 @@
   }
   state->record = aRecord;
   state->region = FindRegion(aRecord.dataCentre);
+  state->evacuated = evacuated_.contains(aRecord.dataCentre);
   state->rateLimit.SetUpstream(state->hash, aRecord.dataCentre);
   state->staleUntil = Millis(0);
   if (aRecord.draining) {
--- a/libs/dispatch/tests/UpstreamRegistryTest.cpp
+++ b/libs/dispatch/tests/UpstreamRegistryTest.cpp
@@ -519,3 +519,113 @@
   REQUIRE(placement);
   CHECK(placement->upstream->record.id != "u2");
 }
+
+namespace {
+
+/** An upstream in each of two data centres. */
+struct TwoDataCentres : Fixture
+{
+  TwoDataCentres()
+  {
+    registry.Put(MakeUpstream("here"));
+    auto there = MakeUpstream("there");
+    there.dataCentre = "dc2";
+    registry.Put(there);
+  }
+
+  /** The upstreams of the first and of the fallback placement, if any. */
+  std::string FindIds(const PlacementQuery& aQuery) const
+  {
+    auto find = [](const std::optional<Placement>& aPlacement) {
+      return aPlacement ? aPlacement->upstream->record.id : "-";
+    };
+    return find(registry.FindPlacement(aQuery, kNow)) + " " +
+           find(registry.FindFallbackPlacement(aQuery, kNow));
+  }
+};
+
+} // namespace
+
+// Guards against requests that reach an evacuated data centre, and against one
+// that gets no requests after its evacuation has ended.
+TEST_CASE("evacuation: upstreams there get no request until it ends")
+{
+  TwoDataCentres fixture;
+  auto query = fixture.MakeQuery();
+  CHECK(fixture.FindIds(query) == "here here");
+  fixture.registry.SetEvacuated({ "dc1", "nowhere" });
+  CHECK(fixture.FindIds(query) == "there there");
+  CHECK(fixture.registry.HasServingUpstream(query, kNow));
+  CHECK_FALSE(fixture.registry.IsEvacuated(query, kNow));
+  // Also upstreams that register, move there or restart meanwhile.
+  fixture.registry.Put(MakeUpstream("late"));
+  fixture.registry.Put(MakeUpstream("there"));
+  auto restarted = MakeUpstream("here");
+  restarted.startedMs = 2;
+  fixture.registry.Put(restarted);
+  CHECK(fixture.FindIds(query) == "- -");
+  CHECK_FALSE(fixture.registry.HasServingUpstream(query, kNow));
+  CHECK(fixture.registry.IsEvacuated(query, kNow));
+  fixture.registry.SetEvacuated({});
+  CHECK(fixture.FindIds(query) != "- -");
+  CHECK(fixture.registry.HasServingUpstream(query, kNow));
+  CHECK_FALSE(fixture.registry.IsEvacuated(query, kNow));
+}
+
+// Guards against work that has begun, which is placed at any cost otherwise:
+// the resume of a stream, also one that may return to a certain upstream.
+TEST_CASE("evacuation: neither a resumed stream nor a second send goes there")
+{
+  TwoDataCentres fixture;
+  fixture.registry.SetEvacuated({ "dc1" });
+  auto query = fixture.MakeQuery();
+  query.excluded = { "there" };
+  query.preferredVersion = 1;
+  CHECK(fixture.FindIds(query) == "- -");
+  query.excluded = {};
+  query.onlyUpstream = "here";
+  CHECK(fixture.FindIds(query) == "- -");
+  PlacementQuery plain;
+  plain.service = "engines";
+  plain.timeLeft = Millis(500);
+  plain.dataCentre = "dc1";
+  CHECK(fixture.FindIds(plain) == "there there");
+}
+
+// Guards against a Retry-After that names the end of a pause of an upstream
+// that the request may not use.
+TEST_CASE("evacuation: an opening takes only the other data centres into "
+          "account")
+{
+  TwoDataCentres fixture;
+  fixture.registry.Find("here")->pausedUntil = kNow + Millis(100);
+  fixture.registry.Find("there")->pausedUntil = kNow + Millis(900);
+  auto query = fixture.MakeQuery();
+  REQUIRE(fixture.registry.FindOpening(query, kNow));
+  CHECK(fixture.registry.FindOpening(query, kNow)->at == kNow + Millis(100));
+  fixture.registry.SetEvacuated({ "dc1" });
+  REQUIRE(fixture.registry.FindOpening(query, kNow));
+  CHECK(fixture.registry.FindOpening(query, kNow)->at == kNow + Millis(900));
+  fixture.registry.SetEvacuated({ "dc1", "dc2" });
+  CHECK_FALSE(fixture.registry.FindOpening(query, kNow));
+  CHECK(fixture.registry.IsEvacuated(query, kNow));
+  query.service = "another";
+  CHECK_FALSE(fixture.registry.IsEvacuated(query, kNow));
+}
+
+// Guards against an evacuation that lets upstreams in doubt, which are needed
+// only if the others can't carry the load, be used or not by mistake.
+TEST_CASE("evacuation: evacuated upstreams don't count for those in doubt")
+{
+  TwoDataCentres fixture;
+  auto second = MakeUpstream("second");
+  second.dataCentre = "dc2";
+  fixture.registry.Put(second);
+  fixture.registry.Put(MakeUpstream("third"));
+  fixture.registry.SetInDoubt("there", true);
+  auto query = fixture.MakeQuery();
+  query.excluded = { "here", "second", "third" };
+  CHECK(fixture.FindIds(query) == "- -");
+  fixture.registry.SetEvacuated({ "dc1" });
+  CHECK(fixture.FindIds(query) == "there there");
+}
--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -1,7 +1,9 @@
 #include "ConfigFollower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include <utils/Hash.h>
 
@@ -102,7 +104,10 @@
 bool
 ConfigFollower::IsReadDue() const
 {
-  return isReader_ || GetAge() >= options_.peersInterval;
+  // Peers of an older release pass no evacuations on, although they have read
+  // them.
+  bool lacksEvacuations = appliedPeerEnd_ > evacuations_.GetEnd();
+  return isReader_ || GetAge() >= options_.peersInterval || lacksEvacuations;
 }
 
 void
@@ -190,6 +195,8 @@
 ConfigFollower::BeginEpoch(std::uint64_t aEpoch)
 {
   bool isRestored = epoch_ != 0;
+  evacuations_.BeginEpoch(isRestored ? clock_.Now() + options_.rewriteTime
+                                     : Millis(0));
   epoch_ = aEpoch;
   started_ = false;
   end_ = 0;
@@ -275,6 +282,7 @@
                           Millis aWait)
 {
   auto versionBefore = GetConfigVersion();
+  auto before = evacuations_.List();
   bool isUnchanged = aPage.records.empty() && aPage.end == end_;
   bool wasConfigUnreadable = IsConfigUnreadable();
   if (!started_) {
@@ -282,6 +290,7 @@
   }
   std::ranges::for_each(aPage.records,
                         [this](const auto& aRecord) { Apply(aRecord); });
+  ApplyEvacuations(aPage);
   end_ = std::max(end_, aPage.end);
   bool areVersionsRead =
     std::ranges::all_of(unreadableVersions_, [](const auto& aRow) {
@@ -295,8 +304,10 @@
   // A newer configuration shows that the operator has written again.
   if (GetConfigVersion() > versionBefore) {
     unconfirmedUntil_ = aSentAt;
+    evacuations_.DropKept();
   }
   if (aSentAt >= unconfirmedUntil_ && aPage.reachesEnd) {
+    evacuations_.Confirm(aSentAt);
     if (!isConfigUnreadable) {
       confirmedAt_ = std::max(confirmedAt_.value_or(aSentAt), aSentAt);
     }
@@ -309,11 +320,66 @@
       appliedAt_ = std::max(appliedAt_, { waited ? waitEnd : aSentAt });
     }
   }
-  if (onChange_ && !aPage.records.empty()) {
+  LogEvacuations("log");
+  // Those that were kept after a restore of the log end without a record.
+  bool hasEvacuationChange = evacuations_.List() != before;
+  if (onChange_ && (!aPage.records.empty() || hasEvacuationChange)) {
     onChange_();
   }
 }
 
+void
+ConfigFollower::ApplyEvacuations(const platform::KeyedPage& aPage)
+{
+  std::vector<EvacuationRecord> records;
+  for (const auto& record : aPage.records) {
+    auto dataCentre = codecs_.parseOperatorKey(record.key).evacuated;
+    if (!dataCentre.empty()) {
+      records.push_back({ dataCentre, record.offset, record.dropped });
+    }
+  }
+  if (started_) {
+    evacuations_.ApplyChanges(records, aPage.end);
+  } else {
+    evacuations_.ApplyNewest(records, aPage.end);
+  }
+}
+
+void
+ConfigFollower::LogEvacuations(std::string_view aSource)
+{
+  auto now = evacuations_.List();
+  auto log = [&](const char* aText,
+                 const std::string& aDataCentre,
+                 std::uint64_t aOffset) {
+    logger_.Info(aText,
+                 { { "data_centre", aDataCentre },
+                   { "offset", std::to_string(aOffset) },
+                   { "source", std::string(aSource) } });
+  };
+  for (const auto& [dataCentre, offset] : now) {
+    if (!loggedEvacuations_.contains(dataCentre)) {
+      log("data centre evacuated", dataCentre, offset);
+    }
+  }
+  for (const auto& [dataCentre, offset] : loggedEvacuations_) {
+    if (!now.contains(dataCentre)) {
+      log("evacuation ended", dataCentre, evacuations_.GetEnd());
+    }
+  }
+  loggedEvacuations_ = std::move(now);
+}
+
+std::set<std::string>
+ConfigFollower::GetEvacuated() const
+{
+  std::set<std::string> dataCentres;
+  std::ranges::transform(evacuations_.List(),
+                         std::inserter(dataCentres, dataCentres.end()),
+                         [](const auto& aRow) { return aRow.first; });
+  return dataCentres;
+}
+
 void
 ConfigFollower::RecordLogResult(bool aAvailable, const utils::Error& aReason)
 {
@@ -504,6 +570,7 @@
   record.set_config_version(config_->version);
   record.set_age_ms(static_cast<std::uint64_t>(GetAge().value));
   versions_.Fill(record, clock_.Now());
+  *record.mutable_evacuations() = evacuations_.MakeState(clock_.Now());
   return record;
 }
 
@@ -544,6 +611,7 @@
   if (isHeld && *version == GetConfigVersion() && !IsConfigUnreadable()) {
     confirmedAt_ = std::max(confirmedAt_.value_or(confirmedAt), confirmedAt);
   }
+  ApplyPeerEvacuations(aRecord, aRequestedAt);
   if (config_) {
     updateAvailable_.notify_all();
   }
@@ -552,4 +620,22 @@
   }
 }
 
+// Confirmed only by a peer whose evacuations are as new as the rest of its
+// record: part of that may come from an older release, which passes none on.
+void
+ConfigFollower::ApplyPeerEvacuations(const schema::OperatorRecord& aRecord,
+                                     Millis aRequestedAt)
+{
+  if (!aRecord.has_evacuations() || aRecord.epoch() != epoch_) {
+    return;
+  }
+  const auto& state = aRecord.evacuations();
+  bool isNewest = state.end() >= std::max(aRecord.end(), evacuations_.GetEnd());
+  evacuations_.ApplyState(state, aRequestedAt);
+  if (isNewest) {
+    evacuations_.Confirm(aRequestedAt - utils::BoundMillis(aRecord.age_ms()));
+  }
+  LogEvacuations("peer");
+}
+
 } // namespace waxwingyoke::fleet
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -22,6 +22,7 @@
 #include <utils/Backoff.h>
 #include <utils/Time.h>
 
+#include "Evacuations.h"
 #include "NamedVersions.h"
 
 namespace waxwingyoke::fleet {
@@ -47,9 +48,10 @@
 FillPosition(const PeerPosition& aPosition, schema::EntryNotice& aNotice);
 
 /**
- * Follows the operator's topic: the configuration in force and the versions
- * that are named. Neither moves backwards during the life of the process, also
- * if the log is restored from an older copy. Used by one thread.
+ * Follows the operator's topic: the configuration in force, the versions that
+ * are named and the data centres that are evacuated. The first two never move
+ * backwards during the life of the process, also if the log is restored from an
+ * older copy. Used by one thread.
  */
 class ConfigFollower
 {
@@ -129,7 +131,8 @@
 
   /**
    * Whether to read the topic now: always for a reader, otherwise once the
-   * configuration is older than peersInterval.
+   * configuration is older than peersInterval, or if the peers' records lack
+   * evacuations.
    */
   bool IsReadDue() const;
 
@@ -178,6 +181,9 @@
     return versions_.FindOfAge(aModel, aAge, clock_.Now());
   }
 
+  /** The evacuated data centres; empty before any is known. */
+  std::set<std::string> GetEvacuated() const;
+
   /**
    * The time on the clock of NamedVersion, FindLimitStart and ApplyPeerRecord,
    * which counts suspension.
@@ -264,6 +270,10 @@
                         const std::string& aText,
                         const utils::Error& aReason);
   void ConfirmUnreadable();
+  void ApplyEvacuations(const platform::KeyedPage& aPage);
+  void ApplyPeerEvacuations(const schema::OperatorRecord& aRecord,
+                            utils::Millis aRequestedAt);
+  void LogEvacuations(std::string_view aSource);
   void SetOwnBounds(const std::string& aModel, NamedVersion& aNamed);
   void AddVersion(const std::string& aModel,
                   const NamedVersion& aNamed,
@@ -289,6 +299,9 @@
   /** Hashes of unreadable configurations that have been logged. */
   std::set<std::uint64_t> reportedTexts_;
   NamedVersions versions_;
+  Evacuations evacuations_;
+  /** Those that the log lines have named, with the offsets of their records. */
+  std::map<std::string, std::uint64_t> loggedEvacuations_;
   /** All that the topic held at this time has been applied. */
   std::optional<utils::Millis> appliedAt_;
   std::map<std::string, UnreadableVersion> unreadableVersions_;
--- a/libs/fleet/src/Entry.cpp
+++ b/libs/fleet/src/Entry.cpp
@@ -249,7 +249,10 @@
     return false;
   }
   auto serve = [&impl] { impl.services.ServeWaitQueues(); };
-  impl.services.GetConfig().Start(impl.runtime, serve);
+  impl.services.GetConfig().Start(impl.runtime, [&impl] {
+    impl.services.ApplyEvacuations();
+    impl.services.ServeWaitQueues();
+  });
   impl.directory.OnUpdate(
     [&impl](const auto& aUpdate) { impl.SendDirectoryUpdate(aUpdate); });
   impl.directory.Start(impl.runtime, serve);
--- a/libs/fleet/src/EntryServices.cpp
+++ b/libs/fleet/src/EntryServices.cpp
@@ -9,6 +9,8 @@
 
 #include <utils/Hash.h>
 
+#include "Exchange.h"
+
 namespace waxwingyoke::fleet {
 
 namespace {
@@ -196,6 +198,23 @@
     services_, [](auto& aRow) { aRow.second.waitQueue.PlaceQueued(); });
 }
 
+void
+EntryServices::ApplyEvacuations()
+{
+  static auto& sEvacuated =
+    telemetry::Metrics::Get().GetGauge("fleet_evacuated_data_centres");
+  auto evacuated = config_.GetEvacuated();
+  if (evacuated == upstreams_.GetEvacuated()) {
+    return;
+  }
+  sEvacuated.Set(static_cast<std::int64_t>(evacuated.size()));
+  upstreams_.SetEvacuated(std::move(evacuated));
+  queuesServedAt_ = Millis(0);
+  ServeWaitQueues();
+  std::ranges::for_each(exchanges_,
+                        [](Exchange* aExchange) { aExchange->CheckQueued(); });
+}
+
 bool
 EntryServices::HasQueuedRequests() const
 {
--- a/libs/fleet/src/EntryServices.h
+++ b/libs/fleet/src/EntryServices.h
@@ -147,6 +147,12 @@
    * if called again within a few milliseconds.
    */
   void ServeWaitQueues();
+  /**
+   * Applies the evacuated data centres that are known now. On a change, serves
+   * the wait queues and lets requests that wait for nothing any more be
+   * refused.
+   */
+  void ApplyEvacuations();
   /** Whether requests wait for room at an upstream. */
   bool HasQueuedRequests() const;
 
--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -400,6 +400,23 @@
   return services_.GetUpstreams().FindOpening(query_, services_.Now());
 }
 
+bool
+Exchange::IsEvacuated() const
+{
+  return services_.GetUpstreams().IsEvacuated(query_, services_.Now());
+}
+
+bool
+Exchange::RefuseIfEvacuated()
+{
+  bool isEvacuated = IsEvacuated();
+  if (isEvacuated) {
+    Refuse(ErrorKind::NoUpstream,
+           "no upstream outside evacuated data centres serves this request");
+  }
+  return isEvacuated;
+}
+
 // Refuses a request that no wait in the queue can help.
 bool
 Exchange::RefuseIfUnservable()
@@ -408,6 +425,9 @@
     RefuseClosed();
     return true;
   }
+  if (RefuseIfEvacuated()) {
+    return true;
+  }
   if (!IsRetry() &&
       !services_.GetUpstreams().HasServingUpstream(query_, services_.Now())) {
     Refuse(ErrorKind::NoUpstream, "no upstream currently serves this request");
@@ -441,7 +461,6 @@
     return false;
   }
   boost::fibers::mutex mutex;
-  boost::fibers::condition_variable placedCondition;
   bool placed = false;
   dispatch::QueuedRequest queuedRequest;
   queuedRequest.priority =
@@ -454,26 +473,26 @@
   queuedRequest.tryPlace = [&] {
     bool isPlaced = AcquirePlacement(true);
     if (dispatch::IsClosed(query_.regions)) {
-      placedCondition.notify_all();
+      queueCondition_.notify_all();
     }
     return isPlaced;
   };
   queuedRequest.onPlaced = [&] {
     placed = true;
-    placedCondition.notify_all();
+    queueCondition_.notify_all();
   };
   auto ticket = waitQueue.Insert(std::move(queuedRequest));
   waitQueue.PlaceQueued();
   std::unique_lock lock(mutex);
   auto limit = std::chrono::steady_clock::now() + GetWaitLimit().ToChrono();
-  placedCondition.wait_until(lock, limit, [&] {
-    return placed || IsCallerDisconnected() ||
+  queueCondition_.wait_until(lock, limit, [&] {
+    return placed || IsCallerDisconnected() || IsEvacuated() ||
            dispatch::IsClosed(query_.regions);
   });
   waitQueue.Remove(ticket);
   if (!placed && dispatch::IsClosed(query_.regions)) {
     RefuseClosed();
-  } else if (!placed) {
+  } else if (!placed && !RefuseIfEvacuated()) {
     Refuse(ErrorKind::Overloaded, "no upstream has room in time");
   }
   return placed;
--- a/libs/fleet/src/Exchange.h
+++ b/libs/fleet/src/Exchange.h
@@ -42,6 +42,12 @@
    */
   void Stop();
 
+  /**
+   * Wakes the request if it waits for room at an upstream, as all that it may
+   * use may have been evacuated.
+   */
+  void CheckQueued() { queueCondition_.notify_all(); }
+
 private:
   /** With less time left no upstream can answer, so nothing is sent. */
   static constexpr utils::Millis kMinTimeLeft{ 30 };
@@ -82,6 +88,8 @@
 
   bool WaitForPlacement();
   bool RefuseIfUnservable();
+  bool RefuseIfEvacuated();
+  bool IsEvacuated() const;
   std::optional<dispatch::SendOpening> FindOpening() const;
   utils::Millis GetWaitLimit() const;
   void UpdateQuery(bool aIsLate);
@@ -185,6 +193,7 @@
   /** Stable hashes of the prompt's parts that other requests may share. */
   std::vector<std::uint64_t> parts_;
 
+  boost::fibers::condition_variable queueCondition_;
   bool callerDisconnected_ = false;
   bool isStopped_ = false;
   /** Cancels the present send; made anew for each. */
--- a/libs/fleet/src/UpstreamSend.cpp
+++ b/libs/fleet/src/UpstreamSend.cpp
@@ -138,6 +138,13 @@
                       "the upstream's version has reached its limit");
     return answer;
   }
+  // Not the state's flag, as the registry may hold a newer state by now.
+  if (aServices.GetUpstreams().GetEvacuated().contains(
+        upstream.record.dataCentre)) {
+    answer.reason.Set(ErrorKind::NoUpstream,
+                      "the upstream's data centre is evacuated");
+    return answer;
+  }
   if (!aLease.ClaimSend()) {
     aServices.GetMetrics().rateLimitedSends.Add();
     answer.reason.Set(ErrorKind::NoUpstream,
--- a/libs/fleet/tests/FollowersTest.cpp
+++ b/libs/fleet/tests/FollowersTest.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -87,6 +88,11 @@
   codecs.parseOperatorKey = [](std::string_view aKey) {
     platform::OperatorKey key;
     key.isConfig = aKey == "config";
+    constexpr std::string_view kEvacuation = "evacuate/";
+    if (aKey.starts_with(kEvacuation)) {
+      key.evacuated = aKey.substr(kEvacuation.size());
+      return key;
+    }
     key.model = key.isConfig ? "" : std::string(aKey);
     return key;
   };
@@ -1355,3 +1361,266 @@
   REQUIRE(directory.Poll());
   CHECK(registry.Find("a"));
 }
+
+namespace {
+
+using Names = std::set<std::string>;
+
+/** Followers of one log, with a clock that the test sets. */
+struct EvacuationBed
+{
+  static constexpr Millis kRewriteTime{ 1500 };
+
+  EvacuationBed()
+  {
+    log.newest = MakePage({ { "config", "5", 0, false } }, 1);
+    log.newest.epoch = 1;
+    REQUIRE(follower.Poll());
+  }
+
+  ConfigFollower::PollOptions MakeOptions()
+  {
+    ConfigFollower::PollOptions options;
+    options.rewriteTime = kRewriteTime;
+    options.peersInterval = Millis(2500);
+    options.clock = utils::Clock([this] { return now; });
+    return options;
+  }
+
+  void Read(std::vector<platform::KeyedRecord> aRecords, std::uint64_t aEnd)
+  {
+    log.changes = MakePage(std::move(aRecords), aEnd);
+    log.changes.epoch = epoch;
+    REQUIRE(follower.Poll());
+  }
+
+  /** Restores the log; the copy ends at aEnd. */
+  void Restore(std::vector<platform::KeyedRecord> aRecords, std::uint64_t aEnd)
+  {
+    ++epoch;
+    log.newest = MakePage(std::move(aRecords), aEnd);
+    log.newest.epoch = epoch;
+    Read({}, aEnd);
+  }
+
+  /** aTo asks aFrom for its record, which arrives at once. */
+  void PassOn(const ConfigFollower& aFrom, ConfigFollower& aTo) const
+  {
+    aTo.ApplyPeerRecord(*aFrom.MakeRecord(), now);
+  }
+
+  Millis now{ 10000 };
+  std::uint64_t epoch = 1;
+  ScriptedLog log;
+  ConfigFollower follower{ log, MakeCodecs(), MakeOptions() };
+  /** Cut off from the log. */
+  ScriptedLog noLog;
+  ConfigFollower other{ noLog, MakeCodecs(), MakeOptions() };
+};
+
+} // namespace
+
+TEST_CASE("evacuation: records of the log begin and end it")
+{
+  EvacuationBed bed;
+  CHECK(bed.follower.GetEvacuated().empty());
+  bed.Read({ { "evacuate/dc1", "{}", 1, false },
+             { "evacuate/dc2", "anything", 2, false },
+             { "evacuate/", "{}", 3, false } },
+           4);
+  CHECK(bed.follower.GetEvacuated() == Names{ "dc1", "dc2" });
+  bed.Read({ { "evacuate/dc1", "", 4, true } }, 5);
+  CHECK(bed.follower.GetEvacuated() == Names{ "dc2" });
+  // The known state holds while the log is unavailable.
+  bed.log.available = false;
+  CHECK_FALSE(bed.follower.Poll());
+  bed.now = bed.now + Millis(100000);
+  CHECK(bed.follower.GetEvacuated() == Names{ "dc2" });
+}
+
+// Guards against an evacuation that never ends at a process that missed the
+// removal, which the newest record of each key does not show.
+TEST_CASE("evacuation: a complete read replaces what is known")
+{
+  EvacuationBed bed;
+  bed.Read({ { "evacuate/dc1", "{}", 1, false } }, 2);
+  bed.log.trimmed = true;
+  CHECK_FALSE(bed.follower.Poll());
+  bed.log.newest = MakePage(
+    { { "config", "5", 0, false }, { "evacuate/dc3", "{}", 8, false } }, 9);
+  bed.log.newest.epoch = 1;
+  REQUIRE(bed.follower.Poll());
+  CHECK(bed.follower.GetEvacuated() == Names{ "dc3" });
+}
+
+// Guards against an entry that is cut off from the log and goes on sending to
+// an evacuated data centre, or never returns to it.
+TEST_CASE("evacuation: a process that is cut off has it from others")
+{
+  EvacuationBed bed;
+  bed.PassOn(bed.follower, bed.other);
+  bed.noLog.available = false;
+  CHECK_FALSE(bed.other.Poll());
+  bed.Read({ { "evacuate/dc1", "{}", 1, false } }, 2);
+  // No newer configuration: the offset alone shows that there is something.
+  bed.other.ApplyPeerPosition(bed.follower.GetPosition());
+  CHECK(bed.other.IsPeerAhead());
+  CHECK_FALSE(bed.other.IsConfigOutdated());
+  bed.PassOn(bed.follower, bed.other);
+  CHECK_FALSE(bed.other.IsPeerAhead());
+  CHECK(bed.other.GetEvacuated() == Names{ "dc1" });
+  auto old = *bed.other.MakeRecord();
+  bed.Read({ { "evacuate/dc1", "", 2, true } }, 3);
+  bed.PassOn(bed.follower, bed.other);
+  CHECK(bed.other.GetEvacuated().empty());
+  // One that is as new as the removal, or newer, brings nothing back.
+  bed.other.ApplyPeerRecord(old, bed.now);
+  bed.follower.ApplyPeerRecord(old, bed.now);
+  CHECK(bed.other.GetEvacuated().empty());
+  CHECK(bed.follower.GetEvacuated().empty());
+}
+
+TEST_CASE("evacuation: a read of what a peer knows already changes nothing")
+{
+  EvacuationBed bed;
+  bed.PassOn(bed.follower, bed.other);
+  bed.Read({ { "evacuate/dc1", "{}", 1, false },
+             { "evacuate/dc1", "", 2, true },
+             { "evacuate/dc2", "{}", 3, false } },
+           4);
+  bed.PassOn(bed.follower, bed.other);
+  CHECK(bed.other.GetEvacuated() == Names{ "dc2" });
+  bed.noLog.newest = MakePage(
+    { { "config", "5", 0, false }, { "evacuate/dc1", "{}", 1, false } }, 2);
+  bed.noLog.newest.epoch = 1;
+  REQUIRE(bed.other.Poll());
+  CHECK(bed.other.GetEvacuated() == Names{ "dc2" });
+  bed.noLog.changes = MakePage({ { "evacuate/dc1", "", 2, true },
+                                 { "evacuate/dc2", "{}", 3, false },
+                                 { "evacuate/dc4", "{}", 4, false } },
+                               5);
+  bed.noLog.changes.epoch = 1;
+  REQUIRE(bed.other.Poll());
+  CHECK(bed.other.GetEvacuated() == Names{ "dc2", "dc4" });
+}
+
+// Guards against an evacuation that ends, or that is missed, because a peer of
+// an older release knows none.
+TEST_CASE("evacuation: a record without the state changes nothing, and the "
+          "topic is read")
+{
+  EvacuationBed bed;
+  bed.PassOn(bed.follower, bed.other);
+  bed.other.SetReader(false);
+  bed.Read({ { "evacuate/dc1", "{}", 1, false } }, 2);
+  bed.PassOn(bed.follower, bed.other);
+  CHECK_FALSE(bed.other.IsReadDue());
+  auto record = *bed.follower.MakeRecord();
+  record.clear_evacuations();
+  record.set_end(7);
+  bed.other.ApplyPeerRecord(record, bed.now);
+  CHECK(bed.other.GetEvacuated() == Names{ "dc1" });
+  CHECK(bed.other.IsReadDue());
+  bed.noLog.newest = MakePage({ { "config", "5", 0, false } }, 7);
+  bed.noLog.newest.epoch = 1;
+  REQUIRE(bed.other.Poll());
+  CHECK(bed.other.GetEvacuated().empty());
+  CHECK_FALSE(bed.other.IsReadDue());
+}
+
+// Guards against requests at an evacuated data centre because the log was
+// restored from a copy that lacks the evacuation.
+TEST_CASE("evacuation: after a restore of the log it stays until the operator "
+          "has written, or could have")
+{
+  EvacuationBed bed;
+  bed.Read(
+    { { "evacuate/dc1", "{}", 1, false }, { "evacuate/dc2", "{}", 2, false } },
+    3);
+  bed.Restore({ { "config", "5", 0, false } }, 1);
+  CHECK(bed.follower.GetEvacuated() == Names{ "dc1", "dc2" });
+  SUBCASE("a record of the data centre")
+  {
+    bed.Read({ { "evacuate/dc1", "", 1, true } }, 2);
+    CHECK(bed.follower.GetEvacuated() == Names{ "dc2" });
+  }
+  SUBCASE("a newer configuration")
+  {
+    bed.Read({ { "config", "6", 1, false } }, 2);
+    CHECK(bed.follower.GetEvacuated().empty());
+  }
+  SUBCASE("the time has passed")
+  {
+    bed.now = bed.now + EvacuationBed::kRewriteTime - Millis(1);
+    bed.Read({}, 1);
+    CHECK(bed.follower.GetEvacuated() == Names{ "dc1", "dc2" });
+    bed.now = bed.now + Millis(1);
+    // Only a read shows that the operator has not written.
+    CHECK(bed.follower.GetEvacuated() == Names{ "dc1", "dc2" });
+    bed.Read({}, 1);
+    CHECK(bed.follower.GetEvacuated().empty());
+  }
+  SUBCASE("evacuated again")
+  {
+    bed.Read({ { "evacuate/dc2", "{}", 1, false } }, 2);
+    bed.now = bed.now + EvacuationBed::kRewriteTime;
+    bed.Read({}, 2);
+    CHECK(bed.follower.GetEvacuated() == Names{ "dc2" });
+  }
+}
+
+TEST_CASE("evacuation: what is kept after a restore reaches a process that "
+          "starts, and ends there")
+{
+  EvacuationBed bed;
+  bed.Read({ { "evacuate/dc1", "{}", 1, false } }, 2);
+  bed.Restore({ { "config", "5", 0, false } }, 1);
+  bed.PassOn(bed.follower, bed.other);
+  CHECK(bed.other.GetEvacuated() == Names{ "dc1" });
+  bed.now = bed.now + EvacuationBed::kRewriteTime;
+  bed.Read({}, 1);
+  CHECK(bed.follower.GetEvacuated().empty());
+  // What the other one still holds is older than that read.
+  bed.PassOn(bed.other, bed.follower);
+  CHECK(bed.follower.GetEvacuated().empty());
+  CHECK(bed.other.GetEvacuated() == Names{ "dc1" });
+  bed.PassOn(bed.follower, bed.other);
+  CHECK(bed.other.GetEvacuated().empty());
+}
+
+// Guards against a state of the old epoch, whose offsets are larger.
+TEST_CASE("evacuation: a record from before a restore changes nothing")
+{
+  EvacuationBed bed;
+  bed.Read({ { "evacuate/dc1", "{}", 30, false } }, 31);
+  auto old = *bed.follower.MakeRecord();
+  bed.Restore({ { "config", "6", 0, false } }, 1);
+  CHECK(bed.follower.GetEvacuated().empty());
+  bed.follower.ApplyPeerRecord(old, bed.now);
+  CHECK(bed.follower.GetEvacuated().empty());
+  // A peer tells of the next epoch.
+  bed.Read({ { "evacuate/dc2", "{}", 1, false } }, 2);
+  bed.other.ApplyPeerRecord(old, bed.now);
+  bed.PassOn(bed.follower, bed.other);
+  CHECK(bed.other.GetEvacuated() == Names{ "dc1", "dc2" });
+}
+
+// Guards against an entry that applies the end of what was kept only with the
+// next record.
+TEST_CASE("evacuation: the end of what was kept is announced without a record")
+{
+  EvacuationBed bed;
+  // Never run: the test reads itself.
+  net::Runtime runtime(1);
+  std::vector<Names> announced;
+  bed.follower.Start(runtime,
+                     [&] { announced.push_back(bed.follower.GetEvacuated()); });
+  bed.Read({ { "evacuate/dc1", "{}", 1, false } }, 2);
+  bed.Restore({ { "config", "5", 0, false } }, 1);
+  CHECK(announced.back() == Names{ "dc1" });
+  bed.now = bed.now + EvacuationBed::kRewriteTime;
+  auto count = announced.size();
+  bed.Read({}, 1);
+  CHECK(announced.size() == count + 1);
+  CHECK(announced.back().empty());
+}
--- a/libs/platform/include/platform/FleetCodecs.h
+++ b/libs/platform/include/platform/FleetCodecs.h
@@ -20,6 +20,8 @@
   bool isConfig = false;
   /** The record names the newest version of this model; empty for others. */
   std::string model;
+  /** The record evacuates this data centre; empty for others. */
+  std::string evacuated;
 };
 
 /**
