--- a/libs/fleet/src/Exchange.cpp
+++ b/libs/fleet/src/Exchange.cpp
@@ -492,6 +492,8 @@
   waitQueue.Remove(ticket);
   if (!placed && dispatch::IsClosed(query_.regions)) {
     RefuseClosed();
+    // Those behind it may have been left out of the pass that found it closed.
+    waitQueue.PlaceQueued();
   } else if (!placed && !RefuseIfEvacuated()) {
     Refuse(ErrorKind::Overloaded, "no upstream has room in time");
   }
