--- a/libs/fleet/src/Evacuations.h
+++ b/libs/fleet/src/Evacuations.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
