--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -36,6 +36,7 @@
 
   static std::uint64_t size(const value_type& aBody) { return aBody.size(); }
 
+  // NOLINTBEGIN(readability-identifier-naming): Beast's parser calls these.
   class reader
   {
   public:
@@ -66,6 +67,7 @@
   private:
     value_type& body_;
   };
+  // NOLINTEND(readability-identifier-naming)
 };
 
 using Parser = http::request_parser<RequestBody>;
