--- a/libs/fleet/src/ConfigFollower.cpp
+++ b/libs/fleet/src/ConfigFollower.cpp
@@ -5,8 +5,6 @@
 #include <utility>
 #include <vector>
 
-#include <utils/Hash.h>
-
 namespace waxwingyoke::fleet {
 
 namespace {
@@ -28,8 +26,6 @@
 // Longest time that a failed read takes beyond its wait. A longer one shows
 // that this process was suspended, and nothing of the log.
 constexpr Millis kMaxReadOverhead(2500);
-// Texts that are remembered as reported. Only damage in transit makes more.
-constexpr std::size_t kMaxReportedTexts = 64;
 
 } // namespace
 
@@ -78,7 +74,7 @@
     WaitUntilReadDue();
     auto before = end_;
     if (!Poll()) {
-      net::Runtime::Sleep(NextRetryDelay());
+      BackOff();
     } else if (end_ != before) {
       net::Runtime::Sleep(kChangeBatchDelay);
     } else {
@@ -131,15 +127,14 @@
   WaitForUpdate();
 }
 
-// Failed reads are charged like others, so they back off; so do those of an
-// unreadable configuration, each of which carries the complete topic. Where a
-// peer has reported newer records, only the initial backoff applies.
-Millis
-ConfigFollower::NextRetryDelay()
+// Failed reads are charged like others, so they back off. Where a peer has
+// reported newer records, only the initial backoff applies.
+void
+ConfigFollower::BackOff()
 {
   bool isBehind = started_ && IsBehind();
   auto pause = backoff_.NextDelay();
-  return isBehind ? backoff_.GetFirst() : pause;
+  net::Runtime::Sleep(isBehind ? backoff_.GetFirst() : pause);
 }
 
 void
@@ -201,8 +196,6 @@
   started_ = false;
   end_ = 0;
   appliedPeerEnd_ = 0;
-  readConfigEnd_ = 0;
-  unreadableConfigEnd_ = 0;
   if (!isRestored) {
     return;
   }
@@ -240,6 +233,7 @@
     RecordFailedRead(sentAt, reason);
     return false;
   }
+  backoff_.Reset();
   failedReads_ = 0;
   // An answer that was on its way while a peer reported a newer epoch.
   bool isOutdated = page->epoch != 0 && page->epoch < epoch_;
@@ -255,10 +249,6 @@
     return Poll();
   }
   ApplyPage(*page, sentAt, wait);
-  if (IsConfigUnreadable()) {
-    return false;
-  }
-  backoff_.Reset();
   return true;
 }
 
@@ -284,7 +274,6 @@
   auto versionBefore = GetConfigVersion();
   auto before = evacuations_.List();
   bool isUnchanged = aPage.records.empty() && aPage.end == end_;
-  bool wasConfigUnreadable = IsConfigUnreadable();
   if (!started_) {
     ConfirmUnreadable();
   }
@@ -292,14 +281,9 @@
                         [this](const auto& aRecord) { Apply(aRecord); });
   ApplyEvacuations(aPage);
   end_ = std::max(end_, aPage.end);
-  bool areVersionsRead =
-    std::ranges::all_of(unreadableVersions_, [](const auto& aRow) {
-      return aRow.second.isConfirmed;
-    });
-  // It may have been damaged in transit, or be replaced, so the topic is read
-  // anew until a configuration at its offset or a newer one is read.
-  bool isConfigUnreadable = IsConfigUnreadable();
-  started_ = areVersionsRead && !isConfigUnreadable;
+  started_ = std::ranges::all_of(unreadableVersions_, [](const auto& aRow) {
+    return aRow.second.isConfirmed;
+  });
   isFirstRead_ = !aPage.records.empty();
   // A newer configuration shows that the operator has written again.
   if (GetConfigVersion() > versionBefore) {
@@ -308,15 +292,11 @@
   }
   if (aSentAt >= unconfirmedUntil_ && aPage.reachesEnd) {
     evacuations_.Confirm(aSentAt);
-    if (!isConfigUnreadable) {
-      confirmedAt_ = std::max(confirmedAt_.value_or(aSentAt), aSentAt);
-    }
+    confirmedAt_ = std::max(confirmedAt_.value_or(aSentAt), aSentAt);
     // The log answers without records only at the end of the wait.
     auto waitEnd = aSentAt + aWait;
     bool waited = isUnchanged && waitEnd <= clock_.Now();
-    // A configuration that stays unreadable names no version: public routes
-    // still need to know that the version they use is the newest.
-    if (areVersionsRead && (!isConfigUnreadable || wasConfigUnreadable)) {
+    if (started_) {
       appliedAt_ = std::max(appliedAt_, { waited ? waitEnd : aSentAt });
     }
   }
@@ -402,22 +382,20 @@
 {
   auto key = codecs_.parseOperatorKey(aRecord.key);
   if (key.isConfig && !aRecord.dropped) {
-    bool isRead = ApplyConfig(aRecord.value, aRecord.offset).has_value();
-    auto& end = isRead ? readConfigEnd_ : unreadableConfigEnd_;
-    end = std::max(end, aRecord.offset + 1);
+    ApplyConfig(aRecord.value, aRecord.offset);
   } else if (!key.model.empty() && !aRecord.dropped) {
     ApplyVersion(key.model, aRecord.value);
   }
 }
 
-std::optional<std::uint64_t>
+std::uint64_t
 ConfigFollower::ApplyConfig(const std::string& aText, std::uint64_t aOffset)
 {
   utils::Error reason;
   auto config = codecs_.parseConfig(aText, reason);
   if (!config) {
-    ReportUnreadable(aText, aOffset, reason);
-    return std::nullopt;
+    logger_.Report(reason, { { "offset", std::to_string(aOffset) } });
+    return 0;
   }
   auto version = config->version;
   if (config_ && version <= config_->version) {
@@ -431,26 +409,11 @@
       { "needs_keys", config->needsKeys ? "yes" : "no" },
       { "organisations", std::to_string(config->organisations.size()) } });
   text_ = aText;
+  offset_ = aOffset;
   config_ = std::make_shared<const platform::FleetConfig>(std::move(*config));
   return version;
 }
 
-void
-ConfigFollower::ReportUnreadable(const std::string& aText,
-                                 std::uint64_t aOffset,
-                                 const utils::Error& aReason)
-{
-  if (reportedTexts_.size() >= kMaxReportedTexts) {
-    reportedTexts_.clear();
-  }
-  if (reportedTexts_.insert(utils::StableHash(aText)).second) {
-    logger_.Warn("the configuration can't be read",
-                 { { "reason", aReason.detail },
-                   { "offset", std::to_string(aOffset) },
-                   { "in_force", std::to_string(GetConfigVersion()) } });
-  }
-}
-
 void
 ConfigFollower::ApplyVersion(const std::string& aModel,
                              const std::string& aText)
@@ -564,7 +527,7 @@
   if (aWithText) {
     record.set_config(text_);
   }
-  record.set_offset(readConfigEnd_ > 0 ? readConfigEnd_ - 1 : 0);
+  record.set_offset(offset_);
   record.set_end(std::max(end_, appliedPeerEnd_));
   record.set_epoch(epoch_);
   record.set_config_version(config_->version);
@@ -594,21 +557,15 @@
     appliedPeerEnd_ = std::max(appliedPeerEnd_, aRecord.end());
   }
   auto version = aRecord.config().empty()
-                   ? std::optional(aRecord.config_version())
+                   ? aRecord.config_version()
                    : ApplyConfig(aRecord.config(), aRecord.offset());
-  // The peer holds what it read at this offset, or a newer one. Offset 0 is
-  // also that of a peer that has read none in this epoch.
-  bool isHeld = version && *version > 0 && *version <= GetConfigVersion();
-  if (isHeld && aRecord.epoch() == epoch_ && aRecord.offset() > 0) {
-    readConfigEnd_ = std::max(readConfigEnd_, aRecord.offset() + 1);
-  }
   // The peer's record doesn't confirm a newer configuration, which was read
   // after the record was made, nor an older one.
   auto confirmedAt = aRequestedAt - utils::BoundMillis(aRecord.age_ms());
   if (aRecord.epoch() == epoch_) {
     appliedAt_ = std::max(appliedAt_, { confirmedAt });
   }
-  if (isHeld && *version == GetConfigVersion() && !IsConfigUnreadable()) {
+  if (version > 0 && version == GetConfigVersion()) {
     confirmedAt_ = std::max(confirmedAt_.value_or(confirmedAt), confirmedAt);
   }
   ApplyPeerEvacuations(aRecord, aRequestedAt);
--- a/libs/fleet/src/ConfigFollower.h
+++ b/libs/fleet/src/ConfigFollower.h
@@ -101,15 +101,9 @@
    */
   void Start(net::Runtime& aRuntime, std::function<void()> aOnChange);
 
-  /**
-   * Reads the topic once; false if the read failed, or if the newest
-   * configuration in the topic can't be read.
-   */
+  /** Reads the topic once; false if the read failed. */
   bool Poll();
 
-  /** The pause after a Poll that returned false; counts it as one more. */
-  utils::Millis NextRetryDelay();
-
   /**
    * Applies a peer's report of its position: if it is ahead, a waiting follower
    * reads at once, unless it prefers peers.
@@ -247,6 +241,7 @@
   void WaitForPeers();
   void WaitForUpdate();
   void WaitUntilReadDue();
+  void BackOff();
   utils::Millis GetReadWait(utils::Millis aNow) const;
   bool IsPeerAhead(std::uint64_t aEnd) const;
   void BeginEpoch(std::uint64_t aEpoch);
@@ -254,17 +249,8 @@
                  utils::Millis aSentAt,
                  utils::Millis aWait);
   void Apply(const platform::KeyedRecord& aRecord);
-  /** Whether the newest configuration that the topic showed is unreadable. */
-  bool IsConfigUnreadable() const
-  {
-    return unreadableConfigEnd_ > readConfigEnd_;
-  }
-  /** Returns the text's version, also if it is not newer; empty: unreadable. */
-  std::optional<std::uint64_t> ApplyConfig(const std::string& aText,
-                                           std::uint64_t aOffset);
-  void ReportUnreadable(const std::string& aText,
-                        std::uint64_t aOffset,
-                        const utils::Error& aReason);
+  /** Returns the text's version, also if it is not newer; 0: unreadable. */
+  std::uint64_t ApplyConfig(const std::string& aText, std::uint64_t aOffset);
   void ApplyVersion(const std::string& aModel, const std::string& aText);
   void RecordUnreadable(const std::string& aModel,
                         const std::string& aText,
@@ -289,15 +275,7 @@
   std::function<void()> onChange_;
   std::shared_ptr<const platform::FleetConfig> config_;
   std::string text_;
-  /**
-   * Offset after the newest configuration that could be read in this epoch, by
-   * this process or by a peer whose configuration it holds; 0: none.
-   */
-  std::uint64_t readConfigEnd_ = 0;
-  /** Offset after the newest one that couldn't be; 0: none. */
-  std::uint64_t unreadableConfigEnd_ = 0;
-  /** Hashes of unreadable configurations that have been logged. */
-  std::set<std::uint64_t> reportedTexts_;
+  std::uint64_t offset_ = 0;
   NamedVersions versions_;
   Evacuations evacuations_;
   /** Those that the log lines have named, with the offsets of their records. */
@@ -323,7 +301,7 @@
   std::optional<utils::Millis> outageAt_;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable updateAvailable_;
-  /** Epoch of the log in which offsets count; 0: not stated. */
+  /** Epoch of the log in which end_ and offset_ count; 0: not stated. */
   std::uint64_t epoch_ = 0;
   /** Until then reads don't confirm the configuration; see BeginEpoch. */
   utils::Millis unconfirmedUntil_;
