--- a/libs/net/src/HttpServer.cpp
+++ b/libs/net/src/HttpServer.cpp
@@ -89,8 +89,8 @@
 // request that is not read for longer.
 constexpr utils::Millis kMemoryWait(1000);
 
-// Interval in which a request that waits, for memory or for its next bytes,
-// learns that it may go on or has to give way.
+// Intervals in which a request that waits for memory checks whether there is
+// any, and one that waits for its next bytes whether it has to give way.
 constexpr utils::Millis kMemoryPoll(20);
 constexpr utils::Millis kGiveWayPoll(250);
 
