review: case 8 sends its odd requests at the same time

Cause: requests one after the other mostly use the same stack, so that fewer stale addresses are left.

--- a/review/stand-2/TraceBody.cpp
+++ b/review/stand-2/TraceBody.cpp
@@ -139,8 +139,14 @@
       [&] { RunClient(entry.GetAddress(), stop, served, lost); });
   }
   Sleep(kPhaseMs);
+  std::vector<std::thread> oddClients;
+  oddClients.reserve(kOddRequests);
   for (int i = 0; i < kOddRequests; ++i) {
-    SendOddRequest(aRecord, entry.GetAddress());
+    oddClients.emplace_back(
+      [&] { SendOddRequest(aRecord, entry.GetAddress()); });
+  }
+  for (auto& client : oddClients) {
+    client.join();
   }
   aRecord.Say("after the odd requests: " + DescribeEnd(entry));
   // More than StableMs after the start of the machine.
