--- a/review/stand-2/LongHeader.cpp
+++ b/review/stand-2/LongHeader.cpp
@@ -7,8 +7,8 @@
 
 #include <sys/wait.h>
 
-// One client sends a request with a long list of prompt parts, inside the
-// desired state's MaxHeaderBytes.
+// One client sends a request with a long list of prompt parts, shorter
+// than the configured limit of a header.
 
 namespace waxwingyoke::review {
 
@@ -98,7 +98,7 @@
                kMaxHeaderBytes));
   Daemon entry(folder.GetPath(),
                Daemon::Options{ "fleet-entry",
-                                "edge-1",
+                                "entry-1",
                                 net + "1",
                                 "z1",
                                 net + "9",
@@ -115,7 +115,7 @@
   for (int i = 0; i < kChannels; ++i) {
     clients.emplace_back([&] { RunClient(entry.GetAddress(), stop, seen); });
   }
-  // More than StableMs after the start of the machine.
+  // The entry has settled after its start.
   Sleep(kPhaseMs);
   auto servedBefore = seen.served.load();
   auto id = MakeAttemptId();
--- a/review/stand-2/ReplacedRunners.cpp
+++ b/review/stand-2/ReplacedRunners.cpp
@@ -123,7 +123,7 @@
   std::vector<std::thread> leaving_;
 };
 
-/** Asks for readiness once a second on a kept channel, as the platform does. */
+/** Checks readiness on a persistent connection, as the load balancer does. */
 struct Readiness
 {
   Channel channel;
@@ -140,7 +140,7 @@
   }
 };
 
-// Whether none of the new clients gets an answer on a new channel for StableMs
+// Whether no client gets an answer on a new connection for twice kStableMs,
 // although the entry says that it is ready.
 bool
 IsDeafToNewChannels(Record& aRecord,
@@ -207,7 +207,7 @@
                { MakePlainService("reg") }));
   Daemon entry(folder.GetPath(),
                Daemon::Options{ "fleet-entry",
-                                "edge-1",
+                                "entry-1",
                                 net + "1",
                                 "z1",
                                 net + "9",
@@ -248,7 +248,7 @@
   aRecord.Say("replaced " + std::to_string(service.GetReplaced()) +
               " runners; the entry holds " +
               std::to_string(entry.CountDescriptors()) + " descriptors");
-  // The release is over; StableMs after it the entry is in touch.
+  // The replacements are over; the entry settles.
   Sleep(kDrainMs + kStableMs);
   bool isBroken =
     isRunning && IsDeafToNewChannels(aRecord, entry.GetAddress(), readiness);
--- a/review/stand-2/SmuggledRequest.cpp
+++ b/review/stand-2/SmuggledRequest.cpp
@@ -5,7 +5,7 @@
 
 #include <unistd.h>
 
-// A client that the operators don't control names a transfer coding that is not
+// A client names a transfer coding that is not
 // chunked, and no length. The bytes of the body are the text of a request.
 
 namespace waxwingyoke::review {
@@ -86,7 +86,7 @@
                { MakePlainService("reg") }));
   Daemon entry(folder.GetPath(),
                Daemon::Options{ "fleet-entry",
-                                "edge-1",
+                                "entry-1",
                                 net + "1",
                                 "z1",
                                 net + "9",
--- a/review/stand-2/Stand.cpp
+++ b/review/stand-2/Stand.cpp
@@ -367,7 +367,7 @@
 {
 }
 
-// A settings file as the platform writes it, with the bounds of a small site.
+// Writes a daemon's settings file, with the bounds of a small deployment.
 void
 Daemon::WriteSettings() const
 {
@@ -571,7 +571,9 @@
 
 Folder::Folder()
 {
-  std::string name = "/tmp/waxwingyoke-review-XXXXXX";
+  auto name =
+    (std::filesystem::temp_directory_path() / "waxwingyoke-review-XXXXXX")
+      .string();
   path_ = ::mkdtemp(name.data()) == nullptr ? "" : name;
 }
 
--- a/review/stand-2/Stand.h
+++ b/review/stand-2/Stand.h
@@ -10,9 +10,8 @@
 
 #include "Http.h"
 
-// Stand-ins of the users' platform for the cases of this review, as its pages
-// describe them: the store, runners of a plain service and clients. The daemons
-// are started as real processes.
+// Fakes of the log, of upstreams of a plain service and of clients, for the
+// cases of this review. The daemons are started as real processes.
 
 namespace waxwingyoke::review {
 
@@ -54,7 +53,7 @@
   std::ofstream file_;
 };
 
-/** The platform's store: keyed topics of one partition. */
+/** A fake of the log service: keyed topics of one partition. */
 class Store
 {
 public:
@@ -83,7 +82,7 @@
   Server server_;
 };
 
-/** A runner of a service, which registers itself in the store. */
+/** A fake upstream of a service, which registers itself in the log. */
 class Runner
 {
 public:
@@ -144,11 +143,11 @@
     std::string zone = "z1";
     std::string store;
     std::vector<std::string> seeds;
-    /** The runner on its machine and that runner's service. */
+    /** The upstream on its VM and that upstream's service. */
     std::string app;
     std::string service;
     int memoryMb = 260;
-    /** The platform's limit of descriptors. */
+    /** The process's limit of descriptors. */
     int descriptors = 4100;
   };
 
@@ -177,7 +176,7 @@
   std::optional<int> end_;
 };
 
-/** A route of the desired state. */
+/** A route of the configuration. */
 struct RouteShape
 {
   std::string name;
@@ -201,7 +200,7 @@
 std::string
 MakePlainService(const std::string& aName);
 
-/** A new id of a client attempt. */
+/** A new id of a request. */
 std::string
 MakeAttemptId();
 
@@ -213,7 +212,7 @@
             const std::string& aBody,
             const Fields& aMore = {});
 
-/** A folder under /tmp that is removed in the end. */
+/** A temporary folder that is removed in the end. */
 class Folder
 {
 public:
--- a/review/stand-2/TraceBody.cpp
+++ b/review/stand-2/TraceBody.cpp
@@ -8,8 +8,8 @@
 #include <signal.h>
 #include <sys/wait.h>
 
-// Some clients send requests with the method TRACE and a body; later the
-// operator evacuates a zone.
+// Some clients send requests with the method TRACE and a body; later a data
+// centre is evacuated.
 
 namespace waxwingyoke::review {
 
@@ -118,7 +118,7 @@
                { MakePlainService("reg") }));
   Daemon entry(folder.GetPath(),
                Daemon::Options{ "fleet-entry",
-                                "edge-1",
+                                "entry-1",
                                 net + "1",
                                 "z1",
                                 net + "9",
@@ -149,14 +149,14 @@
     client.join();
   }
   aRecord.Say("after the odd requests: " + DescribeEnd(entry));
-  // More than StableMs after the start of the machine.
+  // The entry has settled after its start.
   Sleep(kPhaseMs);
   auto servedBefore = served.load();
   for (int i = 0; i < kEvacuations && !entry.FindEnd(); ++i) {
-    aRecord.Write("zone z2 is evacuated");
+    aRecord.Write("data centre z2 is evacuated");
     store.Append("keyed.op", "evacuate/z2", "{\"Zone\":\"z2\"}");
     Sleep(kPhaseMs);
-    aRecord.Write("zone z2 is taken back");
+    aRecord.Write("the evacuation of z2 ends");
     store.Append("keyed.op", "evacuate/z2", "");
     Sleep(kPhaseMs);
   }
