Client: a response whose status has no class is refused

What callers saw, on through the daemon as a process (a caller, an entry, a scripted upstream): after a status of 000, 001, 020 or 099 the caller of an unsafe request got what followed the head, also where that was the body of the broken answer ("200 OK" with a body that was not the upstream's), and otherwise waited out its 6 s and got a 504. A status of 600, 799 or 999 was delivered as it was, with the upstream's stamp.

Cause: Beast's parser accepts any three digits, and the client asked only whether a status was below 200: then it was an interim response and the next head on the connection was read, otherwise it was final. Ruled out: what passes fields on and the checks of stamps and attempt ids, which the inner answer fulfils.

Change: a status outside 100 to 599 (RFC 9110, 15) fails the read of the head. The call fails like for any head that can't be parsed, at once, with its connection closed: the outcome is unknown, so a request that may not be repeated gets a 502 and a safe one is served by another upstream. All HTTP responses that the daemons and the tool read come through this function.

Evidence: net_test with both new cases fails on (calls return the inner response or time out); fleet_heads_test with the daemon of gets 504, or 200 with the broken body, for each of the statuses played.

--- a/libs/net/src/ResponseStream.cpp
+++ b/libs/net/src/ResponseStream.cpp
@@ -19,8 +19,10 @@
 constexpr std::size_t kReadBytes = 8 * 1024;
 // Interim responses (1xx) that may come before the response to one request.
 constexpr int kMaxInterimResponses = 8;
+constexpr unsigned kFirstInterimStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 struct FramingName
 {
@@ -68,6 +70,15 @@
   return status < kFirstFinalStatus && status != kSwitchingProtocols;
 }
 
+// Beast's parser accepts any three digits. A status without a class says
+// neither whether a body follows nor whether another response does.
+bool
+ResponseStream::Impl::HasStatusClass() const
+{
+  auto status = parser->get().result_int();
+  return status >= kFirstInterimStatus && status <= kLastStatus;
+}
+
 IoResult
 ResponseStream::Impl::ReadHead()
 {
@@ -95,18 +106,23 @@
   Traffic::Get().received.Add(result.bytes);
   if (!result.error) {
     fields = ReadFields(parser->get());
-    // The first response broke off within a line, and the next one followed.
-    auto reason = parser->get().reason();
-    bool isJoined =
-      ContainsStatusLine({ reason.data(), reason.size() }) ||
-      std::ranges::any_of(fields, ContainsStatusLine, &HttpField::value);
-    if (isJoined) {
+    if (!HasStatusClass()) {
+      result.error = http::make_error_code(http::error::bad_status);
+    } else if (IsJoined()) {
       result.error = http::make_error_code(http::error::bad_value);
     }
   }
   return result;
 }
 
+bool
+ResponseStream::Impl::IsJoined() const
+{
+  auto reason = parser->get().reason();
+  return ContainsStatusLine({ reason.data(), reason.size() }) ||
+         std::ranges::any_of(fields, ContainsStatusLine, &HttpField::value);
+}
+
 IoResult
 ResponseStream::Impl::SkipBody(std::size_t aMax)
 {
--- a/libs/net/src/ResponseStreamImpl.h
+++ b/libs/net/src/ResponseStreamImpl.h
@@ -31,6 +31,10 @@
   /** The same, also if the response is an interim one (1xx). */
   IoResult ReadAnyHead();
   bool IsInterim() const;
+  /** Whether the status is one of those that HTTP defines a class for. */
+  bool HasStatusClass() const;
+  /** Whether the response broke off within a line and another one followed. */
+  bool IsJoined() const;
   /**
    * Reads and discards the body of the response whose header was read; fails if
    * it is longer than aMax bytes.
