Client: a response that switches protocols is refused

After such an answer the connection does not speak HTTP any more, and no body follows.

Cause: 101 was exempt from the interim responses and so counted as final. No request of the daemons or of the tool asks for an upgrade (the field Upgrade is not passed on), so none may be answered like this (RFC 9110, 15.2.2).

Change: 101 is no valid status of a response, like one without a class.

--- a/libs/net/src/ResponseStream.cpp
+++ b/libs/net/src/ResponseStream.cpp
@@ -66,17 +66,18 @@
 bool
 ResponseStream::Impl::IsInterim() const
 {
-  auto status = parser->get().result_int();
-  return status < kFirstFinalStatus && status != kSwitchingProtocols;
+  return parser->get().result_int() < kFirstFinalStatus;
 }
 
 // Beast's parser accepts any three digits. A status without a class says
-// neither whether a body follows nor whether another response does.
+// neither whether a body follows nor whether another response does, and no
+// request asks for another protocol.
 bool
-ResponseStream::Impl::HasStatusClass() const
+ResponseStream::Impl::HasValidStatus() const
 {
   auto status = parser->get().result_int();
-  return status >= kFirstInterimStatus && status <= kLastStatus;
+  return status >= kFirstInterimStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
 }
 
 IoResult
@@ -106,7 +107,7 @@
   Traffic::Get().received.Add(result.bytes);
   if (!result.error) {
     fields = ReadFields(parser->get());
-    if (!HasStatusClass()) {
+    if (!HasValidStatus()) {
       result.error = http::make_error_code(http::error::bad_status);
     } else if (IsJoined()) {
       result.error = http::make_error_code(http::error::bad_value);
--- a/libs/net/src/ResponseStreamImpl.h
+++ b/libs/net/src/ResponseStreamImpl.h
@@ -31,8 +31,8 @@
   /** The same, also if the response is an interim one (1xx). */
   IoResult ReadAnyHead();
   bool IsInterim() const;
-  /** Whether the status is one of those that HTTP defines a class for. */
-  bool HasStatusClass() const;
+  /** Whether a response to one of our requests may have this status. */
+  bool HasValidStatus() const;
   /** Whether the response broke off within a line and another one followed. */
   bool IsJoined() const;
   /**
--- a/libs/net/tests/BrokenHeadsTest.cpp
+++ b/libs/net/tests/BrokenHeadsTest.cpp
@@ -141,8 +141,7 @@
         // The server takes the next connection once the first is closed.
         aRun.SetResponse(MakeResponse("200", "next"), false);
         auto next = aRun.Call(reason, false);
-        REQUIRE(next);
-        CHECK(next->body == "next");
+        CHECK((next && next->body == "next"));
         CHECK(aRun.GetLaterRequests() == 0);
       }
     }
@@ -161,6 +160,13 @@
   }
 }
 
+// Guards against a connection that counts as upgraded although no request asks
+// for that.
+TEST_CASE("a response that switches protocols is refused")
+{
+  CheckRefused(ListResponses("101"));
+}
+
 TEST_CASE("the first and last statuses of each class are accepted")
 {
   Exchanges run([](Exchanges& aRun) {
