Client: a response with a line that begins with a blank is refused

A line that frames the body, such as " Transfer-Encoding: chunked", was not applied, so that the body is not the one that the upstream sent.

Cause: Beast's parser joins a line that begins with a blank with the field before (obs-fold) and leaves no trace of it. RFC 9112, 5.2 lets a proxy reject such a response or replace the line break; as the sender may have meant a field of its own, the head says nothing certain. Names with a blank elsewhere are refused by the parser.

Change: HeadBuffer looks for such lines in what the parser consumes of a head; the read then fails as for other heads that can't be parsed. Bodies and trailers (whose fields are never passed on) are not looked at. Requests of callers are still read as before.

--- a/libs/net/src/ResponseStream.cpp
+++ b/libs/net/src/ResponseStream.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "HeadBuffer.h"
 #include "HookTimer.h"
 #include "RuntimeImpl.h"
 #include "Traffic.h"
@@ -100,15 +101,18 @@
   parser.emplace();
   parser->skip(isToHead);
   parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  HeadBuffer buffer(connection->buffer);
   auto result = Await([&](auto aHandler) {
     http::async_read_header(
-      connection->stream, connection->buffer, *parser, std::move(aHandler));
+      connection->stream, buffer, *parser, std::move(aHandler));
   });
   Traffic::Get().received.Add(result.bytes);
   if (!result.error) {
     fields = ReadFields(parser->get());
     if (!HasValidStatus()) {
       result.error = http::make_error_code(http::error::bad_status);
+    } else if (buffer.HasFoldedLine()) {
+      result.error = http::make_error_code(http::error::bad_obs_fold);
     } else if (IsJoined()) {
       result.error = http::make_error_code(http::error::bad_value);
     }
--- a/libs/net/tests/BrokenHeads.h
+++ b/libs/net/tests/BrokenHeads.h
@@ -10,6 +10,17 @@
 std::vector<std::string>
 ListClasslessStatuses();
 
+/** A line of a head, with its end. */
+struct HeadLine
+{
+  std::string name;
+  std::string bytes;
+};
+
+/** Lines that begin with a blank, and so belong to the field before. */
+std::vector<HeadLine>
+ListFoldedLines();
+
 } // namespace waxwingyoke::net
 
 #endif // waxwingyoke_net_BrokenHeads_h
--- a/libs/net/tests/BrokenHeadsTest.cpp
+++ b/libs/net/tests/BrokenHeadsTest.cpp
@@ -40,6 +40,14 @@
          "\r\n\r\n" + aBody;
 }
 
+/** A response with this line after the one that frames its body. */
+std::string
+MakeResponseWithLine(const std::string& aLine)
+{
+  return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nId: a\r\n" + aLine +
+         "\r\nbody";
+}
+
 /** Responses that begin with a head of this status. */
 std::vector<std::string>
 ListResponses(const std::string& aStatus)
@@ -72,11 +80,15 @@
     });
   }
 
-  void SetResponse(std::string aBytes, bool aOnKept)
+  /** The server pauses after the first aFirstBytes; 0: not at all. */
+  void SetResponse(std::string aBytes,
+                   bool aOnKept,
+                   std::size_t aFirstBytes = 0)
   {
     std::scoped_lock lock(mutex_);
     bytes_ = std::move(aBytes);
     isOnKept_ = aOnKept;
+    firstBytes_ = aFirstBytes;
     laterRequests_ = 0;
   }
 
@@ -95,17 +107,25 @@
   int GetLaterRequests() const { return laterRequests_; }
 
 private:
+  // Lets bytes that are sent in two parts arrive apart.
+  static constexpr useconds_t kPauseUs = 2000;
+
   void Serve(RawServer::Peer& aPeer)
   {
     std::unique_lock lock(mutex_);
     auto bytes = bytes_;
     bool isOnKept = isOnKept_;
+    auto firstBytes = firstBytes_;
     lock.unlock();
     if (isOnKept && aPeer.ReadRequest()) {
       aPeer.Send(MakeResponse("200", "sound"));
     }
     if (aPeer.ReadRequest()) {
-      aPeer.Send(bytes);
+      if (firstBytes > 0) {
+        aPeer.Send(bytes.substr(0, firstBytes));
+        usleep(kPauseUs);
+      }
+      aPeer.Send(bytes.substr(firstBytes));
     }
     while (aPeer.ReadRequest()) {
       ++laterRequests_;
@@ -115,6 +135,7 @@
   std::mutex mutex_;
   std::string bytes_;
   bool isOnKept_ = false;
+  std::size_t firstBytes_ = 0;
   std::atomic<int> laterRequests_{ 0 };
   HttpClient client_;
   RawServer server_{ MakeEndpoint(),
@@ -167,6 +188,45 @@
   CheckRefused(ListResponses("101"));
 }
 
+// Guards against a line that is taken for a part of the value before it, which
+// it changes, although its sender may have meant a field that frames the body.
+TEST_CASE("a response with a line that begins with a blank is refused")
+{
+  std::vector<std::string> responses;
+  for (const auto& line : ListFoldedLines()) {
+    responses.push_back(MakeResponseWithLine(line.bytes));
+    responses.push_back("HTTP/1.1 200 OK\r\n" + line.bytes +
+                        "Content-Length: 4\r\n\r\nbody");
+    responses.push_back("HTTP/1.1 200 OK\r\nA:\r\n" + line.bytes +
+                        "Content-Length: 4\r\n\r\nbody");
+    responses.push_back("HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line.bytes +
+                        "\r\n" + MakeResponse("200", "body"));
+  }
+  CheckRefused(responses);
+}
+
+// Guards against a check of lines that a head's parts change, or that takes
+// bytes of a body for a head.
+TEST_CASE("a head that arrives in parts is checked as a whole")
+{
+  const std::string sound =
+    "HTTP/1.1 200 OK\r\nA: b  c\td \r\nContent-Length: 7\r\n\r\n\r\n body";
+  const std::string folded =
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nA: b\r\n c\r\n\r\nbody";
+  Exchanges run([&](Exchanges& aRun) {
+    for (std::size_t at = 1; at < folded.size(); ++at) {
+      CAPTURE(at);
+      utils::Error reason;
+      aRun.SetResponse(sound, false, at);
+      auto response = aRun.Call(reason, false);
+      CHECK((response && response->body == "\r\n body"));
+      CHECK((response && response->fields.Find("A") == "b  c\td"));
+      aRun.SetResponse(folded, false, at);
+      CHECK_FALSE(aRun.Call(reason));
+    }
+  });
+}
+
 TEST_CASE("the first and last statuses of each class are accepted")
 {
   Exchanges run([](Exchanges& aRun) {
