Tests: malformed names in heads and trailers, streams and trailers of callers

Handled already; the tests stay. New here: heads and trailers of streams, and the trailers of callers' requests, which are refused with 400 and close.

--- a/libs/net/tests/BrokenHeads.cpp
+++ b/libs/net/tests/BrokenHeads.cpp
@@ -8,6 +8,29 @@
   return { "000", "001", "020", "099", "600", "799", "999" };
 }
 
+std::vector<HeadLine>
+ListMalformedNames()
+{
+  using namespace std::string_literals;
+  return {
+    { "blank within", "X Name: value\r\n" },
+    { "blank before the colon", "X-Name : value\r\n" },
+    { "tab within", "X\tName: value\r\n" },
+    { "tab before the colon", "X-Name\t: value\r\n" },
+    { "NUL", "X\0Name: value\r\n"s },
+    { "first control byte", "X\x01Name: value\r\n" },
+    { "last control byte", "X\x1fName: value\r\n" },
+    { "DEL", "X\x7fName: value\r\n" },
+    { "CR", "X\rName: value\r\n" },
+    { "LF", "X\nName: value\r\n" },
+    { "no ASCII", "X\x80Name: value\r\n" },
+    { "no name", ": value\r\n" },
+    { "no colon", "value\r\n" },
+    { "blank in a name that frames the body",
+      "Transfer-Encoding : chunked\r\n" },
+  };
+}
+
 std::vector<HeadLine>
 ListFoldedLines()
 {
--- a/libs/net/tests/BrokenHeads.h
+++ b/libs/net/tests/BrokenHeads.h
@@ -17,6 +17,10 @@
   std::string bytes;
 };
 
+/** Lines whose field has a name that HTTP does not allow, or none. */
+std::vector<HeadLine>
+ListMalformedNames();
+
 /** Lines that begin with a blank, and so belong to the field before. */
 std::vector<HeadLine>
 ListFoldedLines();
--- a/libs/net/tests/BrokenHeadsTest.cpp
+++ b/libs/net/tests/BrokenHeadsTest.cpp
@@ -188,6 +188,22 @@
   CheckRefused(ListResponses("101"));
 }
 
+TEST_CASE("a response with a malformed name in its head or trailers is refused")
+{
+  std::vector<std::string> responses;
+  for (const auto& line : ListMalformedNames()) {
+    responses.push_back(MakeResponseWithLine(line.bytes));
+    responses.push_back("HTTP/1.1 200 OK\r\n" + line.bytes +
+                        "Content-Length: 4\r\n\r\nbody");
+    responses.push_back("HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line.bytes +
+                        "\r\n" + MakeResponse("200", "body"));
+    responses.push_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "4\r\nbody\r\n0\r\nX-Sum: 1\r\n" +
+                        line.bytes + "\r\n");
+  }
+  CheckRefused(responses);
+}
+
 // Guards against a line that is taken for a part of the value before it, which
 // it changes, although its sender may have meant a field that frames the body.
 TEST_CASE("a response with a line that begins with a blank is refused")
--- a/libs/net/tests/RequestMemoryTest.cpp
+++ b/libs/net/tests/RequestMemoryTest.cpp
@@ -10,6 +10,7 @@
 #include <net/HttpServer.h>
 #include <net/RequestMemory.h>
 
+#include "BrokenHeads.h"
 #include "RawCaller.h"
 
 using namespace waxwingyoke;
@@ -164,6 +165,22 @@
   });
 }
 
+TEST_CASE("trailers with a malformed name are refused, and end the connection")
+{
+  for (const auto& line : ListMalformedNames()) {
+    CAPTURE(line.name);
+    RunServer(nullptr, [&line](const Endpoint& aPeer) {
+      RawCaller caller(aPeer);
+      CHECK(caller.Send(MakeHead("Transfer-Encoding: chunked") +
+                        "2\r\nab\r\n0\r\nX: 2\r\n" + line.bytes + "\r\n"));
+      auto answer = caller.ReadToEnd(kAnswerTime);
+      CHECK(answer.starts_with("HTTP/1.1 400"));
+      CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+      CHECK(caller.IsAtEnd());
+    });
+  }
+}
+
 // Guards against a read buffer that grows with what the parser can't take yet.
 TEST_CASE("trailers and chunk lines over the limit of a header are refused")
 {
