--- a/libs/net/tests/BrokenHeads.cpp
+++ b/libs/net/tests/BrokenHeads.cpp
@@ -44,4 +44,31 @@
   };
 }
 
+std::string
+MakeResponse(const std::string& aStatus,
+             const std::string& aBody,
+             const std::string& aLine)
+{
+  return "HTTP/1.1 " + aStatus +
+         " Status\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\nA: a\r\n" + aLine + "\r\n" + aBody;
+}
+
+std::vector<std::string>
+ListBrokenResponses(const std::string& aStatus, const std::string& aBody)
+{
+  std::vector<std::string> responses;
+  auto sound = MakeResponse(aStatus, aBody);
+  for (const auto* status : { "000", "099", "101", "600", "999" }) {
+    responses.push_back(MakeResponse(status, aBody));
+    responses.push_back(MakeResponse(status, sound));
+  }
+  for (const auto& lines : { ListMalformedNames(), ListFoldedLines() }) {
+    for (const auto& line : lines) {
+      responses.push_back(MakeResponse(aStatus, aBody, line.bytes));
+    }
+  }
+  return responses;
+}
+
 } // namespace waxwingyoke::net
--- a/libs/net/tests/BrokenHeads.h
+++ b/libs/net/tests/BrokenHeads.h
@@ -25,6 +25,16 @@
 std::vector<HeadLine>
 ListFoldedLines();
 
+/** A response of that status; aLine is a further line of its head. */
+std::string
+MakeResponse(const std::string& aStatus,
+             const std::string& aBody,
+             const std::string& aLine = "");
+
+/** What a faulty server may send in place of that response. */
+std::vector<std::string>
+ListBrokenResponses(const std::string& aStatus, const std::string& aBody);
+
 } // namespace waxwingyoke::net
 
 #endif // waxwingyoke_net_BrokenHeads_h
--- a/libs/net/tests/BrokenHeadsTest.cpp
+++ b/libs/net/tests/BrokenHeadsTest.cpp
@@ -32,22 +32,6 @@
            7303 };
 }
 
-std::string
-MakeResponse(const std::string& aStatus, const std::string& aBody)
-{
-  return "HTTP/1.1 " + aStatus +
-         " Status\r\nContent-Length: " + std::to_string(aBody.size()) +
-         "\r\n\r\n" + aBody;
-}
-
-/** A response with this line after the one that frames its body. */
-std::string
-MakeResponseWithLine(const std::string& aLine)
-{
-  return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nId: a\r\n" + aLine +
-         "\r\nbody";
-}
-
 /** Responses that begin with a head of this status. */
 std::vector<std::string>
 ListResponses(const std::string& aStatus)
@@ -192,7 +176,7 @@
 {
   std::vector<std::string> responses;
   for (const auto& line : ListMalformedNames()) {
-    responses.push_back(MakeResponseWithLine(line.bytes));
+    responses.push_back(MakeResponse("200", "body", line.bytes));
     responses.push_back("HTTP/1.1 200 OK\r\n" + line.bytes +
                         "Content-Length: 4\r\n\r\nbody");
     responses.push_back("HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line.bytes +
@@ -210,7 +194,7 @@
 {
   std::vector<std::string> responses;
   for (const auto& line : ListFoldedLines()) {
-    responses.push_back(MakeResponseWithLine(line.bytes));
+    responses.push_back(MakeResponse("200", "body", line.bytes));
     responses.push_back("HTTP/1.1 200 OK\r\n" + line.bytes +
                         "Content-Length: 4\r\n\r\nbody");
     responses.push_back("HTTP/1.1 200 OK\r\nA:\r\n" + line.bytes +
--- a/libs/requests/tests/UpstreamClientTest.cpp
+++ b/libs/requests/tests/UpstreamClientTest.cpp
@@ -5,6 +5,7 @@
 
 #include <unistd.h>
 
+#include <BrokenHeads.h>
 #include <RawServer.h>
 #include <net/Runtime.h>
 
@@ -130,3 +131,37 @@
     return 0;
   });
 }
+
+// Guards against a broken answer of a service that is held as the attempt's.
+TEST_CASE("an answer whose head breaks HTTP is not the attempt's")
+{
+  constexpr Millis kTimeout(10000);
+  auto endpoint = MakeEndpoint();
+  std::string response;
+  bool dies = false;
+  net::RawServer server(endpoint, MakeService(response, dies));
+  REQUIRE(server.IsListening());
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    net::HttpClient client;
+    Upstream upstream{ endpoint, false };
+    UpstreamClient upstreamClient(client, upstream);
+    for (const auto& broken : net::ListBrokenResponses("200", "body")) {
+      CAPTURE(broken);
+      response = broken;
+      schema::AttemptRequest request;
+      request.set_method("POST");
+      request.set_path("/a");
+      Answer answer;
+      utils::Error reason;
+      utils::Clock clock;
+      CHECK_FALSE(upstreamClient.Run(
+        request, "", clock.Now() + kTimeout, answer, reason));
+      CHECK(reason.kind == utils::ErrorKind::UpstreamFailed);
+      auto part = answer.Wait(false, 0, Millis(0));
+      CHECK_FALSE(part.head);
+      CHECK(part.data.empty());
+    }
+    return 0;
+  });
+}
--- a/libs/rpc/tests/RpcTest.cpp
+++ b/libs/rpc/tests/RpcTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <mutex>
 #include <numeric>
 #include <optional>
 #include <string>
@@ -9,7 +10,9 @@
 
 #include <unistd.h>
 
+#include <BrokenHeads.h>
 #include <JsonRpcBridge.h>
+#include <RawServer.h>
 #include <net/HttpClient.h>
 #include <net/HttpServer.h>
 #include <rpc/RpcClient.h>
@@ -245,6 +248,42 @@
   });
 }
 
+// Guards against a reply that is read from what follows a broken head.
+TEST_CASE("a reply whose head breaks HTTP is not returned")
+{
+  const std::string body = R"({"jsonrpc":"2.0","id":1,"result":{}})";
+  std::mutex mutex;
+  std::string answer;
+  net::RawServer server(MakeEndpoint(), [&](net::RawServer::Peer& aPeer) {
+    while (aPeer.ReadRequest()) {
+      std::scoped_lock lock(mutex);
+      aPeer.Send(answer);
+    }
+  });
+  REQUIRE(server.IsListening());
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    net::HttpClient http;
+    rpc::RpcClient client(http, "secret");
+    auto call = [&](const std::string& aAnswer, utils::Error& aReason) {
+      std::unique_lock lock(mutex);
+      answer = aAnswer;
+      lock.unlock();
+      schema::SyncReply reply;
+      return client.Call(
+        MakeEndpoint(), "control.sync", MakeSyncRequest(), reply, {}, aReason);
+    };
+    utils::Error reason;
+    CHECK_MESSAGE(call(net::MakeResponse("200", body), reason), reason.detail);
+    for (const auto& broken : net::ListBrokenResponses("200", body)) {
+      CAPTURE(broken);
+      CHECK_FALSE(call(broken, reason));
+      CHECK(reason.kind == utils::ErrorKind::ConnectionLost);
+    }
+    return 0;
+  });
+}
+
 // Guards against directory rows and offers that no process sent, since a link
 // changed one byte of the request that carries them.
 TEST_CASE("a request with a changed byte reaches no method")
--- a/libs/weights/tests/FetcherTest.cpp
+++ b/libs/weights/tests/FetcherTest.cpp
@@ -9,6 +9,7 @@
 
 #include <unistd.h>
 
+#include <BrokenHeads.h>
 #include <Fetcher.h>
 #include <RawServer.h>
 #include <net/Runtime.h>
@@ -105,3 +106,18 @@
   CHECK(kind == utils::ErrorKind::NotFound);
   CHECK(sent < kParts);
 }
+
+// Guards against the body of a broken answer that passes as the object, or that
+// delays the fetch to its deadline.
+TEST_CASE("a fetch from a source whose head breaks HTTP fails at once")
+{
+  for (const auto& broken : net::ListBrokenResponses("200", "x")) {
+    CAPTURE(broken);
+    auto kind = FetchFrom([&](net::RawServer::Peer& aPeer) {
+      while (aPeer.ReadRequest()) {
+        aPeer.Send(broken);
+      }
+    });
+    CHECK(kind == utils::ErrorKind::ConnectionLost);
+  }
+}
