Entries: a side's answer with no status of a final response is not delivered

A side of this release gets none from its upstream any more; one of an earlier release, which runs beside newer entries during an upgrade, may.

Change: an answer whose status is not one of 200 to 599 ends the attempt as UpstreamFailed: 502 with run "unknown", or another side for an idempotent request. The client of libs/net checks final statuses by the same function.

Evidence: requests_test "an answer is delivered only with a status of a final response": without the change 7 of 13 checks fail (the statuses 0, 99, 100, 101, 199, 600 and 999 count as answered), with it none.

--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -66,6 +66,10 @@
   std::string body;
 };
 
+/** Whether a response that is no interim one may have this status. */
+bool
+IsFinalStatus(int aStatus);
+
 /** A response with a JSON body. */
 HttpResponse
 MakeJsonResponse(int aStatus, std::string aJson);
--- a/libs/net/src/Http.cpp
+++ b/libs/net/src/Http.cpp
@@ -45,6 +45,15 @@
   fields_.push_back({ std::string(aName), std::string(aValue) });
 }
 
+// RFC 9110, 15.
+bool
+IsFinalStatus(int aStatus)
+{
+  constexpr int kFirst = 200;
+  constexpr int kLast = 599;
+  return aStatus >= kFirst && aStatus <= kLast;
+}
+
 HttpResponse
 MakeJsonResponse(int aStatus, std::string aJson)
 {
--- a/libs/net/src/ResponseStream.cpp
+++ b/libs/net/src/ResponseStream.cpp
@@ -23,7 +23,6 @@
 constexpr unsigned kFirstInterimStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
-constexpr unsigned kLastStatus = 599;
 
 struct FramingName
 {
@@ -77,8 +76,9 @@
 ResponseStream::Impl::HasValidStatus() const
 {
   auto status = parser->get().result_int();
-  return status >= kFirstInterimStatus && status <= kLastStatus &&
-         status != kSwitchingProtocols;
+  bool isInterim = status >= kFirstInterimStatus &&
+                   status < kFirstFinalStatus && status != kSwitchingProtocols;
+  return isInterim || IsFinalStatus(static_cast<int>(status));
 }
 
 IoResult
--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -243,8 +243,7 @@
                         Progress& aProgress) const
 {
   if (aFrame.has_head()) {
-    aProgress.result.version = aFrame.head().version();
-    aProgress.sink.OnHead(aFrame.head());
+    ApplyHead(aFrame.head(), aProgress);
   } else if (aFrame.body_case() == schema::AnswerFrame::kData) {
     aProgress.bytes += aFrame.data().size();
     aProgress.digest.Add(aFrame.data());
@@ -261,6 +260,23 @@
   }
 }
 
+// A side of an earlier release may pass on a status that is none of a response.
+void
+AttemptCall::ApplyHead(const schema::AnswerHead& aHead,
+                       Progress& aProgress) const
+{
+  if (!net::IsFinalStatus(aHead.status())) {
+    aProgress.result.error.Set(ErrorKind::UpstreamFailed,
+                               "the upstream answered " +
+                                 std::to_string(aHead.status()));
+    aProgress.done = true;
+    Cancel(aProgress);
+    return;
+  }
+  aProgress.result.version = aHead.version();
+  aProgress.sink.OnHead(aHead);
+}
+
 void
 AttemptCall::ApplyEnd(const schema::AnswerEnd& aEnd, Progress& aProgress) const
 {
--- a/libs/requests/src/AttemptCall.h
+++ b/libs/requests/src/AttemptCall.h
@@ -88,6 +88,7 @@
   void ReadFrames(net::ResponseStream& aStream, Progress& aProgress) const;
   bool IsCallerDisconnected(Progress& aProgress) const;
   void ApplyFrame(const schema::AnswerFrame& aFrame, Progress& aProgress) const;
+  void ApplyHead(const schema::AnswerHead& aHead, Progress& aProgress) const;
   void ApplyEnd(const schema::AnswerEnd& aEnd, Progress& aProgress) const;
   void Cancel(const Progress& aProgress) const;
   utils::Millis GetMaxAge(const Progress& aProgress) const;
--- a/libs/requests/tests/AttemptCallTest.cpp
+++ b/libs/requests/tests/AttemptCallTest.cpp
@@ -138,3 +138,64 @@
     return 0;
   });
 }
+
+// Guards against a status that a side of an earlier release has taken from a
+// broken answer of its upstream.
+TEST_CASE("an answer is delivered only with a status of a final response")
+{
+  constexpr Millis kCallTime(10000);
+  const std::string body = "body";
+  int status = 0;
+  auto answer = [&](const net::HttpRequest& aRequest, auto& aWriter) {
+    net::HttpResponse response;
+    if (aRequest.target == "/attempts") {
+      schema::AnswerFrame frame;
+      frame.mutable_head()->set_status(status);
+      AppendFrame(frame, response.body);
+      AppendData(body, response.body);
+      auto& end = *frame.mutable_end();
+      end.set_error(std::string(utils::GetName(utils::ErrorKind::None)));
+      end.set_incarnation("incarnation");
+      end.set_data_bytes(body.size());
+      end.set_digest(utils::Digest::Of(body).ToHex());
+      AppendFrame(frame, response.body);
+    }
+    aWriter.Send(response);
+  };
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    utils::Error bindError;
+    auto server = net::HttpServer::Builder(runtime)
+                    .SetEndpoint(MakeEndpoint())
+                    .SetHandler(answer)
+                    .Build(bindError);
+    REQUIRE_MESSAGE(server, bindError.detail);
+    net::HttpClient client;
+    rpc::RpcClient rpc(client, "secret");
+    AttemptCall call(client, rpc, "secret");
+    auto run = [&](int aStatus) {
+      status = aStatus;
+      SilentWriter writer;
+      CallerSink sink(writer, false);
+      schema::AttemptRequest request;
+      request.set_attempt("attempt");
+      utils::Clock clock;
+      return call
+        .Run({ MakeEndpoint(), "incarnation" },
+             request,
+             { clock.Now() + kCallTime, kCallTime },
+             sink)
+        .error;
+    };
+    for (int sound : { 200, 204, 404, 500, 599 }) {
+      CAPTURE(sound);
+      auto error = run(sound);
+      CHECK_MESSAGE(!error.IsSet(), error.detail);
+    }
+    for (int broken : { 0, 99, 100, 101, 199, 600, 999 }) {
+      CAPTURE(broken);
+      CHECK(run(broken).kind == utils::ErrorKind::UpstreamFailed);
+    }
+    return 0;
+  });
+}
