Sides: an upstream that answers a probe with a broken head has not crashed

A side asks an upstream that failed an attempt whether it still runs, and gives the request a strike if it has crashed; two of them quarantine the request for all. A probe whose answer broke HTTP counted like a dropped connection: five of them, and the upstream had crashed, although it answered.

Change: the client reports that a head broke HTTP, as apart from a close before or within a head, and the probes of plain services and of engines count that as an answer.

--- a/libs/net/include/net/HttpClient.h
+++ b/libs/net/include/net/HttpClient.h
@@ -142,6 +142,11 @@
   /** False for a peer that accepts few connections and that many processes
    * call rarely. */
   bool keepConnection = true;
+  /**
+   * Set to true if the call fails because the head of the response breaks HTTP:
+   * the peer has answered, although not in a usable way. May be null.
+   */
+  bool* isHeadBroken = nullptr;
   /** A Call whose response's body is larger fails with TooLarge. */
   std::size_t maxBodyBytes = kDefaultMaxBodyBytes;
   /**
--- a/libs/net/src/HttpClient.cpp
+++ b/libs/net/src/HttpClient.cpp
@@ -56,6 +56,16 @@
   return message;
 }
 
+// Neither a close before the first byte nor one within the head.
+bool
+BreaksHttp(beast::error_code aError)
+{
+  return aError.category() ==
+           http::make_error_code(http::error::bad_status).category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
 ResponseOwner
 FindOwner(const ResponseStream::Impl& aResponse,
           const IoResult& aResult,
@@ -162,6 +172,9 @@
   }
   if (result.error) {
     SetIoError(result.error, "exchange", aReason);
+    if (aOptions.isHeadBroken != nullptr) {
+      *aOptions.isHeadBroken = BreaksHttp(result.error);
+    }
     return nullptr;
   }
   bool mayBeRepeat = connection.reused || skipped > 0;
--- a/libs/platform/src/EngineClient.cpp
+++ b/libs/platform/src/EngineClient.cpp
@@ -35,8 +35,14 @@
 {
   constexpr int kOk = 200;
   constexpr int kConflict = 409;
-  auto response = client_.Call(engine_, aRequest, aTimeouts, aReason);
+  net::CallOptions options;
+  bool isHeadBroken = false;
+  options.isHeadBroken = &isHeadBroken;
+  auto response = client_.Call(engine_, aRequest, aTimeouts, aReason, options);
   if (!response) {
+    if (isHeadBroken) {
+      aReason.kind = ErrorKind::UpstreamFailed;
+    }
     return std::nullopt;
   }
   if (response->status != kOk) {
--- a/libs/requests/src/UpstreamClient.cpp
+++ b/libs/requests/src/UpstreamClient.cpp
@@ -265,8 +265,12 @@
   net::CallTimeouts timeouts{ kConnectTimeout,
                               kControlTimeout,
                               kControlTimeout };
-  return client_.Call(upstream_.endpoint, request, timeouts, aReason)
-    .has_value();
+  net::CallOptions options;
+  bool isHeadBroken = false;
+  options.isHeadBroken = &isHeadBroken;
+  return client_.Call(upstream_.endpoint, request, timeouts, aReason, options)
+           .has_value() ||
+         isHeadBroken;
 }
 
 } // namespace waxwingyoke::requests
--- a/libs/requests/tests/UpstreamClientTest.cpp
+++ b/libs/requests/tests/UpstreamClientTest.cpp
@@ -165,3 +165,37 @@
     return 0;
   });
 }
+
+// Guards against a strike for a request that crashed no upstream.
+TEST_CASE("an upstream that answers a probe with a broken head has not crashed")
+{
+  auto endpoint = MakeEndpoint();
+  std::string response;
+  net::RawServer server(endpoint, [&](net::RawServer::Peer& aPeer) {
+    if (aPeer.ReadRequest()) {
+      aPeer.Send(response);
+    }
+  });
+  REQUIRE(server.IsListening());
+  net::Runtime runtime(1);
+  runtime.Run([&] {
+    net::HttpClient client;
+    for (bool isEngine : { false, true }) {
+      CAPTURE(isEngine);
+      Upstream upstream{ endpoint, isEngine };
+      UpstreamClient upstreamClient(client, upstream);
+      for (const auto& broken : net::ListBrokenResponses("200", "{}")) {
+        CAPTURE(broken);
+        response = broken;
+        CHECK_FALSE(upstreamClient.HasCrashed("incarnation"));
+      }
+      for (const auto* cut :
+           { "", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nA: a\r\n" }) {
+        CAPTURE(cut);
+        response = cut;
+        CHECK(upstreamClient.HasCrashed("incarnation"));
+      }
+    }
+    return 0;
+  });
+}
