--- a/libs/net/include/net/Http.h
+++ b/libs/net/include/net/Http.h
@@ -66,7 +66,7 @@
   std::string body;
 };
 
-/** Whether a response that is no interim one may have this status. */
+/** Whether a response other than an interim one may have this status. */
 bool
 IsFinalStatus(int aStatus);
 
--- a/libs/requests/src/AttemptCall.cpp
+++ b/libs/requests/src/AttemptCall.cpp
@@ -260,7 +260,7 @@
   }
 }
 
-// A side of an earlier release may pass on a status that is none of a response.
+// A side of an earlier release may pass on a status that no response may have.
 void
 AttemptCall::ApplyHead(const schema::AnswerHead& aHead,
                        Progress& aProgress) const
